Add membership by probes and ownership by rendezvous hashing

The platform's host list lags, so hosts probe each other: one probe a second, indirect probes before a suspicion, and refutation by incarnation.

--- /dev/null
+++ b/core/membership/owners.go
@@ -0,0 +1,84 @@
+package membership
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// OwnersPerDatabase is the number of hosts that hold connections to a
+// database: one to serve and one to take over at once.
+const OwnersPerDatabase = 2
+
+// Owners ranks the hosts of a database by rendezvous hashing and returns the
+// owners, best first. Only living hosts of the region are taken, or of all
+// regions if it has none, and the second owner is in another availability zone
+// than the first if there is one. Hosts that agree on the members agree on the
+// owners, and a host that comes or goes moves only the databases it owns.
+func Owners(database, region string, members []Member) []Member {
+	ranked := rank(database, region, members)
+	if len(ranked) == 0 {
+		return nil
+	}
+	first := ranked[0]
+	second := slices.IndexFunc(ranked, func(m Member) bool { return m.Zone != first.Zone })
+	switch {
+	case second > 0:
+		return []Member{first, ranked[second]}
+	case len(ranked) > 1:
+		return ranked[:OwnersPerDatabase:OwnersPerDatabase]
+	default:
+		return ranked
+	}
+}
+
+type scored struct {
+	Member
+	score uint64
+}
+
+func rank(database, region string, members []Member) []Member {
+	candidates := owning(region, members)
+	scores := make([]scored, len(candidates))
+	for i, m := range candidates {
+		scores[i] = scored{m, score(database, m.Name)}
+	}
+	slices.SortFunc(scores, func(a, b scored) int {
+		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
+	})
+	out := make([]Member, len(scores))
+	for i, s := range scores {
+		out[i] = s.Member
+	}
+	return out
+}
+
+// owning returns the members that may own a database of the region. A suspect
+// host still counts, because most suspicions are refuted and each move of
+// ownership costs connections.
+func owning(region string, members []Member) []Member {
+	var all, near []Member
+	for _, m := range members {
+		if m.State != Alive && m.State != Suspect || m.ForwardAddress == "" {
+			continue
+		}
+		all = append(all, m)
+		if m.Region == region {
+			near = append(near, m)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
+func score(database, host string) uint64 {
+	d := xxhash.New()
+	// Writes to a digest do not fail.
+	_, _ = d.WriteString(database)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(host)
+	return d.Sum64()
+}
--- /dev/null
+++ b/core/membership/table.go
@@ -0,0 +1,489 @@
+// Package membership keeps a host's view of the other hosts and derives from
+// it which hosts own a database.
+//
+// The table combines two sources. The platform's host list names the hosts
+// but lags. Probes between hosts tell within seconds which of them answer:
+// each host probes one other per interval, asks a few more to probe a host
+// that did not answer, and suspects it if they can't reach it either. A
+// suspected host is dead unless it refutes the suspicion in time. Changes
+// travel on the probes themselves, so the cost per host does not depend on the
+// size of the fleet.
+//
+// Table is a deterministic state machine: time and messages are passed in, the
+// messages to send come out.
+package membership
+
+import (
+	"cmp"
+	"encoding/binary"
+	"math/bits"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/gypsumgap/gypsumgap/core/platform"
+)
+
+// State is what a host is known to be.
+type State int
+
+// The states, in the order in which one overrides another of the same incarnation.
+const (
+	Alive State = iota + 1
+	Suspect
+	Leaving
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "unknown"
+	}
+}
+
+// Member is one host as the table knows it.
+type Member struct {
+	Name string
+	// PeerAddress serves control messages, host:port.
+	PeerAddress string
+	// ForwardAddress serves forwarded statements, host:port; empty until the
+	// host itself has been heard of.
+	ForwardAddress string
+	Zone           string
+	Region         string
+	State          State
+	// Incarnation orders statements about a host. The host raises it to refute
+	// a suspicion; a restarted process starts with a greater one.
+	Incarnation uint64
+}
+
+// overrides reports whether a is newer knowledge than b.
+func (m Member) overrides(b Member) bool {
+	return cmp.Or(cmp.Compare(m.Incarnation, b.Incarnation), cmp.Compare(m.State, b.State)) > 0
+}
+
+// Options set the pace of a table.
+type Options struct {
+	// ProbeInterval is the time between two probes that this host sends.
+	ProbeInterval time.Duration
+	// ProbeTimeout is the time after which a probe counts as unanswered.
+	ProbeTimeout time.Duration
+	// IndirectProbes is the number of hosts asked to probe an unanswering one.
+	IndirectProbes int
+	// SuspicionTimeout is the time in which a suspected host must refute.
+	SuspicionTimeout time.Duration
+	// Retention is the time for which a dead host is remembered.
+	Retention time.Duration
+	// UpdatesPerMessage bounds the members that one message carries.
+	UpdatesPerMessage int
+}
+
+// DefaultOptions detect a dead host within about ten seconds.
+func DefaultOptions() Options {
+	return Options{
+		ProbeInterval:     time.Second,
+		ProbeTimeout:      500 * time.Millisecond,
+		IndirectProbes:    3,
+		SuspicionTimeout:  4 * time.Second,
+		Retention:         10 * time.Minute,
+		UpdatesPerMessage: 8,
+	}
+}
+
+// Message is what travels on a probe and on its answer.
+type Message struct {
+	From    string
+	Updates []Member
+	Digest  uint64
+}
+
+// CommandKind tells what a command asks for.
+type CommandKind int
+
+// The kinds of command.
+const (
+	// SendProbe asks to send Message to Target; the outcome goes to
+	// ProbeAnswered or ProbeFailed.
+	SendProbe CommandKind = iota + 1
+	// SendIndirectProbe asks Via to probe Target; the outcome goes to
+	// IndirectAnswered.
+	SendIndirectProbe
+)
+
+// Command is a message for the caller to send.
+type Command struct {
+	Kind    CommandKind
+	Target  Member
+	Via     Member
+	Message Message
+}
+
+type entry struct {
+	Member
+	// since is when the state was entered.
+	since time.Time
+	// sent counts the messages that carried the entry's latest change.
+	sent int
+	// listed says that the platform's list names the host.
+	listed bool
+}
+
+// Table is a host's view of all hosts. It is not safe for concurrent use.
+type Table struct {
+	self    string
+	opts    Options
+	rng     *rand.Rand
+	entries map[string]*entry
+	// queue holds the names to probe in this pass, in random order.
+	queue     []string
+	nextProbe time.Time
+	// pending maps a suspected target to the indirect probes still open.
+	pending map[string]int
+	// fresh holds the names whose latest change is still being sent.
+	fresh map[string]struct{}
+	// walkOrder holds the names to send next when digests differ.
+	walkOrder []string
+	// sum is the digest of the entries, kept up to date by each change, since
+	// it goes into every message.
+	sum     uint64
+	changes uint64
+}
+
+// NewTable returns a table that knows self only. rng chooses probe targets.
+func NewTable(self Member, opts Options, rng *rand.Rand, now time.Time) *Table {
+	self.State = Alive
+	t := &Table{
+		self:    self.Name,
+		opts:    opts,
+		rng:     rng,
+		entries: map[string]*entry{},
+		pending: map[string]int{},
+		fresh:   map[string]struct{}{},
+	}
+	e := &entry{}
+	t.entries[self.Name] = e
+	t.set(now, e, self)
+	return t
+}
+
+// Self returns the table's own member.
+func (t *Table) Self() Member { return t.entries[t.self].Member }
+
+// Changes counts the changes to the table; it is equal only if nothing changed.
+func (t *Table) Changes() uint64 { return t.changes }
+
+// Members returns all known members ordered by name, dead ones included.
+func (t *Table) Members() []Member {
+	out := make([]Member, 0, len(t.entries))
+	for _, e := range t.entries {
+		out = append(out, e.Member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
+// Tick advances the table to now and returns the messages to send.
+func (t *Table) Tick(now time.Time) []Command {
+	t.expire(now)
+	if now.Before(t.nextProbe) {
+		return nil
+	}
+	t.nextProbe = now.Add(t.opts.ProbeInterval)
+	target, ok := t.nextTarget()
+	if !ok {
+		return nil
+	}
+	return []Command{{Kind: SendProbe, Target: target, Message: t.message(target.Name, false)}}
+}
+
+func (t *Table) expire(now time.Time) {
+	for name, e := range t.entries {
+		age := now.Sub(e.since)
+		switch {
+		case e.State == Suspect && age >= t.opts.SuspicionTimeout:
+			t.set(now, e, Member{
+				Name: e.Name, PeerAddress: e.PeerAddress, ForwardAddress: e.ForwardAddress,
+				Zone: e.Zone, Region: e.Region, State: Dead, Incarnation: e.Incarnation,
+			})
+		case e.State == Dead && !e.listed && age >= t.opts.Retention:
+			delete(t.entries, name)
+			delete(t.fresh, name)
+			t.changes++
+		}
+	}
+}
+
+func (t *Table) nextTarget() (Member, bool) {
+	for {
+		if len(t.queue) == 0 {
+			t.refillQueue()
+		}
+		if len(t.queue) == 0 {
+			return Member{}, false
+		}
+		name := t.queue[0]
+		t.queue = t.queue[1:]
+		if e, ok := t.entries[name]; ok && t.probed(e) {
+			return e.Member, true
+		}
+	}
+}
+
+// probed reports whether the host is worth a probe. A dead host that the
+// platform still lists is probed as well, since a network partition may heal.
+func (t *Table) probed(e *entry) bool {
+	return e.Name != t.self && (e.State != Dead || e.listed)
+}
+
+func (t *Table) refillQueue() {
+	for name, e := range t.entries {
+		if t.probed(e) {
+			t.queue = append(t.queue, name)
+		}
+	}
+	// Map order is random per run; sorting keeps the choice a function of rng.
+	slices.Sort(t.queue)
+	t.rng.Shuffle(len(t.queue), func(i, j int) { t.queue[i], t.queue[j] = t.queue[j], t.queue[i] })
+}
+
+// Receive merges a probe from another host and returns the answer to send.
+func (t *Table) Receive(now time.Time, m Message) Message {
+	differs := m.Digest != t.sum
+	t.merge(now, m.Updates)
+	t.heard(now, m.From)
+	return t.message(m.From, differs)
+}
+
+// ProbeAnswered merges the answer of a probe.
+func (t *Table) ProbeAnswered(now time.Time, target string, m Message) {
+	t.merge(now, m.Updates)
+	t.heard(now, target)
+}
+
+// ProbeFailed records that a probe had no answer and returns indirect probes
+// to send.
+func (t *Table) ProbeFailed(now time.Time, target string) []Command {
+	e, ok := t.entries[target]
+	if !ok || e.State == Dead {
+		return nil
+	}
+	vias := t.randomAlive(t.opts.IndirectProbes, target)
+	if len(vias) == 0 {
+		t.suspect(now, e)
+		return nil
+	}
+	t.pending[target] = len(vias)
+	cmds := make([]Command, len(vias))
+	for i, via := range vias {
+		cmds[i] = Command{Kind: SendIndirectProbe, Target: e.Member, Via: via}
+	}
+	return cmds
+}
+
+// IndirectAnswered records the outcome of one indirect probe.
+func (t *Table) IndirectAnswered(now time.Time, target string, reached bool) {
+	open, ok := t.pending[target]
+	if !ok {
+		return
+	}
+	if reached {
+		t.heard(now, target)
+		return
+	}
+	if open > 1 {
+		t.pending[target] = open - 1
+		return
+	}
+	delete(t.pending, target)
+	if e, ok := t.entries[target]; ok {
+		t.suspect(now, e)
+	}
+}
+
+// heard notes that target itself answered, which ends the open indirect
+// probes. It does not end a suspicion: only the target's own greater
+// incarnation does, so that all hosts agree on the order of events.
+func (t *Table) heard(_ time.Time, target string) {
+	delete(t.pending, target)
+}
+
+func (t *Table) suspect(now time.Time, e *entry) {
+	if e.State != Alive {
+		return
+	}
+	m := e.Member
+	m.State = Suspect
+	t.set(now, e, m)
+}
+
+// Leave marks this host as leaving; it stays in the table until it is gone.
+func (t *Table) Leave(now time.Time) {
+	e := t.entries[t.self]
+	m := e.Member
+	m.State = Leaving
+	m.Incarnation++
+	t.set(now, e, m)
+}
+
+// MergePlatform adds the hosts of the platform's list. The list lags, so it
+// neither revives a dead host nor ends one that answers.
+func (t *Table) MergePlatform(now time.Time, hosts []platform.Host) {
+	for _, e := range t.entries {
+		e.listed = false
+	}
+	for _, h := range hosts {
+		m := Member{Name: h.Name, PeerAddress: h.Address, Zone: h.Zone, Region: h.Region, State: Alive}
+		e, ok := t.entries[h.Name]
+		if !ok {
+			e = &entry{}
+			t.entries[h.Name] = e
+			t.set(now, e, m)
+		}
+		e.listed = true
+		if h.State == platform.HostLeaving && e.State < Leaving && h.Name != t.self {
+			left := e.Member
+			left.State = Leaving
+			t.set(now, e, left)
+		}
+	}
+}
+
+func (t *Table) merge(now time.Time, updates []Member) {
+	for _, u := range updates {
+		if u.Name == t.self {
+			t.refute(now, u)
+			continue
+		}
+		e, ok := t.entries[u.Name]
+		if !ok {
+			if u.State == Dead {
+				continue
+			}
+			e = &entry{}
+			t.entries[u.Name] = e
+		} else if !u.overrides(e.Member) {
+			continue
+		}
+		t.set(now, e, u)
+	}
+}
+
+// refute answers a claim that this host is suspect or dead with a greater
+// incarnation, which overrides the claim wherever it went.
+func (t *Table) refute(now time.Time, claim Member) {
+	e := t.entries[t.self]
+	if claim.Incarnation < e.Incarnation || claim.State == e.State || claim.State == Alive {
+		return
+	}
+	m := e.Member
+	m.Incarnation = claim.Incarnation + 1
+	t.set(now, e, m)
+}
+
+func (t *Table) set(now time.Time, e *entry, m Member) {
+	if e.State != m.State {
+		e.since = now
+	}
+	if m.ForwardAddress == "" {
+		m.ForwardAddress = e.ForwardAddress
+	}
+	t.sum ^= e.digest()
+	e.Member = m
+	t.sum ^= e.digest()
+	e.sent = 0
+	if m.Name != t.self && m.Incarnation > 0 {
+		t.fresh[m.Name] = struct{}{}
+	}
+	t.changes++
+}
+
+func (t *Table) randomAlive(n int, except string) []Member {
+	var out []Member
+	for name, e := range t.entries {
+		if name != t.self && name != except && e.State == Alive {
+			out = append(out, e.Member)
+		}
+	}
+	slices.SortFunc(out, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	t.rng.Shuffle(len(out), func(i, j int) { out[i], out[j] = out[j], out[i] })
+	return out[:min(n, len(out))]
+}
+
+// message builds a message for the host to. It carries this host itself, what
+// the receiver must refute if it is not held alive, and the least often sent
+// changes. With walk, the room left carries the next members of the whole
+// table, so that two tables that differ converge even if the changes are no
+// longer sent.
+func (t *Table) message(to string, walk bool) Message {
+	fresh := make([]*entry, 0, len(t.fresh))
+	for name := range t.fresh {
+		fresh = append(fresh, t.entries[name])
+	}
+	slices.SortFunc(fresh, func(a, b *entry) int {
+		return cmp.Or(cmp.Compare(a.sent, b.sent), cmp.Compare(a.Name, b.Name))
+	})
+	fresh = fresh[:min(len(fresh), t.opts.UpdatesPerMessage)]
+	m := Message{From: t.self, Digest: t.sum, Updates: []Member{t.Self()}}
+	if e, ok := t.entries[to]; ok && e.State != Alive {
+		m.Updates = append(m.Updates, e.Member)
+	}
+	limit := t.retransmissions()
+	for _, e := range fresh {
+		if e.sent++; e.sent >= limit {
+			delete(t.fresh, e.Name)
+		}
+		m.Updates = append(m.Updates, e.Member)
+	}
+	if walk {
+		m.Updates = append(m.Updates, t.walk(t.opts.UpdatesPerMessage-len(fresh))...)
+	}
+	return m
+}
+
+// retransmissions is the number of messages that carry a change. Three times
+// the logarithm of the fleet's size reaches all hosts with high probability.
+func (t *Table) retransmissions() int { return 3 * bits.Len(uint(len(t.entries))) }
+
+// walk returns the next n members of a walk over the whole table.
+func (t *Table) walk(n int) []Member {
+	var out []Member
+	for ; n > 0; n-- {
+		if len(t.walkOrder) == 0 {
+			for _, m := range t.Members() {
+				t.walkOrder = append(t.walkOrder, m.Name)
+			}
+		}
+		name := t.walkOrder[0]
+		t.walkOrder = t.walkOrder[1:]
+		if e, ok := t.entries[name]; ok && e.Incarnation > 0 {
+			out = append(out, e.Member)
+		}
+	}
+	return out
+}
+
+// digest is the entry's part in the digest of a table, which is the exclusive
+// or of all parts and so does not depend on their order. A dead host has none,
+// since it is forgotten at different times.
+func (e *entry) digest() uint64 {
+	if e.State == Dead || e.Incarnation == 0 {
+		return 0
+	}
+	buf := make([]byte, 0, 64)
+	buf = append(buf, e.Name...)
+	buf = append(buf, byte(e.State))
+	buf = binary.LittleEndian.AppendUint64(buf, e.Incarnation)
+	return xxhash.Sum64(buf)
+}
--- /dev/null
+++ b/core/membership/table_test.go
@@ -0,0 +1,212 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	_ "github.com/gypsumgap/gypsumgap/core/testseed"
+)
+
+// fleet runs tables against each other in steps of virtual time. A message is
+// lost if its sender or receiver is down or if drop says so.
+type fleet struct {
+	now      time.Time
+	tables   map[string]*Table
+	names    []string
+	down     map[string]bool
+	drop     func(from, to string) bool
+	messages int
+	members  int
+}
+
+func newFleet(n int, seed uint64) *fleet {
+	f := &fleet{
+		now:    time.Unix(1_000_000, 0),
+		tables: map[string]*Table{},
+		down:   map[string]bool{},
+		drop:   func(string, string) bool { return false },
+	}
+	var hosts []platform.Host
+	for i := range n {
+		name := fmt.Sprintf("e%d", i)
+		f.names = append(f.names, name)
+		hosts = append(hosts, platform.Host{Name: name, Address: name, Zone: fmt.Sprintf("z%d", i%3), Region: "r", State: platform.HostLive})
+	}
+	for i, name := range f.names {
+		self := Member{Name: name, PeerAddress: name, ForwardAddress: name, Zone: hosts[i].Zone, Region: "r", Incarnation: 1}
+		t := NewTable(self, DefaultOptions(), rand.New(rand.NewPCG(seed, uint64(i))), f.now)
+		t.MergePlatform(f.now, hosts)
+		f.tables[name] = t
+	}
+	return f
+}
+
+func (f *fleet) lost(from, to string) bool { return f.down[from] || f.down[to] || f.drop(from, to) }
+
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(250 * time.Millisecond) {
+		for _, name := range f.names {
+			if !f.down[name] {
+				f.send(name, f.tables[name].Tick(f.now))
+			}
+		}
+	}
+}
+
+func (f *fleet) send(from string, cmds []Command) {
+	t := f.tables[from]
+	for _, c := range cmds {
+		switch c.Kind {
+		case SendProbe:
+			f.messages += 2
+			f.members += len(c.Message.Updates)
+			if f.lost(from, c.Target.Name) || f.lost(c.Target.Name, from) {
+				f.send(from, t.ProbeFailed(f.now, c.Target.Name))
+				continue
+			}
+			answer := f.tables[c.Target.Name].Receive(f.now, c.Message)
+			f.members += len(answer.Updates)
+			t.ProbeAnswered(f.now, c.Target.Name, answer)
+		case SendIndirectProbe:
+			f.messages += 4
+			reached := !f.lost(from, c.Via.Name) && !f.lost(c.Via.Name, c.Target.Name)
+			t.IndirectAnswered(f.now, c.Target.Name, reached)
+		}
+	}
+}
+
+func (f *fleet) state(at, of string) State {
+	for _, m := range f.tables[at].Members() {
+		if m.Name == of {
+			return m.State
+		}
+	}
+	return 0
+}
+
+// Guards against a dead host that stays an owner while the platform's list
+// still names it as live.
+func TestDeadHostIsFoundByAll(t *testing.T) {
+	f := newFleet(21, 1)
+	f.run(10 * time.Second)
+	f.down["e3"] = true
+	f.run(40 * time.Second)
+	for _, name := range f.names {
+		if name != "e3" && f.state(name, "e3") != Dead {
+			t.Errorf("%s holds e3 for %s", name, f.state(name, "e3"))
+		}
+	}
+}
+
+// Guards against one broken path between two hosts taking a healthy host out.
+func TestOneBrokenPathIsNoDeath(t *testing.T) {
+	f := newFleet(9, 2)
+	f.drop = func(from, to string) bool { return from == "e1" && to == "e2" || from == "e2" && to == "e1" }
+	f.run(60 * time.Second)
+	for _, name := range f.names {
+		if s := f.state(name, "e2"); s != Alive {
+			t.Errorf("%s holds e2 for %s", name, s)
+		}
+	}
+}
+
+// Guards against a restarted or reconnected host that stays dead for others.
+func TestHostReturns(t *testing.T) {
+	f := newFleet(9, 3)
+	f.down["e4"] = true
+	f.run(40 * time.Second)
+	f.down["e4"] = false
+	f.run(60 * time.Second)
+	for _, name := range f.names {
+		if s := f.state(name, "e4"); s != Alive {
+			t.Errorf("%s holds e4 for %s", name, s)
+		}
+	}
+}
+
+// Guards against tables that never agree again after random loss, partitions
+// and restarts.
+func TestTablesConvergeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(rapid.IntRange(2, 12).Draw(t, "hosts"), rapid.Uint64().Draw(t, "seed"))
+		loss := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "loss"), 0))
+		f.drop = func(string, string) bool { return loss.IntN(3) == 0 }
+		for range rapid.IntRange(1, 4).Draw(t, "faults") {
+			f.down[rapid.SampledFrom(f.names).Draw(t, "down")] = true
+			f.run(time.Duration(rapid.IntRange(1, 30).Draw(t, "seconds")) * time.Second)
+			f.down = map[string]bool{}
+		}
+		f.drop = func(string, string) bool { return false }
+		f.run(3 * time.Minute)
+		for _, at := range f.names {
+			for _, of := range f.names {
+				if s := f.state(at, of); s != Alive {
+					t.Fatalf("%s holds %s for %s after the faults ended", at, of, s)
+				}
+			}
+		}
+	})
+}
+
+// Guards against a leaving host that keeps its databases.
+func TestLeavingHostOwnsNothing(t *testing.T) {
+	f := newFleet(9, 4)
+	f.run(10 * time.Second)
+	f.tables["e0"].Leave(f.now)
+	f.run(15 * time.Second)
+	for i := range 200 {
+		for _, o := range Owners(fmt.Sprintf("db%d", i), "r", f.tables["e5"].Members()) {
+			if o.Name == "e0" {
+				t.Fatalf("leaving host e0 owns db%d", i)
+			}
+		}
+	}
+}
+
+// Guards against ownership that moves for databases unrelated to a lost host,
+// and against both owners in one availability zone.
+func TestOwnersMoveLittleAndSpanZones(t *testing.T) {
+	f := newFleet(12, 5)
+	f.run(20 * time.Second)
+	members := f.tables["e0"].Members()
+	without := members[1:]
+	for i := range 300 {
+		database := fmt.Sprintf("db%d", i)
+		before := Owners(database, "r", members)
+		after := Owners(database, "r", without)
+		if before[0].Zone == before[1].Zone {
+			t.Errorf("%s: both owners in %s", database, before[0].Zone)
+		}
+		if before[0].Name != members[0].Name && before[0].Name != after[0].Name {
+			t.Errorf("%s: first owner moved from %s to %s", database, before[0].Name, after[0].Name)
+		}
+	}
+}
+
+// BenchmarkDetection reports, in virtual time, how long a dead host stays
+// undetected by the slowest host and how many messages each host sends.
+func BenchmarkDetection(b *testing.B) {
+	for _, n := range []int{21, 250, 1000, 3000} {
+		b.Run(fmt.Sprintf("hosts=%d", n), func(b *testing.B) {
+			for range b.N {
+				f := newFleet(n, 7)
+				f.run(5 * time.Second)
+				f.messages, f.members = 0, 0
+				f.down["e1"] = true
+				start := f.now
+				for f.state("e0", "e1") != Dead {
+					f.run(time.Second)
+				}
+				detected := f.now.Sub(start).Seconds()
+				b.ReportMetric(detected, "virtual-s/detection")
+				b.ReportMetric(float64(f.messages)/float64(n)/detected, "messages/host/s")
+				b.ReportMetric(float64(f.members)/float64(n)/detected, "members/host/s")
+			}
+		})
+	}
+}
