--- /dev/null
+++ b/core/replication/runner.go
@@ -0,0 +1,527 @@
+package replication
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+const (
+	// DefaultRefreshInterval separates the status requests to a slot while nobody waits.
+	DefaultRefreshInterval = time.Second
+	// DefaultStatusTimeout is the deadline of a status request.
+	DefaultStatusTimeout = 250 * time.Millisecond
+
+	// minRefreshInterval bounds the load that classes with a small age of data can cause.
+	minRefreshInterval = 50 * time.Millisecond
+	// failedSlotGap separates requests to a slot that did not answer the last one.
+	failedSlotGap = 100 * time.Millisecond
+	// firstRepeatGap and lastRepeatGap bound the pause between requests on
+	// behalf of the same waits; it doubles, since a slot that lags will lag a while.
+	firstRepeatGap = time.Millisecond
+	lastRepeatGap  = 16 * time.Millisecond
+	// stallAfter is the age at which an unfinished commit wait is reported, and
+	// the interval at which the report is repeated.
+	stallAfter = 250 * time.Millisecond
+	// reportInterval separates reports of unchanged statuses to the observer.
+	reportInterval = 200 * time.Millisecond
+)
+
+// Observation is what a Runner tells its observer.
+type Observation struct {
+	// Slot is the index of the slot that Status or Err is about; -1 for a
+	// report of stalled commits.
+	Slot int
+	// Sent is when the status request was sent.
+	Sent time.Time
+	// Status is the answer, if Err is nil.
+	Status group.Status
+	// Err is the reason for no answer; it wraps an error of package group, or is
+	// ErrReported if traffic reported the slot.
+	Err error
+	// Stalled is the age of the oldest unfinished commit wait; 0 if there is none.
+	Stalled time.Duration
+}
+
+// ErrReported is the Err of an observation that comes from ReportFailure.
+var ErrReported = errors.New("traffic reported a failure of the slot")
+
+// Options configures a Runner.
+type Options struct {
+	// Client sends the status requests.
+	Client group.Client
+	// Slots are the slots of the group; there must be at least one.
+	Slots []group.Slot
+	// RefreshInterval is the idle interval; 0 takes DefaultRefreshInterval.
+	RefreshInterval time.Duration
+	// StatusTimeout is the deadline of a request; 0 takes DefaultStatusTimeout.
+	StatusTimeout time.Duration
+	// Observe, if set, is called from the Runner's goroutine and must not block.
+	// Unchanged statuses are reported at most every 200 ms and slot.
+	Observe func(Observation)
+}
+
+// Runner drives a Tracker through a group.Client and implements Gate. Each slot
+// has at most one request outstanding. While somebody waits, the next request to
+// a slot follows the last answer, so that one request serves all waits that
+// began before it; otherwise slots are asked once per refresh interval.
+type Runner struct {
+	opts    Options
+	refresh atomic.Int64
+	view    atomic.Pointer[View]
+	spread  atomic.Uint64
+	heard   []atomic.Int64
+	started time.Time
+
+	mu    sync.Mutex
+	inbox []func()
+	ended bool
+	wake  chan struct{}
+	done  chan struct{}
+
+	// The fields below belong to the goroutine of Run.
+	tracker  *Tracker
+	polls    []poll
+	commits  []*commitWaiter
+	barriers []*barrierWaiter
+	views    []*viewWaiter
+	// newest is the number of the last request sent before the latest wait began.
+	newest    uint64
+	retryAt   time.Time
+	stalledAt time.Time
+	wg        sync.WaitGroup
+}
+
+// poll is the state of the requests to one slot.
+type poll struct {
+	busy    bool
+	number  uint64
+	sent    time.Time
+	ended   time.Time
+	failed  bool
+	gap     time.Duration
+	kicked  bool
+	told    time.Time
+	toldOf  group.Status
+	toldErr bool
+}
+
+type outcome struct {
+	position group.Position
+	slot     int
+	term     group.Term
+	err      error
+}
+
+type commitWaiter struct {
+	wait  CommitWait
+	began time.Time
+	reply chan outcome
+}
+
+type barrierWaiter struct {
+	wait  BarrierWait
+	reply chan outcome
+}
+
+// viewWaiter waits for a view that satisfies ready, which returns the index of a slot or -1.
+type viewWaiter struct {
+	ready func(*View, time.Time) int
+	reply chan outcome
+}
+
+var _ Gate = (*Runner)(nil)
+
+// NewRunner returns a Runner; its methods may be called at once, and the
+// waiting ones are served while Run is active.
+func NewRunner(o Options) *Runner {
+	if o.RefreshInterval <= 0 {
+		o.RefreshInterval = DefaultRefreshInterval
+	}
+	if o.StatusTimeout <= 0 {
+		o.StatusTimeout = DefaultStatusTimeout
+	}
+	r := &Runner{
+		opts:    o,
+		heard:   make([]atomic.Int64, len(o.Slots)),
+		started: time.Now(),
+		wake:    make(chan struct{}, 1),
+		done:    make(chan struct{}),
+		tracker: NewTracker(o.Slots),
+		polls:   make([]poll, len(o.Slots)),
+	}
+	r.SetRefreshInterval(o.RefreshInterval)
+	r.view.Store(r.tracker.View())
+	return r
+}
+
+// SetRefreshInterval sets the idle interval, at least 50 ms. Ages of data are
+// known to about this interval, so it should be at most half of the smallest
+// age that a class in use accepts.
+func (r *Runner) SetRefreshInterval(d time.Duration) {
+	r.refresh.Store(int64(max(d, minRefreshInterval)))
+	r.signal()
+}
+
+// Run follows the group until ctx ends, and returns the cause. It must be
+// called once. Waits that are left fail with ErrStopped.
+func (r *Runner) Run(ctx context.Context) error {
+	defer r.stop()
+	requests, cancel := context.WithCancel(ctx)
+	defer r.wg.Wait()
+	defer cancel()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		now := time.Now()
+		r.drain()
+		r.serve(now)
+		next := r.send(requests, now)
+		timer.Reset(next.Sub(now))
+		select {
+		case <-ctx.Done():
+			return context.Cause(ctx)
+		case <-r.wake:
+		case <-timer.C:
+		}
+	}
+}
+
+// stop fails the remaining waits.
+func (r *Runner) stop() {
+	r.mu.Lock()
+	r.ended = true
+	r.inbox = nil
+	r.mu.Unlock()
+	close(r.done)
+}
+
+// post hands f to the goroutine of Run.
+func (r *Runner) post(f func()) {
+	r.mu.Lock()
+	if !r.ended {
+		r.inbox = append(r.inbox, f)
+	}
+	r.mu.Unlock()
+	r.signal()
+}
+
+func (r *Runner) signal() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (r *Runner) drain() {
+	r.mu.Lock()
+	inbox := r.inbox
+	r.inbox = nil
+	r.mu.Unlock()
+	for _, f := range inbox {
+		f()
+	}
+}
+
+// serve ends the waits that can end, and reports stalled commits.
+func (r *Runner) serve(now time.Time) {
+	r.commits = keep(r.commits, func(w *commitWaiter) bool {
+		p, done, err := r.tracker.Commit(&w.wait)
+		return settle(w.reply, outcome{position: p, err: err}, done || err != nil)
+	})
+	r.retryAt = time.Time{}
+	r.barriers = keep(r.barriers, func(w *barrierWaiter) bool {
+		p, done, retry := r.tracker.Barrier(now, &w.wait)
+		if !retry.IsZero() && (r.retryAt.IsZero() || retry.Before(r.retryAt)) {
+			r.retryAt = retry
+		}
+		return settle(w.reply, outcome{position: p}, done)
+	})
+	v := r.view.Load()
+	r.views = keep(r.views, func(w *viewWaiter) bool {
+		i := w.ready(v, now)
+		return settle(w.reply, outcome{slot: i, term: v.Term}, i >= 0)
+	})
+	r.reportStall(now)
+}
+
+// keep removes the elements for which over returns true.
+func keep[T any](s []T, over func(T) bool) []T {
+	kept := s[:0]
+	for _, w := range s {
+		if !over(w) {
+			kept = append(kept, w)
+		}
+	}
+	clear(s[len(kept):])
+	return kept
+}
+
+// settle sends the outcome if the wait is over; the channel has room for it.
+func settle(reply chan outcome, o outcome, over bool) bool {
+	if over {
+		reply <- o
+	}
+	return over
+}
+
+func (r *Runner) reportStall(now time.Time) {
+	if r.opts.Observe == nil || len(r.commits) == 0 {
+		return
+	}
+	age := now.Sub(r.commits[0].began)
+	if age < stallAfter || now.Sub(r.stalledAt) < stallAfter {
+		return
+	}
+	r.stalledAt = now
+	r.opts.Observe(Observation{Slot: -1, Stalled: age})
+}
+
+// send starts the requests that are due and returns when to look again.
+func (r *Runner) send(ctx context.Context, now time.Time) time.Time {
+	next := now.Add(time.Duration(r.refresh.Load()))
+	if !r.retryAt.IsZero() && r.retryAt.Before(next) {
+		next = r.retryAt
+	}
+	for i := range r.polls {
+		p := &r.polls[i]
+		if p.busy {
+			continue
+		}
+		due := r.due(p, now)
+		if due.After(now) {
+			if due.Before(next) {
+				next = due
+			}
+			continue
+		}
+		r.ask(ctx, now, i)
+	}
+	return next
+}
+
+// due returns when the slot is to be asked next.
+func (r *Runner) due(p *poll, now time.Time) time.Time {
+	if p.sent.IsZero() || p.kicked {
+		return now
+	}
+	idle := p.sent.Add(time.Duration(r.refresh.Load()))
+	if len(r.commits)+len(r.barriers)+len(r.views) == 0 {
+		return idle
+	}
+	wanted := now
+	switch {
+	case p.failed:
+		wanted = p.ended.Add(failedSlotGap)
+	case p.number <= r.newest:
+		p.gap = 0
+	default:
+		wanted = p.ended.Add(max(p.gap, firstRepeatGap))
+	}
+	if idle.Before(wanted) {
+		return idle
+	}
+	return wanted
+}
+
+func (r *Runner) ask(ctx context.Context, now time.Time, slot int) {
+	p := &r.polls[slot]
+	if p.number > r.newest {
+		p.gap = min(max(2*p.gap, firstRepeatGap), lastRepeatGap)
+	}
+	q := r.tracker.Ask(now, slot)
+	p.busy, p.kicked, p.number, p.sent = true, false, q.Number, now
+	r.wg.Go(func() {
+		c, cancel := context.WithTimeout(ctx, r.opts.StatusTimeout)
+		st, err := r.opts.Client.Status(c, r.opts.Slots[slot])
+		cancel()
+		r.post(func() { r.answered(q, st, err) })
+	})
+}
+
+func (r *Runner) answered(q Request, st group.Status, err error) {
+	now := time.Now()
+	p := &r.polls[q.Slot]
+	p.busy, p.ended, p.failed = false, now, err != nil
+	if err != nil {
+		r.tracker.Fail(q)
+	} else {
+		r.tracker.Answer(q, st)
+		r.ReportAnswer(r.opts.Slots[q.Slot].ID)
+	}
+	r.view.Store(r.tracker.View())
+	r.tell(now, q, st, err)
+}
+
+// tell passes failures and changes on at once, and unchanged answers seldom.
+func (r *Runner) tell(now time.Time, q Request, st group.Status, err error) {
+	if r.opts.Observe == nil {
+		return
+	}
+	p := &r.polls[q.Slot]
+	same := err == nil && !p.toldErr && sameState(p.toldOf, st)
+	if same && now.Sub(p.told) < reportInterval {
+		return
+	}
+	p.told, p.toldOf, p.toldErr = now, st, err != nil
+	r.opts.Observe(Observation{Slot: q.Slot, Sent: q.Sent, Status: st, Err: err})
+}
+
+// sameState compares what decisions on failover depend on, positions left out.
+func sameState(a, b group.Status) bool {
+	return a.Role == b.Role && a.Accepted == b.Accepted && a.Received.Term == b.Received.Term &&
+		a.Leaving == b.Leaving && a.Upstream == b.Upstream
+}
+
+// Refresh asks every slot at once, for example after a promotion.
+func (r *Runner) Refresh() {
+	r.post(func() {
+		for i := range r.polls {
+			r.polls[i].kicked = true
+		}
+	})
+}
+
+// View returns the latest summary. It does not block.
+func (r *Runner) View() *View { return r.view.Load() }
+
+// LastAnswer returns when the slot last answered a status request or a
+// statement; the zero time if it never did.
+func (r *Runner) LastAnswer(slot int) time.Time {
+	ns := r.heard[slot].Load()
+	if ns == 0 {
+		return time.Time{}
+	}
+	return r.started.Add(time.Duration(ns))
+}
+
+// Primary implements Gate.
+func (r *Runner) Primary() (group.Slot, group.Term, bool) {
+	v := r.view.Load()
+	if v.Primary < 0 {
+		return group.Slot{}, 0, false
+	}
+	return v.Slots[v.Primary].Slot, v.Term, true
+}
+
+// WaitPrimary implements Gate.
+func (r *Runner) WaitPrimary(ctx context.Context) (group.Slot, group.Term, error) {
+	if s, term, ok := r.Primary(); ok {
+		return s, term, nil
+	}
+	o := r.waitView(ctx, func(v *View, _ time.Time) int { return v.Primary })
+	if o.err != nil {
+		return group.Slot{}, 0, o.err
+	}
+	return r.opts.Slots[o.slot], o.term, nil
+}
+
+// WaitDurable implements Gate.
+func (r *Runner) WaitDurable(ctx context.Context, t group.Term) (group.Position, error) {
+	w := &commitWaiter{reply: make(chan outcome, 1)}
+	o := r.wait(ctx, w.reply, func() {
+		r.newest = r.tracker.last
+		w.wait, w.began = r.tracker.BeginCommit(t), time.Now()
+		r.commits = append(r.commits, w)
+	}, func() { r.commits = keep(r.commits, func(o *commitWaiter) bool { return o == w }) })
+	return o.position, o.err
+}
+
+// Barrier implements Gate.
+func (r *Runner) Barrier(ctx context.Context) (group.Position, error) {
+	w := &barrierWaiter{reply: make(chan outcome, 1)}
+	o := r.wait(ctx, w.reply, func() {
+		r.newest = r.tracker.last
+		w.wait = r.tracker.BeginBarrier()
+		r.barriers = append(r.barriers, w)
+	}, func() { r.barriers = keep(r.barriers, func(o *barrierWaiter) bool { return o == w }) })
+	return o.position, o.err
+}
+
+// PickReplica implements Gate.
+func (r *Runner) PickReplica(need group.Position, maxAge time.Duration) (group.Slot, bool) {
+	i := r.pick(r.view.Load(), time.Now(), need, maxAge)
+	if i < 0 {
+		return group.Slot{}, false
+	}
+	return r.opts.Slots[i], true
+}
+
+func (r *Runner) pick(v *View, now time.Time, need group.Position, maxAge time.Duration) int {
+	start := int(r.spread.Add(1) % uint64(len(r.opts.Slots)))
+	return v.PickReplica(now, need, maxAge, start)
+}
+
+// WaitReplica implements Gate.
+func (r *Runner) WaitReplica(ctx context.Context, need group.Position, maxAge time.Duration) (group.Slot, error) {
+	if s, ok := r.PickReplica(need, maxAge); ok {
+		return s, nil
+	}
+	o := r.waitView(ctx, func(v *View, now time.Time) int { return r.pick(v, now, need, maxAge) })
+	if o.err != nil {
+		return group.Slot{}, o.err
+	}
+	return r.opts.Slots[o.slot], nil
+}
+
+func (r *Runner) waitView(ctx context.Context, ready func(*View, time.Time) int) outcome {
+	w := &viewWaiter{ready: ready, reply: make(chan outcome, 1)}
+	return r.wait(ctx, w.reply, func() {
+		r.newest = r.tracker.last
+		r.views = append(r.views, w)
+	}, func() { r.views = keep(r.views, func(o *viewWaiter) bool { return o == w }) })
+}
+
+// wait runs begin in the goroutine of Run and waits for the reply; if ctx ends
+// first, it withdraws the wait.
+func (r *Runner) wait(ctx context.Context, reply chan outcome, begin, withdraw func()) outcome {
+	if err := context.Cause(ctx); err != nil {
+		return outcome{err: err}
+	}
+	r.post(begin)
+	select {
+	case o := <-reply:
+		return o
+	case <-ctx.Done():
+		r.post(withdraw)
+		return outcome{err: context.Cause(ctx)}
+	case <-r.done:
+		return outcome{err: ErrStopped}
+	}
+}
+
+// ReportAnswer implements Gate.
+func (r *Runner) ReportAnswer(slot group.SlotID) {
+	if i := r.index(slot); i >= 0 {
+		r.heard[i].Store(int64(time.Since(r.started)) | 1)
+	}
+}
+
+// ReportFailure implements Gate.
+func (r *Runner) ReportFailure(slot group.SlotID) {
+	i := r.index(slot)
+	if i < 0 {
+		return
+	}
+	r.post(func() {
+		r.tracker.Suspect(i)
+		r.polls[i].kicked = true
+		r.view.Store(r.tracker.View())
+		if r.opts.Observe != nil {
+			r.opts.Observe(Observation{Slot: i, Sent: time.Now(), Err: ErrReported})
+		}
+	})
+}
+
+func (r *Runner) index(id group.SlotID) int {
+	for i := range r.opts.Slots {
+		if r.opts.Slots[i].ID == id {
+			return i
+		}
+	}
+	return -1
+}
--- /dev/null
+++ b/core/replication/token.go
@@ -0,0 +1,78 @@
+package replication
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// ErrBadToken is wrapped by the errors of ParseToken.
+var ErrBadToken = errors.New("malformed session token")
+
+const noneToken = "none"
+
+// Token is what a session presents to read its own writes on any host. The
+// zero Token states that the session has written nothing.
+type Token struct {
+	// Database names the group that Position belongs to.
+	Database string
+	// Position covers every write of the session.
+	Position group.Position
+}
+
+// None reports whether the session has written nothing.
+func (t Token) None() bool { return t == Token{} }
+
+// String formats the token as database/term:offset, or as none.
+func (t Token) String() string {
+	if t.None() {
+		return noneToken
+	}
+	return t.Database + "/" + t.Position.String()
+}
+
+// ParseToken reads the form that String writes. The database name ends at the
+// last slash, because names may contain slashes. It fails with an error that
+// wraps ErrBadToken.
+func ParseToken(s string) (Token, error) {
+	if s == noneToken {
+		return Token{}, nil
+	}
+	slash := strings.LastIndexByte(s, '/')
+	if slash <= 0 {
+		return Token{}, badToken(s)
+	}
+	term, offset, ok := strings.Cut(s[slash+1:], ":")
+	if !ok {
+		return Token{}, badToken(s)
+	}
+	t, err := parseNumber(term)
+	if err != nil || t == 0 {
+		return Token{}, badToken(s)
+	}
+	o, err := parseNumber(offset)
+	if err != nil {
+		return Token{}, badToken(s)
+	}
+	p := group.Position{Term: group.Term(t), Offset: o}
+	return Token{Database: s[:slash], Position: p}, nil
+}
+
+// parseNumber accepts only the canonical decimal form, so that equal tokens are equal strings.
+func parseNumber(s string) (uint64, error) {
+	n, err := strconv.ParseUint(s, 10, 64)
+	if err != nil {
+		return 0, err
+	}
+	if strconv.FormatUint(n, 10) != s {
+		return 0, strconv.ErrSyntax
+	}
+	return n, nil
+}
+
+func badToken(s string) error {
+	return fmt.Errorf("%w: %q is neither database/term:offset nor none", ErrBadToken, s)
+}
--- /dev/null
+++ b/core/replication/tracker.go
@@ -0,0 +1,411 @@
+package replication
+
+import (
+	"slices"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// barrierGrace is how long a barrier with enough answers waits for the
+// remaining healthy slots. More answers give a lower bound, which replicas
+// have usually applied already; a slot in another region must not hold it up.
+const barrierGrace = 5 * time.Millisecond
+
+// maxFacts bounds the barrier history kept for data ages. Dropping an entry
+// only makes ages look older.
+const maxFacts = 128
+
+// Tracker is the state machine that follows the slots of one group through
+// status requests. Time and messages are passed in; it is not safe for
+// concurrent use.
+//
+// Requests are numbered in the order in which they are sent. A wait notes the
+// last number, and only answers with a higher number count for it, so an answer
+// to an earlier request that arrives late proves nothing about a later commit
+// or read. No decision on durability reads a clock.
+//
+// A position is durable at term t once q slots reported it while their accepted
+// term and their log term were both t. A slot that accepted a newer term may
+// have received the same offset from the newer primary, so it does not count.
+type Tracker struct {
+	slots []slotState
+	last  uint64
+	facts []fact
+}
+
+// slotState is what is known of one slot.
+type slotState struct {
+	slot group.Slot
+	// known says that status holds an answer; request is its number and sent its time.
+	known   bool
+	request uint64
+	sent    time.Time
+	status  group.Status
+	// failed is the highest request number known to have gone unanswered.
+	failed uint64
+	// fresh is the time before which every acknowledged commit is applied on the slot.
+	fresh time.Time
+}
+
+// fact says that bound covers every commit acknowledged before at.
+type fact struct {
+	at    time.Time
+	bound group.Position
+}
+
+// Request identifies one status request.
+type Request struct {
+	// Slot is the index of the slot asked.
+	Slot int
+	// Number orders requests by the time they were sent.
+	Number uint64
+	// Sent is when the request was sent.
+	Sent time.Time
+}
+
+// CommitWait is a wait for the commits that the primary of a term had
+// completed when the wait began.
+type CommitWait struct {
+	term    group.Term
+	after   uint64
+	bounded bool
+	bound   group.Position
+}
+
+// BarrierWait is a wait for a position that covers every commit acknowledged
+// before the wait began.
+type BarrierWait struct {
+	after uint64
+	// enough is when the least number of answers was first seen.
+	enough time.Time
+}
+
+// NewTracker returns a tracker that knows nothing of the slots yet.
+func NewTracker(slots []group.Slot) *Tracker {
+	t := &Tracker{slots: make([]slotState, len(slots))}
+	for i, s := range slots {
+		t.slots[i].slot = s
+	}
+	return t
+}
+
+// Ask numbers a status request to the slot; it must be sent after the call.
+func (t *Tracker) Ask(now time.Time, slot int) Request {
+	t.last++
+	return Request{Slot: slot, Number: t.last, Sent: now}
+}
+
+// Answer records the answer to a request. Answers to requests older than the
+// one already answered are ignored.
+func (t *Tracker) Answer(r Request, st group.Status) {
+	s := &t.slots[r.Slot]
+	if s.known && r.Number <= s.request {
+		return
+	}
+	receded := s.known && !st.Applied.Covers(s.status.Applied)
+	s.known, s.request, s.sent, s.status = true, r.Number, r.Sent, st
+	if receded {
+		s.fresh = time.Time{}
+	}
+	t.addFacts()
+	t.updateFresh()
+}
+
+// Fail records that a request was not answered.
+func (t *Tracker) Fail(r Request) {
+	s := &t.slots[r.Slot]
+	s.failed = max(s.failed, r.Number)
+}
+
+// Suspect records a failure seen by traffic: the slot counts as unreachable
+// until it answers a request sent after the call.
+func (t *Tracker) Suspect(slot int) { t.slots[slot].failed = t.last }
+
+// BeginCommit starts a wait for the commits completed so far at the term.
+func (t *Tracker) BeginCommit(term group.Term) CommitWait {
+	return CommitWait{term: term, after: t.last}
+}
+
+// Commit reports whether the wait is over. It fails with ErrTermChanged once
+// the commits can no longer be shown to be durable.
+func (t *Tracker) Commit(w *CommitWait) (group.Position, bool, error) {
+	if !w.bounded {
+		t.boundCommit(w)
+	}
+	if w.bounded && t.holders(w.term, w.bound) >= group.Quorum(len(t.slots)) {
+		return w.bound, true, nil
+	}
+	if t.replaced(w) {
+		return group.Position{}, false, ErrTermChanged
+	}
+	return group.Position{}, false, nil
+}
+
+// boundCommit takes the primary's position from an answer to a request sent
+// after the wait began. The first such answer is kept: a later one would be
+// just as valid but moves ahead with every other commit.
+func (t *Tracker) boundCommit(w *CommitWait) {
+	for i := range t.slots {
+		s := &t.slots[i]
+		if s.request > w.after && s.leads(w.term) {
+			w.bounded, w.bound = true, s.status.Received
+		}
+	}
+}
+
+// holders counts the slots that hold the position while still at the term.
+func (t *Tracker) holders(term group.Term, p group.Position) int {
+	n := 0
+	for i := range t.slots {
+		s := &t.slots[i]
+		if s.at(term) && s.status.Received.Covers(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// replaced reports whether too few slots are left at the term, or a primary of
+// a newer term exists. A single slot with a newer term is no reason to give up:
+// a driver without a quorum may have fenced it.
+func (t *Tracker) replaced(w *CommitWait) bool {
+	if t.newer(w.term) > len(t.slots)-group.Quorum(len(t.slots)) {
+		return true
+	}
+	_, term, ok := t.highestPrimary()
+	return ok && term > w.term
+}
+
+// newer counts the slots that accepted a term above the given one.
+func (t *Tracker) newer(term group.Term) int {
+	n := 0
+	for i := range t.slots {
+		if t.slots[i].known && t.slots[i].status.Accepted > term {
+			n++
+		}
+	}
+	return n
+}
+
+// BeginBarrier starts a wait for a position that covers the commits
+// acknowledged so far.
+func (t *Tracker) BeginBarrier() BarrierWait { return BarrierWait{after: t.last} }
+
+// Barrier reports whether enough slots have answered since the wait began. If
+// they have, but healthy slots are outstanding, it returns the time at which
+// the wait ends without them.
+func (t *Tracker) Barrier(now time.Time, w *BarrierWait) (p group.Position, done bool, retry time.Time) {
+	answers := t.answersAfter(w.after)
+	if len(answers) < group.FenceQuorum(len(t.slots)) {
+		return group.Position{}, false, time.Time{}
+	}
+	if w.enough.IsZero() {
+		w.enough = now
+	}
+	end := w.enough.Add(barrierGrace)
+	if t.outstanding(w.after) && now.Before(end) {
+		return group.Position{}, false, end
+	}
+	return barrierBound(answers, len(t.slots)), true, time.Time{}
+}
+
+func (t *Tracker) answersAfter(after uint64) []group.Position {
+	var answers []group.Position
+	for i := range t.slots {
+		if t.slots[i].known && t.slots[i].request > after {
+			answers = append(answers, t.slots[i].status.Received)
+		}
+	}
+	return answers
+}
+
+// outstanding reports whether a healthy slot has not answered since.
+func (t *Tracker) outstanding(after uint64) bool {
+	for i := range t.slots {
+		if t.slots[i].reachable() && t.slots[i].request <= after {
+			return true
+		}
+	}
+	return false
+}
+
+// barrierBound returns the k-th greatest of the answers, k = q-(n-b). Of the q
+// slots that hold an acknowledged commit, at most n-b did not answer, so at
+// least k answers cover it.
+func barrierBound(answers []group.Position, n int) group.Position {
+	slices.SortFunc(answers, func(a, b group.Position) int { return b.Compare(a) })
+	k := group.Quorum(n) - (n - len(answers))
+	return answers[k-1]
+}
+
+// addFacts derives a bound from the latest answers of each sufficient number of slots.
+func (t *Tracker) addFacts() {
+	known := make([]*slotState, 0, len(t.slots))
+	for i := range t.slots {
+		if t.slots[i].known {
+			known = append(known, &t.slots[i])
+		}
+	}
+	slices.SortStableFunc(known, func(a, b *slotState) int { return b.sent.Compare(a.sent) })
+	for b := group.FenceQuorum(len(t.slots)); b <= len(known); b++ {
+		answers := make([]group.Position, b)
+		for i := range answers {
+			answers[i] = known[i].status.Received
+		}
+		t.addFact(fact{at: known[b-1].sent, bound: barrierBound(answers, len(t.slots))})
+	}
+}
+
+// addFact inserts f unless a fact at least as late has a bound at most as high.
+// Facts stay ordered by time, with rising bounds.
+func (t *Tracker) addFact(f fact) {
+	for _, o := range t.facts {
+		if !o.at.Before(f.at) && f.bound.Covers(o.bound) {
+			return
+		}
+	}
+	t.facts = slices.DeleteFunc(t.facts, func(o fact) bool {
+		return !o.at.After(f.at) && o.bound.Covers(f.bound)
+	})
+	i, _ := slices.BinarySearchFunc(t.facts, f, func(a, b fact) int { return a.at.Compare(b.at) })
+	t.facts = slices.Insert(t.facts, i, f)
+	if len(t.facts) > maxFacts {
+		t.thinFacts()
+	}
+}
+
+func (t *Tracker) thinFacts() {
+	kept := t.facts[:0]
+	for i, f := range t.facts {
+		if i%2 == 0 || i == len(t.facts)-1 {
+			kept = append(kept, f)
+		}
+	}
+	t.facts = kept
+}
+
+// updateFresh moves each slot's fresh time to the latest fact that it has applied.
+func (t *Tracker) updateFresh() {
+	lowest := len(t.facts)
+	for i := range t.slots {
+		s := &t.slots[i]
+		if !s.known {
+			continue
+		}
+		n := t.covered(s.status.Applied)
+		if n > 0 && t.facts[n-1].at.After(s.fresh) {
+			s.fresh = t.facts[n-1].at
+		}
+		lowest = min(lowest, n)
+	}
+	// Facts that every slot has applied serve only by the latest of them.
+	if lowest > 1 {
+		t.facts = slices.Delete(t.facts, 0, lowest-1)
+	}
+}
+
+// covered counts the facts whose bound the position covers.
+func (t *Tracker) covered(p group.Position) int {
+	n := 0
+	for n < len(t.facts) && p.Covers(t.facts[n].bound) {
+		n++
+	}
+	return n
+}
+
+// highestPrimary returns the slot that claims to be primary at the highest
+// term. Two claims of one term break the group's contract; neither is trusted.
+func (t *Tracker) highestPrimary() (slot int, term group.Term, ok bool) {
+	for i := range t.slots {
+		s := &t.slots[i]
+		if !s.known || !s.leads(s.status.Accepted) {
+			continue
+		}
+		switch {
+		case s.status.Accepted > term:
+			slot, term, ok = i, s.status.Accepted, true
+		case s.status.Accepted == term:
+			ok = false
+		}
+	}
+	return slot, term, ok
+}
+
+// View is an immutable summary of the tracker.
+type View struct {
+	// Primary is the index of the primary in Slots, or -1 while none is known
+	// that may commit.
+	Primary int
+	// Term is the primary's term, 0 without a primary.
+	Term group.Term
+	// Slots holds one entry per slot, in the order of the group.
+	Slots []SlotView
+}
+
+// SlotView is what the tracker knows of one slot.
+type SlotView struct {
+	Slot group.Slot
+	// Known says that Status holds an answer.
+	Known  bool
+	Status group.Status
+	// Reachable says that the latest request to the slot was answered.
+	Reachable bool
+	// Fresh is the time before which every acknowledged commit is applied on
+	// the slot; zero if there is none.
+	Fresh time.Time
+}
+
+// View returns a summary that later calls do not change.
+func (t *Tracker) View() *View {
+	v := &View{Primary: -1, Slots: make([]SlotView, len(t.slots))}
+	for i := range t.slots {
+		s := &t.slots[i]
+		v.Slots[i] = SlotView{Slot: s.slot, Known: s.known, Status: s.status, Reachable: s.reachable(), Fresh: s.fresh}
+	}
+	i, term, ok := t.highestPrimary()
+	if !ok || !t.slots[i].reachable() {
+		return v
+	}
+	if t.newer(term) > len(t.slots)-group.Quorum(len(t.slots)) {
+		return v
+	}
+	v.Primary, v.Term = i, term
+	return v
+}
+
+// PickReplica returns the index of a replica that has applied need and whose
+// data is at most maxAge old at now; maxAge 0 places no bound. The search
+// starts behind the slot with index start, to spread reads. It returns -1 if
+// no replica qualifies.
+func (v *View) PickReplica(now time.Time, need group.Position, maxAge time.Duration, start int) int {
+	for k := range v.Slots {
+		i := (start + k) % len(v.Slots)
+		if v.Slots[i].serves(now, need, maxAge) {
+			return i
+		}
+	}
+	return -1
+}
+
+func (s *SlotView) serves(now time.Time, need group.Position, maxAge time.Duration) bool {
+	if !s.Known || !s.Reachable || s.Status.Leaving || s.Status.Role != group.Replica {
+		return false
+	}
+	if !s.Status.Applied.Covers(need) {
+		return false
+	}
+	return maxAge == 0 || (!s.Fresh.IsZero() && now.Sub(s.Fresh) <= maxAge)
+}
+
+func (s *slotState) reachable() bool { return s.known && s.request > s.failed }
+
+// at reports whether the slot's accepted term and log term are both the given one.
+func (s *slotState) at(term group.Term) bool {
+	return s.known && s.status.Accepted == term && s.status.Received.Term == term
+}
+
+// leads reports whether the slot claims to be the primary of the term.
+func (s *slotState) leads(term group.Term) bool {
+	return s.at(term) && s.status.Role == group.Primary
+}
