--- /dev/null
+++ b/core/failover/events.go
@@ -0,0 +1,197 @@
+package failover
+
+import (
+	"errors"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// Event is an input of a Machine.
+type Event interface{ event() }
+
+// Tick carries no news; it lets deadlines pass.
+type Tick struct{}
+
+// Answered is an answer to a status request.
+type Answered struct {
+	// Slot is the index of the slot.
+	Slot int
+	// Sent is when the request was sent.
+	Sent   time.Time
+	Status group.Status
+}
+
+// Missed is a status request without an answer.
+type Missed struct {
+	Slot int
+	Sent time.Time
+	// Refused says that the connection was refused, not merely unanswered.
+	Refused bool
+}
+
+// Heard says that the slot answered something else at a time, such as a statement.
+type Heard struct {
+	Slot int
+	At   time.Time
+}
+
+// Suspected says that traffic to the slot failed or is overdue.
+type Suspected struct{ Slot int }
+
+// Stalled says that the oldest unfinished commit has waited that long for its quorum.
+type Stalled struct{ For time.Duration }
+
+// PeerView is how the other owner of the database sees its primary, from a
+// probe that it made after being asked.
+type PeerView struct {
+	// OK is false if the other owner gave no answer.
+	OK bool
+	// Reachable says that the primary answered the other owner's probe.
+	Reachable bool
+	// Term is the primary's term as the other owner knows it.
+	Term group.Term
+}
+
+// Ordered is the result of a Fence, Promote or Follow command.
+type Ordered struct {
+	// Attempt is that of the command.
+	Attempt uint64
+	Order   Order
+	Slot    int
+	Term    group.Term
+	// Sent is when the order was sent.
+	Sent time.Time
+	// Status is the slot's report if Err is nil.
+	Status group.Status
+	Err    error
+}
+
+// Drained says that the transactions held by a Hold command have ended, or
+// that its bound has passed.
+type Drained struct{ Attempt uint64 }
+
+// SwitchoverRequest asks for a planned change of primary.
+type SwitchoverRequest struct {
+	// ID is returned in the Finish command.
+	ID uint64
+	// To is the slot to promote; empty lets the machine choose.
+	To group.SlotID
+}
+
+// Owner sets the host's rank among the owners of the database.
+type Owner struct {
+	// Rank is 0 for the owner that acts first; NotOwner stops the machine.
+	Rank int
+	// Peer says that another owner can be asked for its view.
+	Peer bool
+}
+
+// NotOwner is the rank of a host that must not act on the database.
+const NotOwner = -1
+
+func (Tick) event()              {}
+func (Answered) event()          {}
+func (Missed) event()            {}
+func (Heard) event()             {}
+func (Suspected) event()         {}
+func (Stalled) event()           {}
+func (PeerView) event()          {}
+func (Ordered) event()           {}
+func (Drained) event()           {}
+func (SwitchoverRequest) event() {}
+func (Owner) event()             {}
+
+// Command is an output of a Machine.
+type Command interface{ command() }
+
+// Order is a kind of order to a slot.
+type Order string
+
+// The orders.
+const (
+	OrderFence   Order = "fence"
+	OrderPromote Order = "promote"
+	OrderFollow  Order = "follow"
+)
+
+// Probe asks for a status request; its result is Answered or Missed.
+type Probe struct{ Slot int }
+
+// AskPeer asks for the other owner's view; its result is PeerView.
+type AskPeer struct{}
+
+// Send asks for an order to a slot; its result is Ordered.
+type Send struct {
+	Attempt uint64
+	Order   Order
+	Slot    int
+	Term    group.Term
+	// Primary is the address to follow, for OrderFollow.
+	Primary string
+}
+
+// Hold asks that no new transaction starts on the primary and that the running
+// ones end within the bound; its result is Drained.
+type Hold struct {
+	Attempt uint64
+	Bound   time.Duration
+}
+
+// Release ends a Hold.
+type Release struct{}
+
+// Refresh asks that the positions of all slots be read again.
+type Refresh struct{}
+
+// Record states what was done and why, for status output and logs.
+type Record struct {
+	At     time.Time
+	Action Action
+	Reason string
+	Slot   group.SlotID
+	Term   group.Term
+}
+
+// Finish answers a SwitchoverRequest.
+type Finish struct {
+	ID uint64
+	// Slot and Term are the new primary's if Err is nil.
+	Slot group.SlotID
+	Term group.Term
+	// Paused is the time for which transactions were held.
+	Paused time.Duration
+	Err    error
+}
+
+func (Probe) command()   {}
+func (AskPeer) command() {}
+func (Send) command()    {}
+func (Hold) command()    {}
+func (Release) command() {}
+func (Refresh) command() {}
+func (Record) command()  {}
+func (Finish) command()  {}
+
+// Action names what a Record is about.
+type Action string
+
+// The actions.
+const (
+	ActionFence      Action = "fence"
+	ActionPromote    Action = "promote"
+	ActionAbandon    Action = "abandon"
+	ActionFollow     Action = "follow"
+	ActionSwitchover Action = "switchover"
+)
+
+// The reasons for which a switchover is not done. The primary is unchanged,
+// unless the error is ErrSwitchoverUnsettled.
+var (
+	ErrNotOwner            = errors.New("host does not own the database")
+	ErrBusy                = errors.New("another change of primary is in progress")
+	ErrNoPrimary           = errors.New("no primary is known")
+	ErrNoSuccessor         = errors.New("no slot can take over")
+	ErrBehind              = errors.New("successor did not receive everything in time")
+	ErrSwitchoverUnsettled = errors.New("switchover failed after fencing; a failover follows")
+)
--- a/core/group/grouptest/fake.go
+++ b/core/group/grouptest/fake.go
@@ -225,7 +225,7 @@
 	reply := make(chan result[T], 1)
 	answer := func(r result[T]) {
 		time.AfterFunc(back, func() {
-			if !g.isCut(string(s.slot.ID), h.Name) {
+			if !g.IsCut(string(s.slot.ID), h.Name) {
 				reply <- r
 			}
 		})
@@ -274,7 +274,8 @@
 	return slices.IndexFunc(g.opts.Slots, func(s group.Slot) bool { return s.ID == id })
 }
 
-func (g *Group) isCut(from, to string) bool {
+// IsCut reports whether messages from one host name or slot ID to another are dropped.
+func (g *Group) IsCut(from, to string) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	return g.cuts[[2]string{from, to}]
