Route transactions to owners, primaries and replicas

Plain path of the router, so that session and upstream can be tried against it: pools bounded over all users of a backend server, reads by token or barrier, commits confirmed by the gate, forwarding to the first reachable owner.

--- /dev/null
+++ b/daemon/internal/route/fake_test.go
@@ -0,0 +1,174 @@
+package route
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/replication"
+)
+
+// fakeGate is a replication.Gate whose state the test sets.
+type fakeGate struct {
+	mu       sync.Mutex
+	changed  chan struct{}
+	primary  group.Slot
+	term     group.Term
+	known    bool
+	position group.Position // of the primary, all of it durable
+	stuck    bool           // commits do not become durable
+	barrier  group.Position
+	blocked  bool // barriers get no answer
+	replicas []fakeReplica
+	barriers int
+	answers  map[group.SlotID]int
+	failures map[group.SlotID]int
+}
+
+type fakeReplica struct {
+	slot    group.Slot
+	applied group.Position
+	age     time.Duration
+}
+
+func slotOf(id string) group.Slot {
+	return group.Slot{ID: group.SlotID(id), Address: id + ":5432"}
+}
+
+// newFakeGate has primary p in term 3 at offset 100, and replica r at 90.
+func newFakeGate() *fakeGate {
+	return &fakeGate{
+		changed:  make(chan struct{}),
+		primary:  slotOf("p"),
+		term:     3,
+		known:    true,
+		position: group.Position{Term: 3, Offset: 100},
+		barrier:  group.Position{Term: 3, Offset: 100},
+		replicas: []fakeReplica{{slot: slotOf("r"), applied: group.Position{Term: 3, Offset: 90}, age: time.Second}},
+		answers:  map[group.SlotID]int{},
+		failures: map[group.SlotID]int{},
+	}
+}
+
+// set changes the state and wakes those that wait.
+func (g *fakeGate) set(f func(g *fakeGate)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	f(g)
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+func (g *fakeGate) promote(id string, term group.Term) {
+	g.set(func(g *fakeGate) {
+		g.primary, g.term, g.known = slotOf(id), term, true
+		g.position = group.Position{Term: term, Offset: g.position.Offset + 1}
+		g.barrier = g.position
+	})
+}
+
+// wait calls f with the lock held until it reports an end.
+func (g *fakeGate) wait(ctx context.Context, f func() (bool, error)) error {
+	for {
+		g.mu.Lock()
+		done, err := f()
+		changed := g.changed
+		g.mu.Unlock()
+		if done {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (g *fakeGate) Primary() (group.Slot, group.Term, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.primary, g.term, g.known
+}
+
+func (g *fakeGate) WaitPrimary(ctx context.Context) (slot group.Slot, term group.Term, err error) {
+	err = g.wait(ctx, func() (bool, error) {
+		slot, term = g.primary, g.term
+		return g.known, nil
+	})
+	return slot, term, err
+}
+
+func (g *fakeGate) WaitDurable(ctx context.Context, t group.Term) (p group.Position, err error) {
+	err = g.wait(ctx, func() (bool, error) {
+		if g.term != t {
+			return true, replication.ErrTermChanged
+		}
+		p = g.position
+		return !g.stuck, nil
+	})
+	return p, err
+}
+
+func (g *fakeGate) Barrier(ctx context.Context) (p group.Position, err error) {
+	err = g.wait(ctx, func() (bool, error) {
+		p = g.barrier
+		return !g.blocked, nil
+	})
+	g.mu.Lock()
+	g.barriers++
+	g.mu.Unlock()
+	return p, err
+}
+
+func (g *fakeGate) pick(need group.Position, maxAge time.Duration) (group.Slot, bool) {
+	for _, r := range g.replicas {
+		if r.applied.Covers(need) && (maxAge == 0 || r.age <= maxAge) {
+			return r.slot, true
+		}
+	}
+	return group.Slot{}, false
+}
+
+func (g *fakeGate) PickReplica(need group.Position, maxAge time.Duration) (group.Slot, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.pick(need, maxAge)
+}
+
+func (g *fakeGate) WaitReplica(ctx context.Context, need group.Position, maxAge time.Duration) (slot group.Slot, err error) {
+	err = g.wait(ctx, func() (ok bool, err error) {
+		slot, ok = g.pick(need, maxAge)
+		return ok, nil
+	})
+	return slot, err
+}
+
+func (g *fakeGate) ReportAnswer(slot group.SlotID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.answers[slot]++
+}
+
+func (g *fakeGate) ReportFailure(slot group.SlotID) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.failures[slot]++
+}
+
+// testService has a write class of the first priority and two read classes.
+func testService() *config.Service {
+	return &config.Service{
+		Name:          "s",
+		CommitTimeout: config.Duration(5 * time.Second),
+		ReplicaWait:   config.Duration(20 * time.Millisecond),
+		Classes: []config.Class{
+			{Name: "pay", Priority: 0, Deadline: config.Duration(time.Second), QueueLimit: 50},
+			{Name: "book", Priority: 1, Deadline: config.Duration(time.Second), Repeatable: true, QueueLimit: 50},
+			{Name: "stock", Priority: 2, Deadline: config.Duration(time.Second), Read: true, QueueLimit: 50},
+			{Name: "report", Priority: 2, Deadline: config.Duration(time.Second), Read: true, MaxAge: config.Duration(10 * time.Second), QueueLimit: 50},
+		},
+	}
+}
--- /dev/null
+++ b/daemon/internal/route/pool.go
@@ -0,0 +1,588 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"time"
+)
+
+// Target names what a connection leads to.
+type Target struct {
+	// Peer is the ID of a slot or the name of an owner host.
+	Peer string
+	// Address is the peer's host:port. A new address for the same peer means
+	// that the machine was replaced.
+	Address  string
+	User     string
+	Database string
+}
+
+// DialFunc opens a connection that is ready for a transaction.
+type DialFunc func(ctx context.Context, t Target) (Conn, error)
+
+// Defaults of PoolsConfig.
+const (
+	defaultIdleTimeout = 60 * time.Second
+	defaultPingAfter   = 5 * time.Second
+	// A ping crosses at most one region border (40 ms both ways); a connection
+	// that takes much longer is not worth waiting for, a new one is faster.
+	defaultPingTimeout = 250 * time.Millisecond
+	defaultDialTimeout = 2 * time.Second
+	// warmBackoff keeps warming from dialing a dead peer on every call.
+	warmBackoff = time.Second
+)
+
+// The ways in which a pool declines to give a connection.
+var (
+	ErrPoolClosed = errors.New("connection pool is closed")
+	ErrPeerClosed = errors.New("connections to the peer were closed")
+)
+
+// PoolsConfig configures Pools. Zero durations take defaults.
+type PoolsConfig struct {
+	Dial DialFunc
+	// PeerLimit bounds the connections to one peer, over all users; dials in
+	// progress count. It is called with a lock held and may not block.
+	PeerLimit func() int
+	// TotalLimit bounds the connections to all peers; nil for no bound. It is
+	// called like PeerLimit.
+	TotalLimit func() int
+	// IdleTimeout is how long an unused connection is kept.
+	IdleTimeout time.Duration
+	// PingAfter is how long a connection may be unused before it is checked.
+	PingAfter   time.Duration
+	PingTimeout time.Duration
+	DialTimeout time.Duration
+	// Failed, if not nil, is told of failed dials and pings.
+	Failed func(t Target, err error)
+}
+
+// Pools holds the connections of one database to its backend servers, or of
+// one host to owner hosts: a Pool for each target, under common limits.
+//
+// Every connection counts against the limits from the start of its dial until
+// its Close has returned. Requests that find no free connection wait in
+// arrival order; a dial is started for each as far as the limits allow, and the
+// first connection that becomes free, by dial or by release, goes to the first
+// that waits for its target. An idle connection to another target is closed if
+// it stands in the way.
+type Pools struct {
+	cfg PoolsConfig
+
+	mu      sync.Mutex
+	peers   map[string]*peer
+	pools   map[Target]*Pool
+	open    int
+	waiters []*waiter
+	closed  bool
+	dials   sync.WaitGroup
+}
+
+// Pool holds the connections to one target. Its fields are guarded by the
+// lock of its Pools.
+type Pool struct {
+	set     *Pools
+	peer    *peer
+	target  Target
+	idle    []*pooled // longest unused first
+	busy    []*pooled
+	dialing int
+	waiting int
+	warm    int // idle connections that the idle timeout spares
+	failed  time.Time
+}
+
+// peer counts the connections to one peer. Closing a peer's connections
+// replaces its generation, which invalidates the dials in progress.
+type peer struct {
+	name       string
+	address    string
+	open       int
+	generation *generation
+}
+
+type generation struct {
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+type pooled struct {
+	conn    Conn
+	pool    *Pool
+	index   int // place in pool.busy
+	used    time.Time
+	retired bool // to be closed on release
+	gone    bool // closed and no longer counted
+}
+
+type waiter struct {
+	pool   *Pool
+	result chan grant
+}
+
+type grant struct {
+	conn *pooled
+	err  error
+}
+
+// NewPools returns empty pools.
+func NewPools(cfg PoolsConfig) *Pools {
+	setDefault(&cfg.IdleTimeout, defaultIdleTimeout)
+	setDefault(&cfg.PingAfter, defaultPingAfter)
+	setDefault(&cfg.PingTimeout, defaultPingTimeout)
+	setDefault(&cfg.DialTimeout, defaultDialTimeout)
+	return &Pools{
+		cfg:   cfg,
+		peers: make(map[string]*peer),
+		pools: make(map[Target]*Pool),
+	}
+}
+
+func setDefault(d *time.Duration, v time.Duration) {
+	if *d <= 0 {
+		*d = v
+	}
+}
+
+// get returns a connection that is for the caller alone until put. It fails
+// with the context's error, the dial's error, ErrPoolClosed or ErrPeerClosed.
+func (s *Pools) get(ctx context.Context, t Target) (*pooled, error) {
+	for {
+		c, err := s.take(ctx, t)
+		if err != nil {
+			return nil, err
+		}
+		if time.Since(c.used) <= s.cfg.PingAfter {
+			return c, nil
+		}
+		if err := s.ping(ctx, c); err == nil {
+			return c, nil
+		}
+		if err := ctx.Err(); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// ping checks a connection that was long unused. When it fails, the other long
+// unused connections to the target are closed too: connections go silent
+// together, and a request should wait for at most one ping.
+func (s *Pools) ping(ctx context.Context, c *pooled) error {
+	pingCtx, cancel := context.WithTimeout(ctx, s.cfg.PingTimeout)
+	defer cancel()
+	err := c.conn.Ping(pingCtx)
+	if err == nil {
+		return nil
+	}
+	s.put(c, false)
+	if ctx.Err() != nil {
+		return err
+	}
+	s.closeUnused(c.pool, s.cfg.PingAfter)
+	s.failed(c.pool.target, err)
+	return err
+}
+
+func (s *Pools) failed(t Target, err error) {
+	if s.cfg.Failed != nil {
+		s.cfg.Failed(t, err)
+	}
+}
+
+func (s *Pools) take(ctx context.Context, t Target) (*pooled, error) {
+	s.mu.Lock()
+	if s.closed {
+		s.mu.Unlock()
+		return nil, ErrPoolClosed
+	}
+	p := s.pool(t)
+	if p.waiting == 0 && len(p.idle) > 0 {
+		c := p.popIdle()
+		s.mu.Unlock()
+		return c, nil
+	}
+	w := &waiter{pool: p, result: make(chan grant, 1)}
+	s.waiters = append(s.waiters, w)
+	p.waiting++
+	s.serve()
+	s.mu.Unlock()
+	select {
+	case g := <-w.result:
+		return g.conn, g.err
+	case <-ctx.Done():
+		return nil, s.leave(w, ctx.Err())
+	}
+}
+
+// leave takes a waiter out whose context ended, and gives back what it was
+// granted meanwhile.
+func (s *Pools) leave(w *waiter, err error) error {
+	s.mu.Lock()
+	if i := slices.Index(s.waiters, w); i >= 0 {
+		s.removeWaiter(i)
+		s.mu.Unlock()
+		return err
+	}
+	s.mu.Unlock()
+	if g := <-w.result; g.conn != nil {
+		s.put(g.conn, true)
+	}
+	return err
+}
+
+// put gives a connection back; it is closed unless clean.
+func (s *Pools) put(c *pooled, clean bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if c.gone {
+		return
+	}
+	c.pool.removeBusy(c)
+	if clean && !c.retired && !s.closed && !s.overLimit(c.pool.peer) {
+		c.used = time.Now()
+		c.pool.idle = append(c.pool.idle, c)
+		s.serve()
+		return
+	}
+	c.gone = true
+	s.mu.Unlock()
+	c.conn.Close()
+	s.mu.Lock()
+	s.uncount(c.pool.peer)
+	s.serve()
+}
+
+func (s *Pools) overLimit(p *peer) bool {
+	return p.open > s.cfg.PeerLimit() || s.cfg.TotalLimit != nil && s.open > s.cfg.TotalLimit()
+}
+
+// pool returns the pool of the target. If the peer has a new address, the
+// connections to the old one are closed.
+func (s *Pools) pool(t Target) *Pool {
+	if p := s.pools[t]; p != nil {
+		return p
+	}
+	pr := s.peers[t.Peer]
+	if pr == nil {
+		pr = &peer{name: t.Peer, generation: newGeneration()}
+		s.peers[t.Peer] = pr
+	}
+	if pr.address != t.Address {
+		s.closePeer(pr, true)
+		pr.address = t.Address
+	}
+	p := &Pool{set: s, peer: pr, target: t}
+	s.pools[t] = p
+	return p
+}
+
+func newGeneration() *generation {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &generation{ctx: ctx, cancel: cancel}
+}
+
+// serve gives idle connections to those that wait, in arrival order, and
+// starts dials for the others as far as the limits allow.
+func (s *Pools) serve() {
+	for i := 0; i < len(s.waiters); {
+		w := s.waiters[i]
+		if len(w.pool.idle) > 0 {
+			s.removeWaiter(i)
+			w.result <- grant{conn: w.pool.popIdle()}
+			continue
+		}
+		if w.pool.dialing < w.pool.waiting && s.makeRoom(w.pool) {
+			s.startDial(w.pool)
+		}
+		i++
+	}
+}
+
+func (s *Pools) removeWaiter(i int) {
+	s.waiters[i].pool.waiting--
+	s.waiters = slices.Delete(s.waiters, i, i+1)
+}
+
+// hasRoom reports whether one more connection to the peer is within the limits.
+func (s *Pools) hasRoom(p *peer) bool {
+	if p.open >= s.cfg.PeerLimit() {
+		return false
+	}
+	return s.cfg.TotalLimit == nil || s.open < s.cfg.TotalLimit()
+}
+
+// makeRoom closes idle connections to other targets that stand in the way of
+// a new connection, longest unused first.
+func (s *Pools) makeRoom(p *Pool) bool {
+	for !s.hasRoom(p.peer) {
+		var only *peer
+		if p.peer.open >= s.cfg.PeerLimit() {
+			only = p.peer
+		}
+		if !s.evict(only) {
+			return false
+		}
+	}
+	return true
+}
+
+// evict closes the longest unused connection, of one peer if given.
+func (s *Pools) evict(only *peer) bool {
+	var oldest *Pool
+	for _, p := range s.pools {
+		if len(p.idle) == 0 || only != nil && p.peer != only {
+			continue
+		}
+		if oldest == nil || p.idle[0].used.Before(oldest.idle[0].used) {
+			oldest = p
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	s.closeIdle(oldest, 1)
+	return true
+}
+
+// closeIdle closes the n longest unused connections of a pool. Close does not
+// wait for the peer, so the lock may be held.
+func (s *Pools) closeIdle(p *Pool, n int) {
+	for _, c := range p.idle[:n] {
+		c.gone = true
+		c.conn.Close()
+		s.uncount(p.peer)
+	}
+	p.idle = slices.Delete(p.idle, 0, n)
+}
+
+func (s *Pools) uncount(p *peer) {
+	p.open--
+	s.open--
+}
+
+func (s *Pools) startDial(p *Pool) {
+	p.dialing++
+	p.peer.open++
+	s.open++
+	s.dials.Add(1)
+	go s.dial(p, p.peer.generation)
+}
+
+func (s *Pools) dial(p *Pool, g *generation) {
+	defer s.dials.Done()
+	ctx, cancel := context.WithTimeout(g.ctx, s.cfg.DialTimeout)
+	defer cancel()
+	conn, err := s.cfg.Dial(ctx, p.target)
+	if err != nil {
+		s.dialFailed(p, g, err)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p.dialing--
+	if s.closed || g != p.peer.generation || s.overLimit(p.peer) {
+		s.mu.Unlock()
+		conn.Close()
+		s.mu.Lock()
+		s.uncount(p.peer)
+		s.serve()
+		return
+	}
+	p.idle = append(p.idle, &pooled{conn: conn, pool: p, used: time.Now()})
+	s.serve()
+}
+
+// dialFailed tells the request that has waited longest for the target.
+func (s *Pools) dialFailed(p *Pool, g *generation, err error) {
+	s.mu.Lock()
+	p.dialing--
+	p.failed = time.Now()
+	s.uncount(p.peer)
+	current := g == p.peer.generation
+	if current {
+		s.refuseFirst(p, fmt.Errorf("connect to %s at %s: %w", p.target.Peer, p.target.Address, err))
+	}
+	s.serve()
+	s.mu.Unlock()
+	if current {
+		s.failed(p.target, err)
+	}
+}
+
+func (s *Pools) refuseFirst(p *Pool, err error) {
+	i := slices.IndexFunc(s.waiters, func(w *waiter) bool { return w.pool == p })
+	if i < 0 {
+		return
+	}
+	w := s.waiters[i]
+	s.removeWaiter(i)
+	w.result <- grant{err: err}
+}
+
+// Warm opens connections to the target ahead of need until n are free or being
+// opened, as far as the limits allow, and keeps n idle ones from the idle
+// timeout. It returns at once, and does nothing for a while after a failed dial.
+func (s *Pools) Warm(t Target, n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return
+	}
+	p := s.pool(t)
+	p.warm = n
+	if time.Since(p.failed) < warmBackoff {
+		return
+	}
+	for len(p.idle)+p.dialing < n && s.hasRoom(p.peer) {
+		s.startDial(p)
+	}
+}
+
+// DrainPeer closes the idle connections to a peer that is leaving; those in
+// use are closed when they are released. Requests that wait get ErrPeerClosed.
+func (s *Pools) DrainPeer(name string) { s.closeNamed(name, false) }
+
+// ClosePeer closes all connections to a peer that is dead, also those in use.
+// Requests that wait get ErrPeerClosed.
+func (s *Pools) ClosePeer(name string) { s.closeNamed(name, true) }
+
+func (s *Pools) closeNamed(name string, busy bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[name]; p != nil {
+		s.closePeer(p, busy)
+		s.serve()
+	}
+}
+
+func (s *Pools) closePeer(pr *peer, busy bool) {
+	pr.generation.cancel()
+	pr.generation = newGeneration()
+	for t, p := range s.pools {
+		if p.peer != pr {
+			continue
+		}
+		s.closeIdle(p, len(p.idle))
+		p.closeBusy(busy)
+		for p.waiting > 0 {
+			s.refuseFirst(p, fmt.Errorf("%s: %w", pr.name, ErrPeerClosed))
+		}
+		if p.size() == 0 {
+			delete(s.pools, t)
+		}
+	}
+}
+
+// closeUnused closes the idle connections of a pool that were unused for age.
+func (s *Pools) closeUnused(p *Pool, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closeIdle(p, p.unused(age, 0))
+	s.serve()
+}
+
+// Maintain closes connections that exceed the idle timeout or a lowered limit.
+// The owner of the pools calls it every second or so.
+func (s *Pools) Maintain() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for t, p := range s.pools {
+		s.closeIdle(p, p.unused(s.cfg.IdleTimeout, p.warm))
+		for len(p.idle) > 0 && s.overLimit(p.peer) {
+			s.closeIdle(p, 1)
+		}
+		if p.size() == 0 && p.waiting == 0 && p.warm == 0 {
+			delete(s.pools, t)
+		}
+	}
+	s.serve()
+	s.forgetPeers()
+}
+
+// forgetPeers drops peers without connections and pools.
+func (s *Pools) forgetPeers() {
+	used := make(map[*peer]bool, len(s.peers))
+	for _, p := range s.pools {
+		used[p.peer] = true
+	}
+	for name, p := range s.peers {
+		if p.open == 0 && !used[p] {
+			p.generation.cancel()
+			delete(s.peers, name)
+		}
+	}
+}
+
+// Close closes idle connections, refuses waiting requests and waits for dials
+// in progress. Connections in use are closed when they are released.
+func (s *Pools) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for _, p := range s.peers {
+		s.closePeer(p, false)
+		p.generation.cancel()
+	}
+	s.mu.Unlock()
+	s.dials.Wait()
+}
+
+// Open returns the number of connections to the peer, dials in progress
+// included.
+func (s *Pools) Open(name string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if p := s.peers[name]; p != nil {
+		return p.open
+	}
+	return 0
+}
+
+func (p *Pool) size() int { return len(p.idle) + len(p.busy) + p.dialing }
+
+// popIdle takes the connection that was used last, so that the others can
+// reach the idle timeout.
+func (p *Pool) popIdle() *pooled {
+	last := len(p.idle) - 1
+	c := p.idle[last]
+	p.idle[last] = nil
+	p.idle = p.idle[:last]
+	c.index = len(p.busy)
+	p.busy = append(p.busy, c)
+	return c
+}
+
+func (p *Pool) removeBusy(c *pooled) {
+	last := len(p.busy) - 1
+	p.busy[c.index] = p.busy[last]
+	p.busy[c.index].index = c.index
+	p.busy[last] = nil
+	p.busy = p.busy[:last]
+}
+
+// closeBusy closes the connections in use now, or else on their release.
+func (p *Pool) closeBusy(now bool) {
+	for _, c := range p.busy {
+		c.retired = true
+	}
+	if !now {
+		return
+	}
+	for _, c := range p.busy {
+		c.gone = true
+		c.conn.Close()
+		p.set.uncount(p.peer)
+	}
+	p.busy = nil
+}
+
+// unused counts the idle connections that were unused for age, leaving spare.
+func (p *Pool) unused(age time.Duration, spare int) int {
+	n := 0
+	for n < len(p.idle)-spare && time.Since(p.idle[n].used) > age {
+		n++
+	}
+	return n
+}
--- /dev/null
+++ b/daemon/internal/route/recorder.go
@@ -0,0 +1,64 @@
+package route
+
+import "time"
+
+// Path says where a transaction was sent.
+type Path int
+
+// The paths of transactions.
+const (
+	// PathPrimary is a transaction on the primary that may write.
+	PathPrimary Path = iota
+	// PathPrimaryRead is a read for which no replica qualified.
+	PathPrimaryRead
+	// PathReplica is a read on a replica.
+	PathReplica
+	// PathForward is a transaction sent to an owner host.
+	PathForward
+)
+
+// Refusal is the reason of a NotRunError, for counting.
+type Refusal string
+
+// The reasons of refusals.
+const (
+	// RefusedDeadline: the deadline passed, or could not have been met.
+	RefusedDeadline Refusal = "deadline"
+	// RefusedQueue: the queue of the request's class is full.
+	RefusedQueue Refusal = "queue_full"
+	// RefusedCanceled: the caller gave up.
+	RefusedCanceled Refusal = "canceled"
+	// RefusedToken: the session token is malformed or of another database.
+	RefusedToken Refusal = "token"
+	// RefusedHops: hosts disagree about who owns the database.
+	RefusedHops Refusal = "hops"
+	// RefusedStopped: the router is shutting down.
+	RefusedStopped Refusal = "stopped"
+)
+
+// Recorder counts what routers do. Its methods must not block.
+type Recorder interface {
+	// Began counts a transaction that got a connection, and the time from
+	// Begin to then.
+	Began(l Labels, p Path, wait time.Duration)
+	// Statements counts statements; the session calls it.
+	Statements(l Labels, n int)
+	// Refused counts a request that was not run.
+	Refused(l Labels, r Refusal)
+	// OutcomeUnknown counts a transaction that may or may not have taken effect.
+	OutcomeUnknown(l Labels)
+	// StaleRead counts a read that could not be confirmed.
+	StaleRead(l Labels)
+	// Finished counts a transaction that was confirmed, and the time from
+	// Begin to then.
+	Finished(l Labels, elapsed time.Duration)
+}
+
+type discard struct{}
+
+func (discard) Began(Labels, Path, time.Duration) {}
+func (discard) Statements(Labels, int)            {}
+func (discard) Refused(Labels, Refusal)           {}
+func (discard) OutcomeUnknown(Labels)             {}
+func (discard) StaleRead(Labels)                  {}
+func (discard) Finished(Labels, time.Duration)    {}
