Add admission control of a database's connections

Strict priority with aging, queues bounded per class, refusal of requests that cannot meet their deadline, a reserve for the first class and a gradual release after a failover, as a state machine that is given the time.

--- /dev/null
+++ b/core/admission/state.go
@@ -0,0 +1,492 @@
+package admission
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+)
+
+const (
+	// AgingStep is the waiting time that gains a request one level of priority.
+	AgingStep = 500 * time.Millisecond
+	// AgedOneIn bounds admissions out of the order of classes to one in ten.
+	AgedOneIn = 10
+	// RampStep is the time in which the release rate after a failover doubles.
+	RampStep = 50 * time.Millisecond
+
+	reserveDivisor = 10
+	// rampDivisor makes the first step release an eighth of the limit.
+	rampDivisor = 8
+	// rampSteps is when the release ends: its rate has grown 1024-fold.
+	rampSteps = 10
+	// ewmaDivisor weighs a new observation with an eighth.
+	ewmaDivisor = 8
+)
+
+// Class is what admission needs to know of a request class.
+type Class struct {
+	// Name identifies the class's queue.
+	Name string
+	// Priority orders the classes; the lowest goes first.
+	Priority int
+	// QueueLimit is the number of requests that may wait.
+	QueueLimit int
+	// Top says that the class may use the reserve.
+	Top bool
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons of refusals.
+const (
+	// QueueFull: as many requests of the class wait as may.
+	QueueFull Reason = "queue full"
+	// DeadlineUnreachable: the request would not finish before its deadline.
+	DeadlineUnreachable Reason = "deadline cannot be met"
+)
+
+// RefusedError reports a request that was not admitted.
+type RefusedError struct {
+	Reason Reason
+	Class  string
+}
+
+// Error returns the reason and the class.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("not admitted: %s (class %q)", e.Reason, e.Class)
+}
+
+// Status is how far a ticket is.
+type Status int
+
+// The statuses of a ticket.
+const (
+	// New has not arrived, or has left.
+	New Status = iota
+	// Waiting is in its class's queue.
+	Waiting
+	// Admitted holds one connection of the limit.
+	Admitted
+	// Refused was not admitted and will not be.
+	Refused
+)
+
+// Ticket is one request. The caller owns the memory and sets Class and
+// Deadline before the request arrives; the other fields belong to State.
+type Ticket struct {
+	Class    *Class
+	Deadline time.Time
+
+	status   Status
+	reason   Reason
+	arrived  time.Time
+	admitted time.Time
+	queue    *queue
+	previous *Ticket
+	next     *Ticket
+	done     chan struct{} // of Limiter
+}
+
+// Status returns how far the ticket is.
+func (t *Ticket) Status() Status { return t.status }
+
+// Err returns the *RefusedError of a refused ticket, nil for others.
+func (t *Ticket) Err() error {
+	if t.status != Refused {
+		return nil
+	}
+	return &RefusedError{Reason: t.reason, Class: t.Class.Name}
+}
+
+// rank orders requests by aged priority; the least goes first.
+func (t *Ticket) rank() time.Time {
+	return t.arrived.Add(time.Duration(t.Class.Priority) * AgingStep)
+}
+
+// queue holds the waiting requests of one class in order of arrival.
+type queue struct {
+	class   Class
+	first   *Ticket
+	last    *Ticket
+	length  int
+	service time.Duration // weighted service time; 0 until observed
+	// interval is the weighted time between two departures of a queue that was
+	// not empty in between; 0 until observed.
+	interval time.Duration
+	departed time.Time // last departure that left the queue non-empty
+	// unserved is when the class began to wait without any admission; requests
+	// that became too late meanwhile do not reset it.
+	unserved time.Time
+}
+
+// rank orders queues by aged priority; the least goes first. A class that was
+// not served at all ages as a whole, as its single requests may reach their
+// deadlines before they have aged enough.
+func (q *queue) rank() time.Time {
+	starved := q.unserved.Add(time.Duration(q.class.Priority) * AgingStep)
+	if rank := q.first.rank(); rank.Before(starved) {
+		return rank
+	}
+	return starved
+}
+
+func (q *queue) push(t *Ticket) {
+	if q.unserved.IsZero() {
+		q.unserved = t.arrived
+	}
+	t.previous = q.last
+	if q.last != nil {
+		q.last.next = t
+	} else {
+		q.first = t
+	}
+	q.last = t
+	q.length++
+}
+
+func (q *queue) remove(t *Ticket) {
+	if t.previous != nil {
+		t.previous.next = t.next
+	} else {
+		q.first = t.next
+	}
+	if t.next != nil {
+		t.next.previous = t.previous
+	} else {
+		q.last = t.previous
+	}
+	t.previous, t.next = nil, nil
+	q.length--
+	if q.length == 0 {
+		q.departed = time.Time{}
+	}
+}
+
+// observeDeparture learns how fast the queue shrinks.
+func (q *queue) observeDeparture(now time.Time) {
+	if !q.departed.IsZero() {
+		q.interval = average(q.interval, now.Sub(q.departed))
+	}
+	q.departed = now
+}
+
+func average(old, sample time.Duration) time.Duration {
+	if old == 0 {
+		return sample
+	}
+	return old + (sample-old)/ewmaDivisor
+}
+
+// ramp bounds admissions per step after a failover.
+type ramp struct {
+	active bool
+	steps  int
+	size   int // admissions in this step
+	left   int
+	ends   time.Time
+}
+
+func (r *ramp) start(now time.Time, limit int) {
+	size := max(1, limit/rampDivisor)
+	*r = ramp{active: true, size: size, left: size, ends: now.Add(RampStep)}
+}
+
+func (r *ramp) advance(now time.Time) {
+	for r.active && !now.Before(r.ends) {
+		r.steps++
+		r.size *= 2
+		r.left = r.size
+		r.ends = r.ends.Add(RampStep)
+		r.active = r.steps < rampSteps
+	}
+}
+
+// State is the limiter as a state machine. It is not safe for concurrent use.
+// Times passed to its methods must not decrease.
+type State struct {
+	limit   int
+	inUse   int
+	lowUse  int      // part of inUse that is not of a top class
+	queues  []*queue // best priority first
+	byName  map[string]*queue
+	waiting int
+	paused  bool
+	ramp    ramp
+	aged    int // admissions since an aged request went first, up to AgedOneIn
+	settled []*Ticket
+}
+
+// NewState returns a state that admits up to limit requests at a time.
+func NewState(limit int) *State {
+	return &State{limit: limit, byName: make(map[string]*queue)}
+}
+
+// Arrive admits, queues or refuses a new request; the ticket's status tells.
+func (s *State) Arrive(now time.Time, t *Ticket) {
+	t.arrived = now
+	q := s.queue(t.Class)
+	t.queue = q
+	if !now.Before(t.Deadline) {
+		t.refuse(DeadlineUnreachable)
+		return
+	}
+	s.Tick(now)
+	// No waiting request may be admitted now, so none is passed over.
+	if s.mayAdmit(t.Class) {
+		s.admit(now, t)
+		return
+	}
+	s.enqueue(now, t)
+}
+
+// TryArrive admits the request if it need not wait, and reports whether it did.
+func (s *State) TryArrive(now time.Time, t *Ticket) bool {
+	t.arrived = now
+	t.queue = s.queue(t.Class)
+	s.Tick(now)
+	if !now.Before(t.Deadline) || !s.mayAdmit(t.Class) {
+		return false
+	}
+	s.admit(now, t)
+	return true
+}
+
+func (s *State) enqueue(now time.Time, t *Ticket) {
+	q := t.queue
+	s.dropLate(now, q)
+	if q.length >= t.Class.QueueLimit {
+		t.refuse(QueueFull)
+		return
+	}
+	if now.Add(s.estimate(q)).After(t.Deadline) {
+		t.refuse(DeadlineUnreachable)
+		return
+	}
+	t.status = Waiting
+	q.push(t)
+	s.waiting++
+}
+
+// estimate returns the time until a request that now joins the queue would
+// finish. The first of a queue counts only its service, so that a request gets
+// through to correct an estimate that is too high.
+func (s *State) estimate(q *queue) time.Duration {
+	if q.length == 0 {
+		return q.service
+	}
+	byRate := time.Duration(q.length) * q.interval
+	return max(byRate, s.workAhead(q)) + q.service
+}
+
+// workAhead is the time in which all connections together serve the requests
+// that wait in this class and those before it.
+func (s *State) workAhead(q *queue) time.Duration {
+	var work time.Duration
+	for _, o := range s.queues {
+		if o.class.Priority <= q.class.Priority {
+			work += time.Duration(o.length) * o.service
+		}
+	}
+	return work / time.Duration(max(1, s.limit))
+}
+
+func (s *State) queue(c *Class) *queue {
+	q := s.byName[c.Name]
+	if q == nil {
+		q = &queue{class: *c}
+		s.byName[c.Name] = q
+		s.queues = append(s.queues, q)
+		s.sortQueues()
+		return q
+	}
+	if q.class != *c {
+		q.class = *c
+		s.sortQueues()
+	}
+	return q
+}
+
+func (s *State) sortQueues() {
+	slices.SortFunc(s.queues, func(a, b *queue) int {
+		return cmp.Or(cmp.Compare(a.class.Priority, b.class.Priority), cmp.Compare(a.class.Name, b.class.Name))
+	})
+}
+
+// reserve is the number of connections that only the first class may use.
+func (s *State) reserve() int {
+	if s.limit < 2 {
+		return 0
+	}
+	return max(1, s.limit/reserveDivisor)
+}
+
+func (s *State) mayAdmit(c *Class) bool {
+	if s.paused || s.inUse >= s.limit || s.ramp.active && s.ramp.left == 0 {
+		return false
+	}
+	return c.Top || s.lowUse < s.limit-s.reserve()
+}
+
+func (s *State) admit(now time.Time, t *Ticket) {
+	t.status = Admitted
+	t.admitted = now
+	t.queue.unserved = time.Time{}
+	if t.queue.length > 0 {
+		t.queue.unserved = now
+	}
+	s.inUse++
+	if !t.Class.Top {
+		s.lowUse++
+	}
+	if s.ramp.active {
+		s.ramp.left--
+	}
+	s.aged = min(s.aged+1, AgedOneIn)
+}
+
+func (t *Ticket) refuse(r Reason) {
+	t.status = Refused
+	t.reason = r
+}
+
+// dispatch admits waiting requests while there is room, and refuses those
+// whose turn comes too late.
+func (s *State) dispatch(now time.Time) {
+	for s.waiting > 0 && !s.paused && s.inUse < s.limit {
+		t := s.choose(now)
+		if t == nil {
+			return
+		}
+		if !s.ramp.active {
+			t.queue.observeDeparture(now)
+		}
+		s.dequeue(t)
+		s.admit(now, t)
+		s.settled = append(s.settled, t)
+	}
+}
+
+func (s *State) dequeue(t *Ticket) {
+	t.queue.remove(t)
+	s.waiting--
+}
+
+// choose returns the request to admit next, nil if none may be.
+func (s *State) choose(now time.Time) *Ticket {
+	var first, oldest *queue
+	for _, q := range s.queues {
+		s.dropLate(now, q)
+		if q.first == nil || !s.mayAdmit(q.first.Class) {
+			continue
+		}
+		if first == nil || q.class.Priority == first.class.Priority && q.first.arrived.Before(first.first.arrived) {
+			first = q
+		}
+		if oldest == nil || q.rank().Before(oldest.rank()) {
+			oldest = q
+		}
+	}
+	if first == nil {
+		return nil
+	}
+	if oldest == first || s.aged < AgedOneIn {
+		return first.first
+	}
+	s.aged = 0
+	return oldest.first
+}
+
+// dropLate refuses the first requests of a queue that cannot finish in time.
+func (s *State) dropLate(now time.Time, q *queue) {
+	for q.first != nil && now.Add(q.service).After(q.first.Deadline) {
+		t := q.first
+		s.dequeue(t)
+		t.refuse(DeadlineUnreachable)
+		s.settled = append(s.settled, t)
+	}
+}
+
+// Finish gives an admitted ticket's connection back and learns its service time.
+func (s *State) Finish(now time.Time, t *Ticket) {
+	t.queue.service = average(t.queue.service, now.Sub(t.admitted))
+	s.giveBack(now, t)
+}
+
+// Cancel ends a ticket that waits, or is admitted but was not used.
+func (s *State) Cancel(now time.Time, t *Ticket) {
+	switch t.status {
+	case Waiting:
+		s.dequeue(t)
+		t.status = New
+		if t.queue.length == 0 {
+			t.queue.unserved = time.Time{}
+		}
+		s.ramp.advance(now)
+		s.dispatch(now)
+	case Admitted:
+		s.giveBack(now, t)
+	}
+}
+
+func (s *State) giveBack(now time.Time, t *Ticket) {
+	t.status = New
+	s.inUse--
+	if !t.Class.Top {
+		s.lowUse--
+	}
+	s.ramp.advance(now)
+	s.dispatch(now)
+}
+
+// SetLimit changes the limit. Requests beyond a lower limit keep their
+// connections; none is admitted until enough have finished.
+func (s *State) SetLimit(now time.Time, limit int) {
+	s.limit = limit
+	s.Tick(now)
+}
+
+// Pause admits no request until Resume; the queues stay bounded.
+func (s *State) Pause() {
+	s.paused = true
+	for _, q := range s.queues {
+		q.departed = time.Time{}
+	}
+}
+
+// Resume ends a pause and begins the gradual release.
+func (s *State) Resume(now time.Time) {
+	s.paused = false
+	s.ramp.start(now, s.limit)
+	s.Tick(now)
+}
+
+// Tick makes the admissions that the passing of time allows.
+func (s *State) Tick(now time.Time) {
+	s.ramp.advance(now)
+	s.dispatch(now)
+}
+
+// Next returns when Tick is needed; ok is false if only other calls can make
+// a difference.
+func (s *State) Next() (at time.Time, ok bool) {
+	if s.paused || s.waiting == 0 || !s.ramp.active || s.ramp.left > 0 {
+		return time.Time{}, false
+	}
+	return s.ramp.ends, true
+}
+
+// Settled returns the tickets that stopped waiting, by admission or refusal,
+// since the last call. The slice is valid until the next call of any method.
+func (s *State) Settled() []*Ticket {
+	settled := s.settled
+	s.settled = s.settled[:0]
+	return settled
+}
+
+// InUse returns the number of admitted tickets.
+func (s *State) InUse() int { return s.inUse }
+
+// Waiting returns the number of waiting tickets.
+func (s *State) Waiting() int { return s.waiting }
--- /dev/null
+++ b/core/admission/state_test.go
@@ -0,0 +1,422 @@
+package admission
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	_ "github.com/gypsumgap/gypsumgap/core/testseed"
+	"pgregory.net/rapid"
+)
+
+var (
+	pay    = &Class{Name: "pay", Priority: 0, QueueLimit: 8, Top: true}
+	book   = &Class{Name: "book", Priority: 1, QueueLimit: 8}
+	report = &Class{Name: "report", Priority: 2, QueueLimit: 3}
+
+	classes = []*Class{pay, book, report}
+	epoch   = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// machine drives a State with random calls and checks it against its own
+// account of the tickets.
+type machine struct {
+	state    *State
+	now      time.Time
+	limit    int
+	paused   bool
+	released int // admissions since the last resume
+	resumed  time.Time
+	waiting  ticketSet
+	admitted ticketSet
+}
+
+func newMachine(t *rapid.T) *machine {
+	m := &machine{}
+	m.now = epoch
+	m.limit = rapid.IntRange(0, 12).Draw(t, "limit")
+	m.state = NewState(m.limit)
+	return m
+}
+
+func (m *machine) Arrive(t *rapid.T) {
+	ticket := &Ticket{
+		Class:    rapid.SampledFrom(classes).Draw(t, "class"),
+		Deadline: m.now.Add(time.Duration(rapid.IntRange(-1, 3000).Draw(t, "deadline")) * time.Millisecond),
+	}
+	m.state.Arrive(m.now, ticket)
+	m.collect(t)
+	switch ticket.Status() {
+	case Admitted:
+		m.admit(t, ticket)
+	case Waiting:
+		m.waiting.add(ticket)
+	case Refused:
+		if ticket.Err() == nil {
+			t.Fatal("a refused ticket has no error")
+		}
+		if m.room(ticket.Class) && m.now.Before(ticket.Deadline) {
+			t.Fatal("a request that finds a free connection was refused")
+		}
+	default:
+		t.Fatalf("status %v after arrival", ticket.Status())
+	}
+}
+
+// room reports whether a request of the class may be admitted.
+func (m *machine) room(c *Class) bool {
+	if m.paused || len(m.admitted) >= m.limit || m.state.ramp.active {
+		return false
+	}
+	return c.Top || m.low() < m.limit-m.state.reserve()
+}
+
+func (m *machine) low() int {
+	n := 0
+	for _, ticket := range m.admitted {
+		if !ticket.Class.Top {
+			n++
+		}
+	}
+	return n
+}
+
+// admit checks the bounds that hold at each admission.
+func (m *machine) admit(t *rapid.T, ticket *Ticket) {
+	if slices.Contains(m.admitted, ticket) {
+		t.Fatal("a ticket was admitted twice")
+	}
+	m.admitted.add(ticket)
+	m.released++
+	if m.paused {
+		t.Fatal("admitted during a pause")
+	}
+	if len(m.admitted) > m.limit {
+		t.Fatalf("%d admitted, limit %d", len(m.admitted), m.limit)
+	}
+	if !ticket.Class.Top && m.limit > 1 && m.low() >= m.limit {
+		t.Fatal("lower classes hold all connections")
+	}
+}
+
+// collect moves the tickets that stopped waiting.
+func (m *machine) collect(t *rapid.T) {
+	for _, ticket := range m.state.Settled() {
+		if !m.waiting.remove(ticket) {
+			t.Fatal("a ticket that did not wait was settled")
+		}
+		switch ticket.Status() {
+		case Admitted:
+			m.admit(t, ticket)
+		case Refused:
+		default:
+			t.Fatalf("settled with status %v", ticket.Status())
+		}
+	}
+}
+
+// ticketSet keeps the order of arrival, so that a run can be repeated.
+type ticketSet []*Ticket
+
+func (s *ticketSet) add(t *Ticket) { *s = append(*s, t) }
+
+// remove reports whether the ticket was in the set.
+func (s *ticketSet) remove(t *Ticket) bool {
+	i := slices.Index(*s, t)
+	if i >= 0 {
+		*s = slices.Delete(*s, i, i+1)
+	}
+	return i >= 0
+}
+
+// draw takes a ticket out.
+func (s *ticketSet) draw(t *rapid.T) *Ticket {
+	if len(*s) == 0 {
+		t.Skip("no ticket")
+	}
+	ticket := (*s)[rapid.IntRange(0, len(*s)-1).Draw(t, "ticket")]
+	s.remove(ticket)
+	return ticket
+}
+
+func (m *machine) Finish(t *rapid.T) {
+	ticket := m.admitted.draw(t)
+	m.state.Finish(m.now, ticket)
+	m.collect(t)
+}
+
+func (m *machine) CancelWaiting(t *rapid.T) {
+	ticket := m.waiting.draw(t)
+	m.state.Cancel(m.now, ticket)
+	m.collect(t)
+}
+
+func (m *machine) CancelAdmitted(t *rapid.T) {
+	ticket := m.admitted.draw(t)
+	m.state.Cancel(m.now, ticket)
+	m.collect(t)
+}
+
+func (m *machine) SetLimit(t *rapid.T) {
+	m.limit = rapid.IntRange(0, 12).Draw(t, "limit")
+	m.state.SetLimit(m.now, m.limit)
+	m.collect(t)
+}
+
+func (m *machine) Pause(*rapid.T) {
+	m.state.Pause()
+	m.paused = true
+}
+
+func (m *machine) Resume(t *rapid.T) {
+	if !m.paused {
+		t.Skip("not paused")
+	}
+	m.paused = false
+	m.released = 0
+	m.resumed = m.now
+	m.state.Resume(m.now)
+	m.collect(t)
+}
+
+func (m *machine) Pass(t *rapid.T) {
+	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+	m.state.Tick(m.now)
+	m.collect(t)
+}
+
+// Check holds after every call.
+func (m *machine) Check(t *rapid.T) {
+	if m.state.InUse() != len(m.admitted) || m.state.Waiting() != len(m.waiting) {
+		t.Fatalf("state has %d admitted and %d waiting, tickets %d and %d",
+			m.state.InUse(), m.state.Waiting(), len(m.admitted), len(m.waiting))
+	}
+	queued := map[*Class]int{}
+	for _, ticket := range m.waiting {
+		queued[ticket.Class]++
+		if m.room(ticket.Class) {
+			t.Fatal("a request waits though it may be admitted")
+		}
+	}
+	for c, n := range queued {
+		if n > c.QueueLimit {
+			t.Fatalf("%d of class %s wait, limit %d", n, c.Name, c.QueueLimit)
+		}
+	}
+	m.checkRelease(t)
+}
+
+// checkRelease holds while the limit cannot grow past its largest value.
+func (m *machine) checkRelease(t *rapid.T) {
+	if !m.state.ramp.active || m.resumed.IsZero() {
+		return
+	}
+	const largestFirstStep = 1 // of limits up to 12: max(1, 12/8)
+	steps := int(m.now.Sub(m.resumed)/RampStep) + 1
+	if most := largestFirstStep * (1<<steps - 1); m.released > most {
+		t.Fatalf("%d released in %d steps, want at most %d", m.released, steps, most)
+	}
+}
+
+// Guards against exceeding the limit or the reserve, losing a request,
+// admitting one twice, leaving one waiting beside a free connection, unbounded
+// queues, and a release after a failover that is not gradual.
+func TestStateMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine(t)
+		t.Repeat(rapid.StateMachineActions(m))
+	})
+}
+
+func ticketOf(c *Class, now time.Time) *Ticket {
+	return &Ticket{Class: c, Deadline: now.Add(time.Hour)}
+}
+
+// Guards against a request of the first class that waits behind lower ones.
+func TestStrictPriority(t *testing.T) {
+	s := NewState(1)
+	running := ticketOf(report, epoch)
+	s.Arrive(epoch, running)
+	low, middle, high := ticketOf(report, epoch), ticketOf(book, epoch), ticketOf(pay, epoch)
+	for i, ticket := range []*Ticket{low, middle, high} {
+		s.Arrive(epoch.Add(time.Duration(i)), ticket)
+	}
+	now := epoch
+	for i, want := range []*Ticket{high, middle, low} {
+		now = now.Add(time.Millisecond)
+		s.Finish(now, running)
+		settled := s.Settled()
+		if len(settled) != 1 || settled[0] != want {
+			t.Fatalf("admission %d went to class %s", i, settled[0].Class.Name)
+		}
+		running = want
+	}
+}
+
+// Guards against low classes that starve while the first class alone fills all
+// connections, and against aged requests that crowd the first class out.
+func TestAgingBound(t *testing.T) {
+	s := NewState(4)
+	now := epoch
+	running := []*Ticket{}
+	lows := map[*Ticket]time.Time{}
+	start := func(c *Class) {
+		ticket := ticketOf(c, now)
+		s.Arrive(now, ticket)
+		if ticket.Status() == Admitted {
+			running = append(running, ticket)
+		}
+	}
+	admitted := map[*Class]int{}
+	longest := time.Duration(0)
+	for range 4000 {
+		for s.byName[pay.Name] == nil || s.byName[pay.Name].length < 4 {
+			start(pay)
+		}
+		if q := s.byName[report.Name]; q == nil || q.length < report.QueueLimit {
+			ticket := ticketOf(report, now)
+			lows[ticket] = now
+			s.Arrive(now, ticket)
+		}
+		now = now.Add(10 * time.Millisecond)
+		done := running[0]
+		running = running[1:]
+		s.Finish(now, done)
+		for _, ticket := range s.Settled() {
+			running = append(running, ticket)
+			admitted[ticket.Class]++
+			if at, ok := lows[ticket]; ok {
+				longest = max(longest, now.Sub(at))
+			}
+		}
+	}
+	share := float64(admitted[report]) / 4000
+	t.Logf("low class: %.1f%% of admissions, longest wait %v", 100*share, longest)
+	if share > 1.0/AgedOneIn {
+		t.Errorf("low class took %.1f%% of admissions in a flood of the first", 100*share)
+	}
+	if longest > 2*time.Second {
+		t.Errorf("a low request waited %v", longest)
+	}
+}
+
+// Guards against a class that starves because its requests reach their
+// deadline before they have aged enough to go before a flooding class.
+func TestShortDeadlinesDoNotStarve(t *testing.T) {
+	s := NewState(1)
+	now := epoch
+	running := ticketOf(pay, now)
+	s.Arrive(now, running)
+	served := 0
+	for range 1000 {
+		for s.queue(pay).length < 4 {
+			s.Arrive(now, ticketOf(pay, now))
+		}
+		short := ticketOf(report, now)
+		short.Deadline = now.Add(100 * time.Millisecond)
+		s.Arrive(now, short)
+		now = now.Add(10 * time.Millisecond)
+		s.Finish(now, running)
+		for _, ticket := range s.Settled() {
+			if ticket.Status() != Admitted {
+				continue
+			}
+			running = ticket
+			if ticket.Class == report {
+				served++
+			}
+		}
+	}
+	// One per second: two levels of priority, 500 ms each.
+	if served < 9 || served > 11 {
+		t.Errorf("%d requests of the low class served in 10 s, want one per second", served)
+	}
+}
+
+// Guards against queueing requests that are known to be too late, and against
+// an estimate that refuses everything for ever once it is too high.
+func TestDeadlineRefusal(t *testing.T) {
+	s := NewState(1)
+	now := epoch
+	slow := ticketOf(pay, now)
+	s.Arrive(now, slow)
+	now = now.Add(400 * time.Millisecond)
+	s.Finish(now, slow)
+	s.Arrive(now, ticketOf(pay, now))
+	waits := ticketOf(pay, now)
+	waits.Deadline = now.Add(time.Second)
+	s.Arrive(now, waits)
+	late := ticketOf(pay, now)
+	late.Deadline = now.Add(799 * time.Millisecond) // 400 ms for waits, 400 ms for itself
+	s.Arrive(now, late)
+	if waits.Status() != Waiting || late.Status() != Refused || late.reason != DeadlineUnreachable {
+		t.Errorf("status %v, want waiting; status %v (%s), want refused", waits.Status(), late.Status(), late.reason)
+	}
+
+	idle := NewState(1)
+	idle.queue(pay).service = time.Minute
+	first := ticketOf(pay, now)
+	first.Deadline = now.Add(time.Second)
+	idle.Arrive(now, first)
+	if first.Status() != Admitted {
+		t.Error("an estimate that is too high refuses requests though a connection is free")
+	}
+}
+
+// Guards against a connection spent on a request that became too late while it
+// waited.
+func TestLateRequestIsDropped(t *testing.T) {
+	s := NewState(1)
+	running := ticketOf(pay, epoch)
+	s.Arrive(epoch, running)
+	late, good := ticketOf(pay, epoch), ticketOf(pay, epoch)
+	late.Deadline = epoch.Add(50 * time.Millisecond)
+	s.Arrive(epoch, late)
+	s.Arrive(epoch, good)
+	s.Finish(epoch.Add(40*time.Millisecond), running)
+	if late.Status() != Refused || good.Status() != Admitted {
+		t.Errorf("late is %v, good is %v", late.Status(), good.Status())
+	}
+}
+
+// Guards against a new primary that is met by the whole queue at once.
+func TestGradualRelease(t *testing.T) {
+	large := &Class{Name: "large", QueueLimit: 1000, Top: true}
+	s := NewState(400)
+	s.Pause()
+	for range 1000 {
+		s.Arrive(epoch, ticketOf(large, epoch))
+	}
+	now := epoch.Add(time.Second)
+	s.Resume(now)
+	for i, want := range []int{50, 100, 200, 400} {
+		settled := s.Settled()
+		if len(settled) != want {
+			t.Errorf("step %d released %d, want %d", i, len(settled), want)
+		}
+		for _, ticket := range settled {
+			s.Finish(now, ticket)
+		}
+		at, ok := s.Next()
+		if !ok || at.Sub(now) != RampStep {
+			t.Fatalf("next tick after %v, %v", at.Sub(now), ok)
+		}
+		now = at
+		s.Tick(now)
+	}
+}
+
+// Guards against retries that multiply an overload.
+func TestRetryBudget(t *testing.T) {
+	b := NewRetryBudget()
+	granted := 0
+	for range 10000 {
+		b.Deposit()
+		if b.Withdraw() {
+			granted++
+		}
+	}
+	if granted > 1000+retryBurst {
+		t.Errorf("%d retries of 10000 requests", granted)
+	}
+}
