Let a limiter follow a change of backend server and close

Tickets admitted before a change of primary hold no connection of the new one; counting them would keep its connections unused until they end.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -25,6 +25,7 @@
 // Acquire waits until the ticket is admitted; Release or Cancel must then be
 // called. It fails with *RefusedError, or with the context's error.
 func (l *Limiter) Acquire(ctx context.Context, t *Ticket) error {
+	t.done = nil
 	l.mu.Lock()
 	now := l.begin()
 	l.state.Arrive(now, t)
@@ -89,6 +90,23 @@
 	l.end()
 }
 
+// Replace tells that connections now lead to another backend server: tickets
+// admitted so far count no longer. It begins the gradual release.
+func (l *Limiter) Replace() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Replace(l.begin())
+	l.end()
+}
+
+// Close refuses all waiting and further requests.
+func (l *Limiter) Close() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.state.Close()
+	l.end()
+}
+
 // Refresh applies a limit that has changed.
 func (l *Limiter) Refresh() {
 	l.mu.Lock()
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -45,6 +45,8 @@
 	QueueFull Reason = "queue full"
 	// DeadlineUnreachable: the request would not finish before its deadline.
 	DeadlineUnreachable Reason = "deadline cannot be met"
+	// Closed: the limiter was closed.
+	Closed Reason = "closed"
 )
 
 // RefusedError reports a request that was not admitted.
@@ -83,6 +85,7 @@
 	reason   Reason
 	arrived  time.Time
 	admitted time.Time
+	group    int // State.group at admission
 	queue    *queue
 	previous *Ticket
 	next     *Ticket
@@ -212,7 +215,9 @@
 	queues  []*queue // best priority first
 	byName  map[string]*queue
 	waiting int
+	group   int // counts Replace; older tickets are not part of inUse
 	paused  bool
+	closed  bool
 	ramp    ramp
 	aged    int // admissions since an aged request went first, up to AgedOneIn
 	settled []*Ticket
@@ -228,6 +233,10 @@
 	t.arrived = now
 	q := s.queue(t.Class)
 	t.queue = q
+	if s.closed {
+		t.refuse(Closed)
+		return
+	}
 	if !now.Before(t.Deadline) {
 		t.refuse(DeadlineUnreachable)
 		return
@@ -323,7 +332,7 @@
 }
 
 func (s *State) mayAdmit(c *Class) bool {
-	if s.paused || s.inUse >= s.limit || s.ramp.active && s.ramp.left == 0 {
+	if s.paused || s.closed || s.inUse >= s.limit || s.ramp.active && s.ramp.left == 0 {
 		return false
 	}
 	return c.Top || s.lowUse < s.limit-s.reserve()
@@ -332,6 +341,7 @@
 func (s *State) admit(now time.Time, t *Ticket) {
 	t.status = Admitted
 	t.admitted = now
+	t.group = s.group
 	t.queue.unserved = time.Time{}
 	if t.queue.length > 0 {
 		t.queue.unserved = now
@@ -432,6 +442,9 @@
 
 func (s *State) giveBack(now time.Time, t *Ticket) {
 	t.status = New
+	if t.group != s.group {
+		return
+	}
 	s.inUse--
 	if !t.Class.Top {
 		s.lowUse--
@@ -462,6 +475,30 @@
 	s.Tick(now)
 }
 
+// Replace tells that connections now lead to another backend server: tickets
+// admitted so far hold none of them and count no longer. It begins the gradual
+// release.
+func (s *State) Replace(now time.Time) {
+	s.group++
+	s.inUse = 0
+	s.lowUse = 0
+	s.ramp.start(now, s.limit)
+	s.Tick(now)
+}
+
+// Close refuses all waiting and further requests.
+func (s *State) Close() {
+	s.closed = true
+	for _, q := range s.queues {
+		for q.first != nil {
+			t := q.first
+			s.dequeue(t)
+			t.refuse(Closed)
+			s.settled = append(s.settled, t)
+		}
+	}
+}
+
 // Tick makes the admissions that the passing of time allows.
 func (s *State) Tick(now time.Time) {
 	s.ramp.advance(now)
--- a/core/admission/state_test.go
+++ b/core/admission/state_test.go
@@ -29,6 +29,7 @@
 	resumed  time.Time
 	waiting  ticketSet
 	admitted ticketSet
+	earlier  ticketSet // admitted before the last Replace
 }
 
 func newMachine(t *rapid.T) *machine {
@@ -179,6 +180,21 @@
 	m.collect(t)
 }
 
+func (m *machine) Replace(t *rapid.T) {
+	m.earlier = append(m.earlier, m.admitted...)
+	m.admitted = nil
+	m.released = 0
+	m.resumed = m.now
+	m.state.Replace(m.now)
+	m.collect(t)
+}
+
+// FinishEarlier ends a ticket that was admitted before the last Replace.
+func (m *machine) FinishEarlier(t *rapid.T) {
+	m.state.Finish(m.now, m.earlier.draw(t))
+	m.collect(t)
+}
+
 func (m *machine) Pass(t *rapid.T) {
 	m.now = m.now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
 	m.state.Tick(m.now)
