--- /dev/null
+++ b/daemon/internal/route/entry.go
@@ -0,0 +1,378 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/admission"
+	"github.com/gypsumgap/gypsumgap/core/config"
+)
+
+// maxHops is the number of hosts that may forward a request. A second hop
+// happens while hosts differ on who owns a database; more would be a loop.
+const maxHops = 2
+
+const (
+	// ownerRetry is how long the other owner is used after a failed connect.
+	ownerRetry = time.Second
+	// noOwnerRetry is how often owners are tried while none is reachable.
+	noOwnerRetry = 50 * time.Millisecond
+	// ownerDialTimeout leaves time for four round trips between regions.
+	ownerDialTimeout = 500 * time.Millisecond
+
+	// A database that is slow, for example during a failover, leaves three
+	// quarters of the connections to its owner to the owner's other databases,
+	// and an owner that is slow leaves seven eighths to the other owners.
+	defaultDatabaseLimit = 64
+	defaultOwnerLimit    = 256
+	defaultTotalLimit    = 2048
+)
+
+// Host is a host that owns a database.
+type Host struct {
+	Name string
+	// ForwardAddress is the host:port that takes statements from other hosts.
+	ForwardAddress string
+	Zone           string
+	// Self says that it is the host that asks.
+	Self bool
+}
+
+// Owners lists the owner hosts of a database, the preferred one first. It must
+// not block.
+type Owners interface {
+	Owners(database string) []Host
+}
+
+// EntryConfig configures an EntryRouter.
+type EntryConfig struct {
+	Owners Owners
+	// Local returns the router of a database that this host owns, or nil if it
+	// does not serve the database yet.
+	Local func(database string) Router
+	// Policy returns the policy of a database's service, or nil.
+	Policy func(database string) *Policy
+	// Dial opens a connection to the owner host named by the target's Peer.
+	Dial DialFunc
+	// DatabaseLimit bounds the requests of one database that are forwarded at a
+	// time, OwnerLimit the connections to one owner host and TotalLimit those
+	// to all; zero takes defaults.
+	DatabaseLimit int
+	OwnerLimit    int
+	TotalLimit    int
+	// Recorder may be nil.
+	Recorder Recorder
+}
+
+// EntryRouter gives transactions on any database a connection: to a backend
+// server if this host owns the database, otherwise to an owner host. It is
+// safe for concurrent use.
+//
+// A forwarded request is admitted twice, by the limiter of its database and by
+// that of the owner host, both by class: requests of a first class are not held
+// up by lower ones that wait for the same owner.
+type EntryRouter struct {
+	cfg       EntryConfig
+	pools     *Pools
+	owners    sync.Map       // host name to *admission.Limiter
+	databases sync.Map       // database name to *entryDatabase
+	unlisted  *entryDatabase // of databases whose service is not known here
+	noPolicy  *Policy
+
+	mu   sync.Mutex
+	down map[string]outage
+}
+
+type entryDatabase struct {
+	limiter *admission.Limiter
+	budget  *admission.RetryBudget
+}
+
+// outage is what is remembered of an owner that could not be reached.
+type outage struct {
+	until time.Time // the other owner is preferred until then
+	probe time.Time // not tried before then, even if no owner is reachable
+}
+
+// NewEntryRouter returns a router for all databases. It must be closed.
+func NewEntryRouter(cfg EntryConfig) *EntryRouter {
+	if cfg.Recorder == nil {
+		cfg.Recorder = discard{}
+	}
+	setDefaultLimit(&cfg.DatabaseLimit, defaultDatabaseLimit)
+	setDefaultLimit(&cfg.OwnerLimit, defaultOwnerLimit)
+	setDefaultLimit(&cfg.TotalLimit, defaultTotalLimit)
+	e := &EntryRouter{
+		cfg:      cfg,
+		noPolicy: NewPolicy(&config.Service{}),
+		down:     make(map[string]outage),
+	}
+	e.unlisted = e.newDatabase()
+	e.pools = NewPools(PoolsConfig{
+		Dial:        cfg.Dial,
+		PeerLimit:   func() int { return cfg.OwnerLimit },
+		TotalLimit:  func() int { return cfg.TotalLimit },
+		DialTimeout: ownerDialTimeout,
+	})
+	return e
+}
+
+func setDefaultLimit(n *int, v int) {
+	if *n <= 0 {
+		*n = v
+	}
+}
+
+func (e *EntryRouter) newDatabase() *entryDatabase {
+	return &entryDatabase{
+		limiter: admission.NewLimiter(func() int { return e.cfg.DatabaseLimit }),
+		budget:  admission.NewRetryBudget(),
+	}
+}
+
+// Close refuses waiting and further requests to other hosts. Local routers are
+// closed by their owner.
+func (e *EntryRouter) Close() {
+	e.unlisted.limiter.Close()
+	for _, d := range e.databases.Range {
+		d.(*entryDatabase).limiter.Close()
+	}
+	for _, l := range e.owners.Range {
+		l.(*admission.Limiter).Close()
+	}
+	e.pools.Close()
+}
+
+// Maintain closes connections that were idle too long. The owner of the router
+// calls it every second or so.
+func (e *EntryRouter) Maintain() { e.pools.Maintain() }
+
+// lookup returns the policy and the state of a database.
+func (e *EntryRouter) lookup(name string) (*Policy, *entryDatabase) {
+	var p *Policy
+	if e.cfg.Policy != nil {
+		p = e.cfg.Policy(name)
+	}
+	if p == nil {
+		return e.noPolicy, e.unlisted
+	}
+	if d, ok := e.databases.Load(name); ok {
+		return p, d.(*entryDatabase)
+	}
+	d, _ := e.databases.LoadOrStore(name, e.newDatabase())
+	return p, d.(*entryDatabase)
+}
+
+func (e *EntryRouter) owner(name string) *admission.Limiter {
+	if l, ok := e.owners.Load(name); ok {
+		return l.(*admission.Limiter)
+	}
+	l, _ := e.owners.LoadOrStore(name, admission.NewLimiter(func() int { return e.cfg.OwnerLimit }))
+	return l.(*admission.Limiter)
+}
+
+// Begin implements Router. The caller counts the hop of a forwarded request.
+func (e *EntryRouter) Begin(ctx context.Context, r Request) (Tx, error) {
+	owners := e.cfg.Owners.Owners(r.Database)
+	if local := e.local(owners, r.Database); local != nil {
+		return local.Begin(ctx, r)
+	}
+	now := time.Now()
+	policy, database := e.lookup(r.Database)
+	class := policy.class(r.Class)
+	database.budget.Deposit()
+	if r.Hops >= maxHops {
+		err := &refusal{kind: RefusedHops, reason: fmt.Sprintf("forwarded %d times without reaching an owner of the database", r.Hops)}
+		return nil, refuse(ctx, e.cfg.Recorder, class.labels, err)
+	}
+	tx, err := e.forward(ctx, owners, &forwardTx{
+		router:   e,
+		request:  r,
+		database: database,
+		class:    class,
+		start:    now,
+	})
+	var notRun *NotRunError
+	switch {
+	case errors.As(err, &notRun):
+		// The local router, which took over meanwhile, has counted it.
+		return nil, err
+	case err != nil:
+		return nil, refuse(ctx, e.cfg.Recorder, class.labels, err)
+	}
+	if tx.Forwarded() {
+		e.cfg.Recorder.Began(class.labels, PathForward, time.Since(now))
+	}
+	return tx, nil
+}
+
+// local returns the local router if this host is among the owners.
+func (e *EntryRouter) local(owners []Host, database string) Router {
+	for _, h := range owners {
+		if h.Self {
+			return e.cfg.Local(database)
+		}
+	}
+	return nil
+}
+
+// forward waits for a connection to an owner host, or for this host to become
+// an owner.
+func (e *EntryRouter) forward(ctx context.Context, owners []Host, t *forwardTx) (Tx, error) {
+	deadline := t.class.deadlineOf(&t.request, t.start)
+	t.admitted = admission.Ticket{Class: &t.class.admission, Deadline: deadline}
+	t.placed = t.admitted
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	if err := t.database.limiter.Acquire(ctx, &t.admitted); err != nil {
+		return nil, err
+	}
+	tx, err := e.waitOwner(ctx, owners, t)
+	if tx != Tx(t) {
+		t.database.limiter.Cancel(&t.admitted)
+	}
+	return tx, err
+}
+
+func (e *EntryRouter) waitOwner(ctx context.Context, owners []Host, t *forwardTx) (Tx, error) {
+	for {
+		reached, err := e.tryOwners(ctx, owners, t)
+		if err != nil {
+			return nil, err
+		}
+		if reached {
+			return t, nil
+		}
+		if err := sleep(ctx, noOwnerRetry); err != nil {
+			return nil, fmt.Errorf("no owner of the database is reachable: %w", err)
+		}
+		owners = e.cfg.Owners.Owners(t.request.Database)
+		if local := e.local(owners, t.request.Database); local != nil {
+			return local.Begin(ctx, t.request)
+		}
+	}
+}
+
+// tryOwners tries the owners in order, first those not known to be down. It
+// reports whether one was reached.
+func (e *EntryRouter) tryOwners(ctx context.Context, owners []Host, t *forwardTx) (bool, error) {
+	for _, lastResort := range []bool{false, true} {
+		for _, h := range owners {
+			if h.Self || !e.mayTry(h.Name, lastResort) {
+				continue
+			}
+			err := e.connect(ctx, h, t)
+			if err == nil {
+				return true, nil
+			}
+			var refused *admission.RefusedError
+			if errors.As(err, &refused) || errors.Is(err, ErrPoolClosed) || ctx.Err() != nil {
+				return false, err
+			}
+		}
+	}
+	return false, nil
+}
+
+// connect waits for a connection to one owner host.
+func (e *EntryRouter) connect(ctx context.Context, h Host, t *forwardTx) error {
+	limiter := e.owner(h.Name)
+	if err := limiter.Acquire(ctx, &t.placed); err != nil {
+		return err
+	}
+	target := Target{Peer: h.Name, Address: h.ForwardAddress, User: t.request.User, Database: t.request.Database}
+	conn, err := e.pools.get(ctx, target)
+	if err != nil {
+		limiter.Cancel(&t.placed)
+		if ctx.Err() == nil && !errors.Is(err, ErrPeerClosed) {
+			e.markDown(h.Name)
+		}
+		return err
+	}
+	e.markUp(h.Name)
+	t.conn = conn
+	t.owner = limiter
+	return nil
+}
+
+// mayTry reports whether a host is not known to be down. As a last resort one
+// request at a time tries a host that is.
+func (e *EntryRouter) mayTry(name string, lastResort bool) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	o, down := e.down[name]
+	if !down {
+		return !lastResort
+	}
+	if now.Before(o.until) && !lastResort || now.Before(o.probe) {
+		return false
+	}
+	o.probe = now.Add(noOwnerRetry)
+	e.down[name] = o
+	return true
+}
+
+// markDown makes requests use another owner for a while.
+func (e *EntryRouter) markDown(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	e.down[name] = outage{until: now.Add(ownerRetry), probe: now.Add(noOwnerRetry)}
+}
+
+func (e *EntryRouter) markUp(name string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.down, name)
+}
+
+// forwardTx implements Tx on a connection to an owner host.
+type forwardTx struct {
+	router   *EntryRouter
+	request  Request
+	database *entryDatabase
+	class    *classPolicy
+	start    time.Time
+	conn     *pooled
+	owner    *admission.Limiter
+	admitted admission.Ticket // of the database's limiter
+	placed   admission.Ticket // of the owner's limiter
+	released atomic.Bool
+}
+
+// Conn implements Tx.
+func (t *forwardTx) Conn() Conn { return t.conn.conn }
+
+// Forwarded implements Tx.
+func (t *forwardTx) Forwarded() bool { return true }
+
+// Finish implements Tx. The owner host has confirmed the transaction before it
+// answered, and reported the token.
+func (t *forwardTx) Finish(context.Context) (string, error) {
+	t.router.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
+	return "", nil
+}
+
+// MayRepeat implements Tx. The idle connections to the owner are closed, as
+// they have probably failed too; the repeated request then finds out whether
+// the owner is reachable.
+func (t *forwardTx) MayRepeat() bool {
+	t.router.pools.closeUnused(t.conn.pool, 0)
+	reads := t.class.read || t.request.ReadOnly
+	return mayRepeat(t.class, reads, t.request.Key != "", t.database.budget)
+}
+
+// Release implements Tx.
+func (t *forwardTx) Release(clean bool) {
+	if !t.released.CompareAndSwap(false, true) {
+		return
+	}
+	t.router.pools.put(t.conn, clean)
+	t.owner.Release(&t.placed)
+	t.database.limiter.Release(&t.admitted)
+}
--- /dev/null
+++ b/daemon/internal/route/owner.go
@@ -0,0 +1,577 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/admission"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/replication"
+)
+
+const (
+	// connectRetry is the pause after a failed connect, or while a term that a
+	// token or barrier names has no primary yet.
+	connectRetry = 25 * time.Millisecond
+	// replicaAttempts bounds the replicas tried before the primary.
+	replicaAttempts = 2
+	// ageDivisor leaves a quarter of the accepted age for the wait for a
+	// connection, because data grows older meanwhile.
+	ageDivisor = 4
+	// maxBarrierReads bounds the reads that wait for a barrier, which they do
+	// before admission. It covers 25,000 reads/s at 40 ms for a round between
+	// regions.
+	maxBarrierReads = 1000
+)
+
+// OwnerConfig configures an OwnerRouter.
+type OwnerConfig struct {
+	Database string
+	// Slots lists the group, for connections that are opened ahead of need.
+	Slots  []group.Slot
+	Policy *Policy
+	Gate   replication.Gate
+	Dial   DialFunc
+	// Limit returns the owner's share of the connections to each backend
+	// server. It may not block.
+	Limit func() int
+	// TotalLimit bounds the connections to all slots together; nil allows
+	// Limit for each slot.
+	TotalLimit func() int
+	// Recorder may be nil.
+	Recorder Recorder
+}
+
+// OwnerRouter gives transactions on one database connections to its backend
+// servers. It is safe for concurrent use.
+//
+// Each slot has its own admission limiter for reads on replicas, so that reads
+// that wait for a replica take nothing from the primary. The limiter of the
+// primary moves with the role: requests wait in it while no primary is known.
+type OwnerRouter struct {
+	cfg      OwnerConfig
+	policy   atomic.Pointer[Policy]
+	pools    *Pools
+	primary  *admission.Limiter
+	replicas sync.Map // group.SlotID to *admission.Limiter
+	budget   *admission.RetryBudget
+	barriers atomic.Int64  // reads that wait for a barrier
+	term     atomic.Uint64 // of the primary that was seen last
+	closing  context.Context
+	close    context.CancelFunc
+	tasks    sync.WaitGroup
+
+	mu       sync.Mutex
+	slots    []group.Slot
+	seen     group.Slot // the primary that was seen last
+	watching bool       // a goroutine waits for a primary
+}
+
+// pending is a request on its way to a connection.
+type pending struct {
+	request  Request
+	policy   *Policy
+	class    *classPolicy
+	start    time.Time
+	deadline time.Time
+	need     group.Position // what the session has seen, as far as known
+	known    bool           // need comes from the session's token
+}
+
+// reads reports whether the request changes nothing.
+func (q *pending) reads() bool { return q.class.read || q.request.ReadOnly }
+
+// refusal is a reason to refuse a request, with its kind for counting.
+type refusal struct {
+	kind   Refusal
+	reason string
+	err    error
+}
+
+func (r *refusal) Error() string { return describe("refused", r.reason, r.err) }
+
+func (r *refusal) Unwrap() error { return r.err }
+
+var (
+	errRebarrier      = errors.New("the primary is not of the barrier's term")
+	errPrimaryChanged = errors.New("the primary is changing")
+)
+
+// NewOwnerRouter returns a router for one database. It must be closed.
+func NewOwnerRouter(cfg OwnerConfig) *OwnerRouter {
+	if cfg.Recorder == nil {
+		cfg.Recorder = discard{}
+	}
+	o := &OwnerRouter{
+		cfg:     cfg,
+		primary: admission.NewLimiter(cfg.Limit),
+		budget:  admission.NewRetryBudget(),
+		slots:   cfg.Slots,
+	}
+	o.policy.Store(cfg.Policy)
+	o.pools = NewPools(PoolsConfig{
+		Dial:       cfg.Dial,
+		PeerLimit:  cfg.Limit,
+		TotalLimit: cfg.TotalLimit,
+		Failed:     o.connectionFailed,
+	})
+	o.closing, o.close = context.WithCancel(context.Background())
+	o.tasks.Go(o.maintain)
+	return o
+}
+
+// SetPolicy replaces the policy for requests that begin later.
+func (o *OwnerRouter) SetPolicy(p *Policy) { o.policy.Store(p) }
+
+// Close refuses waiting and further requests. Connections in use are closed
+// when they are released.
+func (o *OwnerRouter) Close() {
+	o.mu.Lock()
+	o.close()
+	o.mu.Unlock()
+	o.closeLimiters()
+	o.pools.Close()
+	o.tasks.Wait()
+}
+
+func (o *OwnerRouter) closeLimiters() {
+	o.primary.Close()
+	for _, l := range o.replicas.Range {
+		l.(*admission.Limiter).Close()
+	}
+}
+
+func (o *OwnerRouter) connectionFailed(t Target, _ error) {
+	o.cfg.Gate.ReportFailure(group.SlotID(t.Peer))
+}
+
+func (o *OwnerRouter) replica(id group.SlotID) *admission.Limiter {
+	if l, ok := o.replicas.Load(id); ok {
+		return l.(*admission.Limiter)
+	}
+	l, _ := o.replicas.LoadOrStore(id, admission.NewLimiter(o.cfg.Limit))
+	return l.(*admission.Limiter)
+}
+
+// Begin implements Router.
+func (o *OwnerRouter) Begin(ctx context.Context, r Request) (Tx, error) {
+	now := time.Now()
+	policy := o.policy.Load()
+	class := policy.class(r.Class)
+	o.budget.Deposit()
+	q := pending{request: r, policy: policy, class: class, start: now, deadline: class.deadlineOf(&r, now)}
+	tx, err := o.begin(ctx, &q)
+	if err != nil {
+		return nil, refuse(ctx, o.cfg.Recorder, class.labels, err)
+	}
+	o.cfg.Recorder.Began(class.labels, tx.path, time.Since(now))
+	return tx, nil
+}
+
+// refuse counts a refusal and makes it a NotRunError.
+func refuse(ctx context.Context, rec Recorder, l Labels, err error) error {
+	r := classify(ctx, err)
+	rec.Refused(l, r.kind)
+	return &NotRunError{Reason: r.reason, Err: r.err}
+}
+
+// classify finds the reason of a failure to begin, given the caller's context.
+func classify(ctx context.Context, err error) *refusal {
+	var r *refusal
+	var refused *admission.RefusedError
+	switch {
+	case errors.As(err, &r):
+		return r
+	case errors.As(err, &refused):
+		return refusalOf(refused)
+	case ctx.Err() != nil:
+		return &refusal{kind: RefusedCanceled, reason: "the caller gave up", err: err}
+	case errors.Is(err, replication.ErrStopped), errors.Is(err, ErrPoolClosed):
+		return &refusal{kind: RefusedStopped, reason: "this host no longer serves the database", err: err}
+	default:
+		return &refusal{kind: RefusedDeadline, reason: "no connection before the deadline", err: err}
+	}
+}
+
+func refusalOf(err *admission.RefusedError) *refusal {
+	switch err.Reason {
+	case admission.QueueFull:
+		return &refusal{kind: RefusedQueue, reason: "too many requests of its class wait", err: err}
+	case admission.Closed:
+		return &refusal{kind: RefusedStopped, reason: "this host no longer serves the database", err: err}
+	default:
+		return &refusal{kind: RefusedDeadline, reason: "its deadline cannot be met", err: err}
+	}
+}
+
+func (o *OwnerRouter) begin(ctx context.Context, q *pending) (*ownerTx, error) {
+	var err error
+	q.need, q.known, err = ParseToken(q.request.Token, o.cfg.Database)
+	if err != nil {
+		return nil, &refusal{kind: RefusedToken, reason: "session token not accepted", err: err}
+	}
+	if tx := o.beginAtOnce(q); tx != nil {
+		return tx, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, q.deadline)
+	defer cancel()
+	switch {
+	case !q.reads():
+		return o.beginPrimary(ctx, q, 0, PathPrimary)
+	case q.known:
+		return o.beginKnownRead(ctx, q)
+	default:
+		return o.beginBarrierRead(ctx, q)
+	}
+}
+
+// beginAtOnce returns nil if the request has to wait for anything. It spares
+// the common case the context with a deadline.
+func (o *OwnerRouter) beginAtOnce(q *pending) *ownerTx {
+	if !q.reads() {
+		slot, term, ok := o.observe()
+		if !ok || term < q.need.Term {
+			return nil
+		}
+		return o.startAtOnce(q, o.primary, slot, term, PathPrimary)
+	}
+	if !q.known {
+		return nil
+	}
+	slot, ok := o.cfg.Gate.PickReplica(q.need, q.class.maxAge)
+	if !ok {
+		return nil
+	}
+	return o.startAtOnce(q, o.replica(slot.ID), slot, 0, PathReplica)
+}
+
+// startAtOnce returns nil if no connection is admitted and idle.
+func (o *OwnerRouter) startAtOnce(q *pending, l *admission.Limiter, slot group.Slot, term group.Term, path Path) *ownerTx {
+	tx := o.newTx(q, l, path)
+	if !l.TryAcquire(&tx.ticket) {
+		return nil
+	}
+	tx.slot, tx.term = slot.ID, term
+	tx.conn = o.pools.tryGet(o.target(slot, q))
+	if tx.conn == nil {
+		l.Cancel(&tx.ticket)
+		return nil
+	}
+	return tx
+}
+
+// connect waits for a connection to the slot for an admitted transaction; the
+// transaction is given up if it fails.
+func (o *OwnerRouter) connect(ctx context.Context, q *pending, tx *ownerTx, slot group.Slot) error {
+	conn, err := o.pools.get(ctx, o.target(slot, q))
+	if err != nil {
+		tx.limiter.Cancel(&tx.ticket)
+		return err
+	}
+	tx.conn = conn
+	tx.slot = slot.ID
+	return nil
+}
+
+// beginKnownRead serves a read whose session says what it has seen.
+func (o *OwnerRouter) beginKnownRead(ctx context.Context, q *pending) (*ownerTx, error) {
+	tx, err := o.beginReplica(ctx, q)
+	if err != nil || tx != nil {
+		return tx, err
+	}
+	return o.beginPrimary(ctx, q, 0, PathPrimaryRead)
+}
+
+// beginBarrierRead serves a read of a session that may have written anywhere:
+// the barrier covers every commit acknowledged so far. The primary serves it
+// only if the barrier is of its own term; otherwise a change of primary is
+// under way and a new barrier is needed.
+func (o *OwnerRouter) beginBarrierRead(ctx context.Context, q *pending) (*ownerTx, error) {
+	for {
+		barrier, err := o.barrier(ctx)
+		if err == nil {
+			q.need = barrier
+			tx, err := o.beginCovering(ctx, q)
+			if !errors.Is(err, errRebarrier) {
+				return tx, err
+			}
+		} else if !errors.Is(err, replication.ErrTermChanged) {
+			return nil, fmt.Errorf("read barrier: %w", err)
+		}
+		if err := sleep(ctx, connectRetry); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (o *OwnerRouter) barrier(ctx context.Context) (group.Position, error) {
+	defer o.barriers.Add(-1)
+	if o.barriers.Add(1) > maxBarrierReads {
+		return group.Position{}, &refusal{kind: RefusedQueue, reason: "too many reads wait for a read barrier"}
+	}
+	return o.cfg.Gate.Barrier(ctx)
+}
+
+// beginCovering serves a read from a slot that has applied the barrier. It
+// fails with errRebarrier if the barrier is not of the primary's term.
+func (o *OwnerRouter) beginCovering(ctx context.Context, q *pending) (*ownerTx, error) {
+	tx, err := o.beginReplica(ctx, q)
+	if err != nil || tx != nil {
+		return tx, err
+	}
+	return o.beginPrimary(ctx, q, q.need.Term, PathPrimaryRead)
+}
+
+// beginReplica returns nil if no replica qualifies within the replica wait, or
+// none that does can be reached. A read that is refused by the limiter of its
+// replica does not go to the primary, which is not to be loaded by reads when
+// replicas are.
+func (o *OwnerRouter) beginReplica(ctx context.Context, q *pending) (*ownerTx, error) {
+	wait := q.class.maxAge / ageDivisor
+	for range replicaAttempts {
+		slot, err := o.waitReplica(ctx, q, q.class.maxAge-wait)
+		if err != nil {
+			return nil, err
+		}
+		if slot.ID == "" {
+			return nil, nil
+		}
+		tx, err := o.startReplica(ctx, wait, q, slot)
+		var refused *admission.RefusedError
+		switch {
+		case err == nil:
+			return tx, nil
+		case errors.As(err, &refused), errors.Is(err, ErrPoolClosed):
+			return nil, err
+		case ctx.Err() != nil:
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+// startReplica waits for admission and a connection, for at most wait unless
+// that is 0.
+func (o *OwnerRouter) startReplica(ctx context.Context, wait time.Duration, q *pending, slot group.Slot) (*ownerTx, error) {
+	if wait != 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
+	tx := o.newTx(q, o.replica(slot.ID), PathReplica)
+	if err := tx.limiter.Acquire(ctx, &tx.ticket); err != nil {
+		return nil, err
+	}
+	if err := o.connect(ctx, q, tx, slot); err != nil {
+		return nil, err
+	}
+	return tx, nil
+}
+
+// waitReplica returns the zero slot if none qualifies within the replica wait.
+func (o *OwnerRouter) waitReplica(ctx context.Context, q *pending, maxAge time.Duration) (group.Slot, error) {
+	if slot, ok := o.cfg.Gate.PickReplica(q.need, maxAge); ok {
+		return slot, nil
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, q.policy.replicaWait)
+	defer cancel()
+	slot, err := o.cfg.Gate.WaitReplica(waitCtx, q.need, maxAge)
+	switch {
+	case err == nil:
+		return slot, nil
+	case errors.Is(err, replication.ErrStopped):
+		return group.Slot{}, err
+	default:
+		return group.Slot{}, ctx.Err()
+	}
+}
+
+// beginPrimary waits for a primary and a connection to it. The primary's term
+// must be that of the barrier if one is given, and at least the token's. While
+// nothing was sent, the request may wait for another primary.
+func (o *OwnerRouter) beginPrimary(ctx context.Context, q *pending, barrier group.Term, path Path) (*ownerTx, error) {
+	for {
+		if _, term, ok := o.observe(); ok && barrier != 0 && term != barrier {
+			return nil, errRebarrier
+		}
+		tx, err := o.startPrimary(ctx, q, barrier, path)
+		var refused *admission.RefusedError
+		switch {
+		case err == nil:
+			return tx, nil
+		case errors.As(err, &refused), errors.Is(err, ErrPoolClosed), errors.Is(err, errRebarrier):
+			return nil, err
+		}
+		if sleep(ctx, connectRetry) != nil {
+			return nil, err
+		}
+	}
+}
+
+// startPrimary waits for admission, which includes the wait for a primary, and
+// for a connection.
+func (o *OwnerRouter) startPrimary(ctx context.Context, q *pending, barrier group.Term, path Path) (*ownerTx, error) {
+	tx := o.newTx(q, o.primary, path)
+	if err := tx.limiter.Acquire(ctx, &tx.ticket); err != nil {
+		return nil, fmt.Errorf("wait for a primary and a connection: %w", err)
+	}
+	slot, term, err := o.primaryFor(q, barrier)
+	if err != nil {
+		tx.limiter.Cancel(&tx.ticket)
+		return nil, err
+	}
+	if err := o.connect(ctx, q, tx, slot); err != nil {
+		return nil, err
+	}
+	if _, now, ok := o.cfg.Gate.Primary(); !ok || now != term {
+		tx.giveUp()
+		return nil, errPrimaryChanged
+	}
+	tx.term = term
+	return tx, nil
+}
+
+// primaryFor returns the primary if the request can be sent there.
+func (o *OwnerRouter) primaryFor(q *pending, barrier group.Term) (group.Slot, group.Term, error) {
+	slot, term, ok := o.observe()
+	switch {
+	case !ok:
+		return slot, term, errPrimaryChanged
+	case barrier != 0 && term != barrier:
+		return slot, term, errRebarrier
+	case term < q.need.Term:
+		return slot, term, fmt.Errorf("the session has seen term %d, the primary is of term %d", q.need.Term, term)
+	default:
+		return slot, term, nil
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (o *OwnerRouter) target(slot group.Slot, q *pending) Target {
+	return o.slotTarget(slot, q.request.User)
+}
+
+func (o *OwnerRouter) slotTarget(slot group.Slot, user string) Target {
+	return Target{Peer: string(slot.ID), Address: slot.Address, User: user, Database: o.cfg.Database}
+}
+
+func (o *OwnerRouter) newTx(q *pending, l *admission.Limiter, path Path) *ownerTx {
+	return &ownerTx{
+		router:  o,
+		limiter: l,
+		ticket:  admission.Ticket{Class: &q.class.admission, Deadline: q.deadline},
+		need:    q.need,
+		class:   q.class,
+		policy:  q.policy,
+		reads:   q.reads(),
+		keyed:   q.request.Key != "",
+		path:    path,
+		start:   q.start,
+	}
+}
+
+// ownerTx implements Tx on a connection to a backend server.
+type ownerTx struct {
+	router   *OwnerRouter
+	limiter  *admission.Limiter
+	ticket   admission.Ticket
+	conn     *pooled
+	slot     group.SlotID
+	term     group.Term // of the primary; 0 on a replica
+	need     group.Position
+	class    *classPolicy
+	policy   *Policy
+	reads    bool
+	keyed    bool
+	path     Path
+	start    time.Time
+	released atomic.Bool
+}
+
+// Conn implements Tx.
+func (t *ownerTx) Conn() Conn { return t.conn.conn }
+
+// Forwarded implements Tx.
+func (t *ownerTx) Forwarded() bool { return false }
+
+// Finish implements Tx. It waits at most the service's commit timeout. A read
+// on a replica needs no confirmation, as the replica's position was known
+// before the read began.
+func (t *ownerTx) Finish(ctx context.Context) (string, error) {
+	o := t.router
+	if t.path == PathReplica {
+		o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
+		return "", nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.policy.commitTimeout)
+	defer cancel()
+	p, err := o.cfg.Gate.WaitDurable(ctx, t.term)
+	if err == nil && t.reads && !p.Covers(t.need) {
+		err = fmt.Errorf("the group's position %v is behind %v, which the session has seen", p, t.need)
+	}
+	if err != nil {
+		return "", t.unconfirmed(err)
+	}
+	o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
+	if t.reads {
+		return "", nil
+	}
+	return FormatToken(o.cfg.Database, p), nil
+}
+
+func (t *ownerTx) unconfirmed(err error) error {
+	rec := t.router.cfg.Recorder
+	if t.reads {
+		rec.StaleRead(t.class.labels)
+		return &StaleReadError{Reason: "the primary could not be confirmed after the read", Err: err}
+	}
+	rec.OutcomeUnknown(t.class.labels)
+	return &UnknownOutcomeError{Reason: "the commit is not known to be durable", Err: err}
+}
+
+// MayRepeat implements Tx. It also reports the failure of the connection.
+func (t *ownerTx) MayRepeat() bool {
+	t.router.cfg.Gate.ReportFailure(t.slot)
+	return mayRepeat(t.class, t.reads, t.keyed, t.router.budget)
+}
+
+// mayRepeat draws on the budget unless the request has a key: running it again
+// under its key is how its outcome is found out.
+func mayRepeat(c *classPolicy, reads, keyed bool, budget *admission.RetryBudget) bool {
+	if keyed {
+		return true
+	}
+	return (c.repeatable || reads) && budget.Withdraw()
+}
+
+// Release implements Tx.
+func (t *ownerTx) Release(clean bool) {
+	if !t.released.CompareAndSwap(false, true) {
+		return
+	}
+	if clean {
+		t.router.cfg.Gate.ReportAnswer(t.slot)
+	}
+	t.router.pools.put(t.conn, clean)
+	t.limiter.Release(&t.ticket)
+}
+
+// giveUp gives back a connection that was not used.
+func (t *ownerTx) giveUp() {
+	t.router.pools.put(t.conn, true)
+	t.limiter.Cancel(&t.ticket)
+}
