--- /dev/null
+++ b/daemon/internal/session/errors.go
@@ -0,0 +1,94 @@
+package session
+
+import (
+	"errors"
+	"fmt"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+)
+
+// SQLSTATEs of PostgreSQL that the session sends or recognises.
+const (
+	codeConnectionFailure    = "08006"
+	codeProtocolViolation    = "08P01"
+	codeFeatureNotSupported  = "0A000"
+	codeUniqueViolation      = "23505"
+	codeFailedTransaction    = "25P02"
+	codeIdleInTransaction    = "25P03"
+	codeUnknownStatement     = "26000"
+	codeInvalidAuthorization = "28000"
+	codeInvalidPassword      = "28P01"
+	codeUnknownDatabase      = "3D000"
+	codeLimitExceeded        = "54000"
+	codeAdminShutdown        = "57P01"
+	codeIdleSession          = "57P05"
+	codeInvalidSetting       = "22023"
+	codeInternal             = "XX000"
+)
+
+// errCaller wraps failures of the caller's connection, which end the session.
+var errCaller = errors.New("caller connection failed")
+
+// lostError says that the upstream connection failed during a unit.
+type lostError struct {
+	err error
+	// sent says that bytes of the unit may have reached the peer.
+	sent bool
+}
+
+func (e *lostError) Error() string { return e.err.Error() }
+func (e *lostError) Unwrap() error { return e.err }
+
+// refusal is an error that the caller is told as the end of its unit.
+type refusal struct {
+	code    string
+	message string
+	detail  string
+	hint    string
+}
+
+func (e *refusal) Error() string { return fmt.Sprintf("%s (SQLSTATE %s)", e.message, e.code) }
+
+// refusalOf converts an error of the route package; other errors, of which
+// nothing is known, count as an unknown outcome.
+func refusalOf(err error) *refusal {
+	var r *refusal
+	if errors.As(err, &r) {
+		return r
+	}
+	code, ok := route.Code(err)
+	if !ok {
+		code = route.CodeUnknownOutcome
+	}
+	return &refusal{code: code, message: err.Error()}
+}
+
+func (e *refusal) response() *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity:            severityError,
+		SeverityUnlocalized: severityError,
+		Code:                e.code,
+		Message:             e.message,
+		Detail:              e.detail,
+		Hint:                e.hint,
+	}
+}
+
+// isFatal reports an ErrorResponse after which the peer closes the connection.
+func isFatal(m *pgproto3.ErrorResponse) bool {
+	severity := m.SeverityUnlocalized
+	if severity == "" {
+		severity = m.Severity
+	}
+	return severity == severityFatal || severity == "PANIC"
+}
+
+// endedByPeer reports that an owner ended its idle session, which it does only
+// between transactions, so that it has not taken the unit.
+func endedByPeer(err error) bool {
+	var se *upstream.ServerError
+	return errors.As(err, &se) && se.Code == codeAdminShutdown
+}
--- /dev/null
+++ b/daemon/internal/session/fake_test.go
@@ -0,0 +1,693 @@
+package session
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+)
+
+// fault is what a fake backend does instead of answering a statement.
+type fault int
+
+const (
+	noFault fault = iota
+	// dropBefore closes the connection before the statement takes effect.
+	dropBefore
+	// dropAfter lets the statement take effect and closes without an answer.
+	dropAfter
+)
+
+type logRow struct {
+	fingerprint string
+	answer      []byte
+}
+
+// fakeBackend is a scripted backend server with a request log.
+type fakeBackend struct {
+	t    testing.TB
+	ln   net.Listener
+	wg   sync.WaitGroup
+	stop chan struct{}
+
+	mu    sync.Mutex
+	conns map[uint32]*fakeConn
+	next  uint32
+	// committed lists the effects of committed statements.
+	committed []string
+	// seen lists every statement that was run, as "pid: sql".
+	seen []string
+	log  map[string]logRow
+	// faults maps a statement to the faults of its next runs.
+	faults map[string][]fault
+	// cancelled lists the process ids of cancel requests.
+	cancelled []uint32
+	// gate, if set, is waited for by SELECT wait.
+	gate chan struct{}
+	// waiting receives a value when SELECT wait runs.
+	waiting chan struct{}
+}
+
+func newFakeBackend(t testing.TB) *fakeBackend {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &fakeBackend{
+		t: t, ln: ln, stop: make(chan struct{}), conns: map[uint32]*fakeConn{},
+		log: map[string]logRow{}, faults: map[string][]fault{},
+		gate: make(chan struct{}), waiting: make(chan struct{}, 16),
+	}
+	b.wg.Add(1)
+	go b.accept()
+	t.Cleanup(b.close)
+	return b
+}
+
+func (b *fakeBackend) address() string { return b.ln.Addr().String() }
+
+func (b *fakeBackend) accept() {
+	defer b.wg.Done()
+	for {
+		nc, err := b.ln.Accept()
+		if err != nil {
+			return
+		}
+		b.wg.Add(1)
+		go func() {
+			defer b.wg.Done()
+			defer nc.Close()
+			b.serve(nc)
+		}()
+	}
+}
+
+func (b *fakeBackend) close() {
+	close(b.stop)
+	b.ln.Close()
+	b.mu.Lock()
+	for _, c := range b.conns {
+		c.nc.Close()
+	}
+	b.mu.Unlock()
+	b.wg.Wait()
+}
+
+func (b *fakeBackend) fail(sql string, faults ...fault) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.faults[sql] = faults
+}
+
+func (b *fakeBackend) effects() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.committed...)
+}
+
+func (b *fakeBackend) statements() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.seen...)
+}
+
+func (b *fakeBackend) count(sql string) int {
+	n := 0
+	for _, s := range b.statements() {
+		if strings.HasSuffix(s, ": "+sql) {
+			n++
+		}
+	}
+	return n
+}
+
+// fakeConn is one server session of a fake backend.
+type fakeConn struct {
+	b      *fakeBackend
+	nc     net.Conn
+	be     *pgproto3.Backend
+	pid    uint32
+	status byte
+	// pending are the effects of the open transaction.
+	pending    []string
+	pendingLog map[string]logRow
+	statements map[string]string
+	portals    map[string]fakePortal
+	settings   map[string]string
+	skip       bool
+	cancel     chan struct{}
+	inBlock    bool
+}
+
+type fakePortal struct {
+	sql        string
+	parameters [][]byte
+}
+
+func (b *fakeBackend) serve(nc net.Conn) {
+	be := pgproto3.NewBackend(nc, nc)
+	m, err := be.ReceiveStartupMessage()
+	if err != nil {
+		return
+	}
+	if c, ok := m.(*pgproto3.CancelRequest); ok {
+		b.mu.Lock()
+		b.cancelled = append(b.cancelled, c.ProcessID)
+		target := b.conns[c.ProcessID]
+		b.mu.Unlock()
+		if target != nil {
+			select {
+			case target.cancel <- struct{}{}:
+			default:
+			}
+		}
+		return
+	}
+	c := &fakeConn{
+		b: b, nc: nc, be: be, status: 'I', pendingLog: map[string]logRow{}, statements: map[string]string{},
+		portals: map[string]fakePortal{}, settings: map[string]string{}, cancel: make(chan struct{}, 1),
+	}
+	b.mu.Lock()
+	b.next++
+	c.pid = b.next
+	b.conns[c.pid] = c
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		delete(b.conns, c.pid)
+		b.mu.Unlock()
+	}()
+	be.Send(&pgproto3.AuthenticationOk{})
+	be.Send(&pgproto3.ParameterStatus{Name: "TimeZone", Value: "UTC"})
+	be.Send(&pgproto3.BackendKeyData{ProcessID: c.pid, SecretKey: []byte{1, 2, 3, 4}})
+	be.Send(&pgproto3.ReadyForQuery{TxStatus: 'I'})
+	if be.Flush() != nil {
+		return
+	}
+	for c.step() == nil {
+	}
+}
+
+// step handles one message.
+func (c *fakeConn) step() error {
+	m, err := c.be.Receive()
+	if err != nil {
+		return err
+	}
+	if _, sync := m.(*pgproto3.Sync); c.skip && !sync {
+		return nil
+	}
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		err = c.run(m.String, nil, true)
+		if err == io.EOF {
+			return err
+		}
+		c.endStatement()
+	case *pgproto3.Parse:
+		if _, ok := c.statements[m.Name]; ok && m.Name != "" {
+			c.fail("42P05", fmt.Sprintf("prepared statement %q already exists", m.Name))
+			return nil
+		}
+		if strings.HasPrefix(m.Query, "SYNTAX") {
+			c.fail("42601", "syntax error")
+			return nil
+		}
+		c.statements[m.Name] = m.Query
+		c.be.Send(&pgproto3.ParseComplete{})
+	case *pgproto3.Bind:
+		sql, ok := c.statements[m.PreparedStatement]
+		if !ok {
+			c.fail("26000", fmt.Sprintf("prepared statement %q does not exist", m.PreparedStatement))
+			return nil
+		}
+		p := fakePortal{sql: sql}
+		for _, v := range m.Parameters {
+			p.parameters = append(p.parameters, append([]byte(nil), v...))
+		}
+		c.portals[m.DestinationPortal] = p
+		c.be.Send(&pgproto3.BindComplete{})
+	case *pgproto3.Describe:
+		if m.ObjectType == 'S' {
+			sql, ok := c.statements[m.Name]
+			if !ok {
+				c.fail("26000", fmt.Sprintf("prepared statement %q does not exist", m.Name))
+				return nil
+			}
+			c.be.Send(&pgproto3.ParameterDescription{ParameterOIDs: make25(strings.Count(sql, "$"))})
+			c.describe(sql)
+			return nil
+		}
+		c.describe(c.portals[m.Name].sql)
+	case *pgproto3.Execute:
+		p := c.portals[m.Portal]
+		if err := c.run(p.sql, p.parameters, false); err == io.EOF {
+			return err
+		} else if err != nil {
+			c.skip = true
+		}
+	case *pgproto3.Close:
+		if m.ObjectType == 'S' {
+			delete(c.statements, m.Name)
+		}
+		c.be.Send(&pgproto3.CloseComplete{})
+	case *pgproto3.Flush:
+		return c.be.Flush()
+	case *pgproto3.Sync:
+		c.skip = false
+		c.endStatement()
+	case *pgproto3.Terminate:
+		return io.EOF
+	}
+	return nil
+}
+
+func make25(n int) []uint32 {
+	oids := make([]uint32, n)
+	for i := range oids {
+		oids[i] = 25
+	}
+	return oids
+}
+
+func returnsRows(sql string) bool {
+	return strings.HasPrefix(sql, "SELECT") || strings.HasPrefix(sql, "SHOW")
+}
+
+var oneColumn = &pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{
+	{Name: []byte("value"), DataTypeOID: 25, DataTypeSize: -1, TypeModifier: -1},
+}}
+
+func (c *fakeConn) describe(sql string) {
+	if returnsRows(sql) {
+		c.be.Send(oneColumn)
+		return
+	}
+	c.be.Send(&pgproto3.NoData{})
+}
+
+// endStatement ends an implicit transaction and sends ReadyForQuery.
+func (c *fakeConn) endStatement() {
+	if !c.inBlock {
+		c.commit(c.status != 'E')
+	}
+	status := byte('I')
+	if c.inBlock {
+		status = 'T'
+		if c.status == 'E' {
+			status = 'E'
+		}
+	} else {
+		c.status = 'I'
+	}
+	c.be.Send(&pgproto3.ReadyForQuery{TxStatus: status})
+	_ = c.be.Flush()
+}
+
+func (c *fakeConn) commit(ok bool) {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	if ok {
+		c.b.committed = append(c.b.committed, c.pending...)
+		for k, v := range c.pendingLog {
+			c.b.log[k] = v
+		}
+	}
+	c.pending = nil
+	clear(c.pendingLog)
+}
+
+func (c *fakeConn) fail(code, message string) {
+	c.status = 'E'
+	c.skip = true
+	c.be.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+}
+
+func (c *fakeConn) nextFault(sql string) fault {
+	c.b.mu.Lock()
+	defer c.b.mu.Unlock()
+	c.b.seen = append(c.b.seen, fmt.Sprintf("%d: %s", c.pid, sql))
+	list := c.b.faults[sql]
+	if len(list) == 0 {
+		return noFault
+	}
+	c.b.faults[sql] = list[1:]
+	return list[0]
+}
+
+// run runs one statement of the few that the tests use.
+func (c *fakeConn) run(sql string, parameters [][]byte, simple bool) error {
+	body, _ := splitComment(sql)
+	body = strings.TrimSpace(body)
+	f := c.nextFault(body)
+	if f == dropBefore {
+		return io.EOF
+	}
+	if c.status == 'E' && body != "ROLLBACK" && body != "COMMIT" {
+		c.fail("25P02", "current transaction is aborted")
+		c.skip = c.skip && !simple
+		return fmt.Errorf("failed")
+	}
+	err := c.perform(body, parameters, simple)
+	if f == dropAfter {
+		if !c.inBlock {
+			c.commit(c.status != 'E')
+		}
+		return io.EOF
+	}
+	if simple {
+		c.skip = false
+	}
+	return err
+}
+
+func (c *fakeConn) done(tag string) { c.be.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)}) }
+
+func (c *fakeConn) row(v []byte) { c.be.Send(&pgproto3.DataRow{Values: [][]byte{v}}) }
+
+func (c *fakeConn) perform(sql string, parameters [][]byte, simple bool) error {
+	if simple && returnsRows(sql) {
+		c.be.Send(oneColumn)
+	}
+	word, rest, _ := strings.Cut(sql, " ")
+	switch {
+	case sql == "":
+		c.be.Send(&pgproto3.EmptyQueryResponse{})
+	case word == "BEGIN":
+		c.inBlock = true
+		c.done("BEGIN")
+	case word == "COMMIT" || word == "ROLLBACK":
+		ok := word == "COMMIT" && c.status != 'E'
+		c.commit(ok)
+		c.inBlock = false
+		c.status = 'I'
+		if ok {
+			c.done("COMMIT")
+		} else {
+			c.done("ROLLBACK")
+		}
+	case sql == "DISCARD ALL":
+		clear(c.settings)
+		clear(c.statements)
+		c.done("DISCARD ALL")
+	case word == "SET":
+		name, value, _ := strings.Cut(rest, " = ")
+		c.settings[name] = value
+		if name == "TimeZone" {
+			c.be.Send(&pgproto3.ParameterStatus{Name: name, Value: value})
+		}
+		c.done("SET")
+	case word == "SHOW":
+		c.row([]byte(c.settings[rest]))
+		c.done("SELECT 1")
+	case sql == InsertKeySQL:
+		return c.insertKey(string(parameters[0]), string(parameters[1]))
+	case sql == RecordAnswerSQL:
+		row := c.pendingLog[string(parameters[0])]
+		row.answer = parameters[1]
+		c.pendingLog[string(parameters[0])] = row
+		c.done("UPDATE 1")
+	case sql == ReadAnswerSQL:
+		c.b.mu.Lock()
+		row, ok := c.b.log[string(parameters[0])]
+		c.b.mu.Unlock()
+		if ok {
+			c.be.Send(&pgproto3.DataRow{Values: [][]byte{[]byte(row.fingerprint), row.answer}})
+		}
+		c.done("SELECT 1")
+	case word == "INSERT":
+		c.pending = append(c.pending, sql)
+		c.done("INSERT 0 1")
+	case sql == "SELECT pid":
+		c.row([]byte(strconv.Itoa(int(c.pid))))
+		c.done("SELECT 1")
+	case strings.HasPrefix(sql, "SELECT rows "):
+		return c.rows(strings.TrimPrefix(sql, "SELECT rows "))
+	case sql == "SELECT wait":
+		c.b.waiting <- struct{}{}
+		select {
+		case <-c.cancel:
+			c.fail("57014", "canceling statement due to user request")
+			return fmt.Errorf("cancelled")
+		case <-c.b.gate:
+		case <-c.b.stop:
+			return io.EOF
+		}
+		c.row([]byte("waited"))
+		c.done("SELECT 1")
+	case word == "SELECT":
+		if len(parameters) > 0 {
+			c.row(parameters[0])
+		} else {
+			c.row([]byte(rest))
+		}
+		c.done("SELECT 1")
+	case word == "FAIL":
+		c.fail(rest, "scripted failure")
+		return fmt.Errorf("failed")
+	case word == "COPY":
+		return c.copyIn()
+	default:
+		c.done(sql)
+	}
+	return nil
+}
+
+func (c *fakeConn) insertKey(key, fingerprint string) error {
+	c.b.mu.Lock()
+	_, taken := c.b.log[key]
+	c.b.mu.Unlock()
+	if taken {
+		c.fail("23505", "duplicate key value violates unique constraint")
+		return fmt.Errorf("conflict")
+	}
+	c.pendingLog[key] = logRow{fingerprint: fingerprint}
+	c.done("INSERT 0 1")
+	return nil
+}
+
+// rows sends "<count> <bytes>" rows, flushed as they are made.
+func (c *fakeConn) rows(arguments string) error {
+	var n, size int
+	if _, err := fmt.Sscanf(arguments, "%d %d", &n, &size); err != nil {
+		return err
+	}
+	value := []byte(strings.Repeat("x", size))
+	for i := range n {
+		c.row(value)
+		if i%64 == 63 {
+			if err := c.be.Flush(); err != nil {
+				return io.EOF
+			}
+		}
+	}
+	c.done("SELECT " + strconv.Itoa(n))
+	return nil
+}
+
+func (c *fakeConn) copyIn() error {
+	c.be.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0}})
+	if err := c.be.Flush(); err != nil {
+		return io.EOF
+	}
+	n := 0
+	for {
+		m, err := c.be.Receive()
+		if err != nil {
+			return io.EOF
+		}
+		switch m := m.(type) {
+		case *pgproto3.CopyData:
+			n += len(m.Data)
+		case *pgproto3.CopyDone:
+			c.pending = append(c.pending, fmt.Sprintf("COPY %d bytes", n))
+			c.done("COPY 1")
+			return nil
+		case *pgproto3.CopyFail:
+			c.fail("57014", "COPY from stdin failed")
+			return fmt.Errorf("failed")
+		}
+	}
+}
+
+// fakeRouter leads transactions to backends in turn.
+type fakeRouter struct {
+	t        testing.TB
+	backends []string
+	// forwarded marks the connections as leading to an owner.
+	forwarded bool
+	user      string
+	options   upstream.Options
+
+	mu       sync.Mutex
+	turn     int
+	idle     map[string][]*upstream.Conn
+	requests []route.Request
+	releases []bool
+	// finish, if set, decides the outcome of the nth Finish, from 0.
+	finish    func(n int) (string, error)
+	finishes  int
+	begin     func(n int) error
+	begins    int
+	mayRepeat bool
+}
+
+func (r *fakeRouter) Begin(ctx context.Context, q route.Request) (route.Tx, error) {
+	r.mu.Lock()
+	r.requests = append(r.requests, q)
+	n := r.begins
+	r.begins++
+	begin := r.begin
+	address := r.backends[r.turn%len(r.backends)]
+	r.turn++
+	var conn *upstream.Conn
+	if list := r.idle[address]; len(list) > 0 {
+		conn = list[len(list)-1]
+		r.idle[address] = list[:len(list)-1]
+	}
+	r.mu.Unlock()
+	if begin != nil {
+		if err := begin(n); err != nil {
+			return nil, err
+		}
+	}
+	if conn == nil {
+		var err error
+		o := r.options
+		o.Address, o.User, o.Database, o.Host, o.Incarnation = address, "gypsumgap", q.Database, "h1", "1"
+		if conn, err = upstream.Dial(ctx, o); err != nil {
+			return nil, &route.NotRunError{Reason: "no connection", Err: err}
+		}
+	}
+	return &fakeTx{r: r, conn: conn, address: address}, nil
+}
+
+func (r *fakeRouter) close() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, list := range r.idle {
+		for _, c := range list {
+			c.Close()
+		}
+	}
+	r.idle = nil
+}
+
+func (r *fakeRouter) released() []bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]bool(nil), r.releases...)
+}
+
+func (r *fakeRouter) begun() []route.Request {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]route.Request(nil), r.requests...)
+}
+
+type fakeTx struct {
+	r       *fakeRouter
+	conn    *upstream.Conn
+	address string
+}
+
+func (x *fakeTx) Conn() route.Conn { return x.conn }
+func (x *fakeTx) Forwarded() bool  { return x.r.forwarded }
+func (x *fakeTx) MayRepeat() bool  { return x.r.mayRepeat }
+
+func (x *fakeTx) Finish(context.Context) (string, error) {
+	x.r.mu.Lock()
+	n := x.r.finishes
+	x.r.finishes++
+	finish := x.r.finish
+	x.r.mu.Unlock()
+	if finish == nil {
+		return "", nil
+	}
+	return finish(n)
+}
+
+func (x *fakeTx) Release(clean bool) {
+	x.r.mu.Lock()
+	defer x.r.mu.Unlock()
+	x.r.releases = append(x.r.releases, clean)
+	if !clean || x.r.idle == nil {
+		x.conn.Close()
+		return
+	}
+	x.r.idle[x.address] = append(x.r.idle[x.address], x.conn)
+}
+
+func newFakeRouter(t testing.TB, backends ...*fakeBackend) *fakeRouter {
+	r := &fakeRouter{t: t, idle: map[string][]*upstream.Conn{}}
+	for _, b := range backends {
+		r.backends = append(r.backends, b.address())
+	}
+	return r
+}
+
+// startServer runs a server on a loopback address until the test ends.
+func startServer(t testing.TB, o Options) (*Server, string) {
+	if o.Log == nil {
+		quiet := logrus.New()
+		quiet.SetOutput(io.Discard)
+		o.Log = quiet
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(o)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ln) }()
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+		defer cancel()
+		_ = s.Shutdown(ctx)
+		<-done
+		if r, ok := o.Router.(*fakeRouter); ok {
+			r.close()
+		}
+	})
+	return s, ln.Addr().String()
+}
+
+// connect opens a caller's connection with stock pgx.
+func connect(t testing.TB, address string, parameters string) *pgx.Conn {
+	c, err := pgx.Connect(context.Background(), "postgres://mechanic@"+address+"/werkplaats-1-a?sslmode=disable"+parameters)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close(context.Background()) })
+	return c
+}
+
+func mustExec(t testing.TB, c *pgx.Conn, sql string, arguments ...any) string {
+	t.Helper()
+	tag, err := c.Exec(context.Background(), sql, arguments...)
+	if err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return tag.String()
+}
+
+func queryString(t testing.TB, c *pgx.Conn, sql string, arguments ...any) string {
+	t.Helper()
+	var v string
+	if err := c.QueryRow(context.Background(), sql, arguments...).Scan(&v); err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return v
+}
--- /dev/null
+++ b/daemon/internal/session/keyed.go
@@ -0,0 +1,496 @@
+package session
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+)
+
+// The statements of the request log. They go through the extended protocol;
+// request_key and fingerprint are text, answer is bytea, in binary format.
+const (
+	InsertKeySQL    = "INSERT INTO gypsumgap_request_log(request_key, fingerprint) VALUES ($1, $2)"
+	RecordAnswerSQL = "UPDATE gypsumgap_request_log SET answer = $2 WHERE request_key = $1"
+	ReadAnswerSQL   = "SELECT fingerprint, answer FROM gypsumgap_request_log WHERE request_key = $1"
+)
+
+const (
+	// maxRecordedAnswer is the largest answer in bytes that is kept for replay.
+	maxRecordedAnswer = 8 << 10
+	maxKeyBytes       = 256
+
+	oidText  = 25
+	oidBytea = 17
+	binary1  = 1
+
+	// explicitFingerprint stands for the statements of an explicit transaction,
+	// which are not known when its key is inserted.
+	explicitFingerprint = "transaction block"
+)
+
+// outcome is the result of statements that the session runs for itself.
+type outcome struct {
+	// row holds the values of the last row.
+	row [][]byte
+	// failure is the first ErrorResponse.
+	failure *upstream.ServerError
+}
+
+func (o outcome) failed(code string) bool { return o.failure != nil && o.failure.Code == code }
+
+// execute appends the messages that run a statement with parameters.
+func (s *session) execute(sql string, oids []uint32, parameters ...[]byte) error {
+	formats := []int16{}
+	if len(parameters) > 0 {
+		formats = append(formats, binary1)
+	}
+	messages := []encoder{
+		&pgproto3.Parse{Query: sql, ParameterOIDs: oids},
+		&pgproto3.Bind{ParameterFormatCodes: formats, Parameters: parameters, ResultFormatCodes: []int16{binary1}},
+		&pgproto3.Execute{},
+	}
+	for _, m := range messages {
+		b, err := m.Encode(s.wire)
+		if err != nil {
+			return err
+		}
+		s.wire = b
+	}
+	return nil
+}
+
+// runInternal sends s.wire and a Sync, and reads all answers. It fails with
+// *lostError.
+func (s *session) runInternal() (outcome, error) {
+	var o outcome
+	s.conn.SetUnnamed("")
+	b, err := (&pgproto3.Sync{}).Encode(s.wire)
+	if err != nil {
+		return o, err
+	}
+	s.wire = b
+	if n, err := s.conn.Write(s.wire); err != nil {
+		return o, &lostError{err: err, sent: n > 0}
+	}
+	for {
+		m, err := s.conn.Receive()
+		if err != nil {
+			return o, &lostError{err: fmt.Errorf("connection to the server: %w", err), sent: true}
+		}
+		switch m := m.(type) {
+		case *pgproto3.DataRow:
+			o.row = copyRow(m.Values)
+		case *pgproto3.ErrorResponse:
+			if isFatal(m) {
+				return o, &lostError{err: upstream.NewServerError(m), sent: true}
+			}
+			if o.failure == nil {
+				o.failure = upstream.NewServerError(m)
+			}
+		case *pgproto3.ReadyForQuery:
+			s.status = m.TxStatus
+			return o, nil
+		}
+	}
+}
+
+func copyRow(values [][]byte) [][]byte {
+	row := make([][]byte, len(values))
+	for i, v := range values {
+		if v != nil {
+			row[i] = append([]byte{}, v...)
+		}
+	}
+	return row
+}
+
+// fingerprint identifies a request apart from its comment: user, statements and
+// parameters.
+func (s *session) fingerprint(u *unit, user string) string {
+	h := sha256.New()
+	var n [8]byte
+	field := func(b []byte) {
+		binary.BigEndian.PutUint64(n[:], uint64(len(b)))
+		h.Write(n[:])
+		h.Write(b)
+	}
+	field([]byte(user))
+	for i := range u.items {
+		it := &u.items[i]
+		switch it.kind {
+		case itemQuery:
+			body, _ := splitComment(it.sql)
+			field([]byte(body))
+		case itemBind:
+			if it.stmt != nil && it.stmt.Statement != nil {
+				body, _ := splitComment(it.stmt.SQL)
+				field([]byte(body))
+			}
+			field(bindValues(u.buf[it.start:it.end]))
+		case itemExecute, itemCall:
+			field(u.buf[it.start:it.end])
+		}
+	}
+	return hex.EncodeToString(h.Sum(nil))
+}
+
+// bindValues is a Bind message without its portal and statement names, which may
+// differ between runs of the same request.
+func bindValues(encoded []byte) []byte {
+	body := encoded[messageHeaderBytes:]
+	for range 2 {
+		for i, c := range body {
+			if c == 0 {
+				body = body[i+1:]
+				break
+			}
+		}
+	}
+	return body
+}
+
+// attemptKeyed runs a first unit with a request key on a server connection.
+func (s *session) attemptKeyed(u *unit, r route.Request, deadline time.Time) error {
+	switch {
+	case len(r.Key) > maxKeyBytes:
+		return &refusal{code: codeInvalidSetting, message: fmt.Sprintf("request key is longer than %d bytes", maxKeyBytes)}
+	case u.partial:
+		return &refusal{code: codeFeatureNotSupported, message: "a request with a request key must end with Sync, not Flush"}
+	}
+	if !u.writes() {
+		return s.beginKeyed(u, r)
+	}
+	return s.runKeyed(u, r)
+}
+
+// insertKey begins a transaction with the row that lets the request run once.
+// conflict reports that the row exists already.
+func (s *session) insertKey(r route.Request, fingerprint string, begin bool) (conflict bool, err error) {
+	s.wire = s.wire[:0]
+	if begin {
+		if err := s.execute("BEGIN", nil); err != nil {
+			return false, err
+		}
+	}
+	if err := s.execute(InsertKeySQL, []uint32{oidText, oidText}, []byte(r.Key), []byte(fingerprint)); err != nil {
+		return false, err
+	}
+	o, err := s.runInternal()
+	if err != nil {
+		var lost *lostError
+		if errors.As(err, &lost) {
+			// No commit was asked for, so the server has rolled back.
+			lost.sent = false
+		}
+		return false, err
+	}
+	switch {
+	case o.failed(codeUniqueViolation):
+		return true, nil
+	case o.failure != nil:
+		return false, serverRefusal(o.failure)
+	case s.status != upstream.StatusInTransaction:
+		return false, &refusal{code: codeInternal, message: "server began no transaction for the request key"}
+	}
+	return false, nil
+}
+
+func serverRefusal(e *upstream.ServerError) *refusal {
+	return &refusal{code: e.Code, message: e.Message}
+}
+
+// runKeyed runs the unit in one transaction with its key and its answer.
+func (s *session) runKeyed(u *unit, r route.Request) error {
+	fingerprint := s.fingerprint(u, r.User)
+	conflict, err := s.insertKey(r, fingerprint, true)
+	if err != nil {
+		return err
+	}
+	if conflict {
+		return s.replay(u, r, fingerprint)
+	}
+	if err := s.build(u, ""); err != nil {
+		return err
+	}
+	s.out.limit = maxRecordedAnswer
+	_, err = s.exchange(u, relayMode{keyed: true})
+	s.out.limit = writeBufferBytes
+	if err != nil {
+		return err
+	}
+	if s.unitFailed || s.status != upstream.StatusInTransaction {
+		return s.rollbackKeyed(u)
+	}
+	if err := s.commitKeyed(r); err != nil {
+		return err
+	}
+	if err := s.finish(); err != nil {
+		return s.keyedInDoubt(err)
+	}
+	return s.passKeyed()
+}
+
+// rollbackKeyed ends a keyed unit that failed; its key is free again.
+func (s *session) rollbackKeyed(u *unit) error {
+	if _, err := s.control("ROLLBACK"); err != nil {
+		// The error is the unit's answer; a lost connection rolls back too.
+		s.releaseTx(false)
+		s.out.released()
+		s.ready()
+		s.out.flush()
+		return nil
+	}
+	s.unitFailed = true
+	return s.complete(u)
+}
+
+// control runs a statement without parameters or rows.
+func (s *session) control(sql string) (outcome, error) {
+	s.wire = s.wire[:0]
+	if err := s.execute(sql, nil); err != nil {
+		return outcome{}, err
+	}
+	return s.runInternal()
+}
+
+// commitKeyed records the answer, if it is small enough, and commits.
+func (s *session) commitKeyed(r route.Request) error {
+	s.wire = s.wire[:0]
+	if s.out.sent == 0 && len(s.out.buf) <= maxRecordedAnswer {
+		err := s.execute(RecordAnswerSQL, []uint32{oidText, oidBytea}, []byte(r.Key), s.out.buf)
+		if err != nil {
+			return err
+		}
+	}
+	if err := s.execute("COMMIT", nil); err != nil {
+		return err
+	}
+	o, err := s.runInternal()
+	if err != nil {
+		return err
+	}
+	if o.failure != nil {
+		return serverRefusal(o.failure)
+	}
+	return nil
+}
+
+// keyedInDoubt turns a failed Finish into the loss of the connection, after which
+// the request is run again under its key.
+func (s *session) keyedInDoubt(err error) error {
+	var unknown *route.UnknownOutcomeError
+	if errors.As(err, &unknown) || s.ctx.Err() == nil && !isTyped(err) {
+		return &lostError{err: err, sent: true}
+	}
+	return refusalOf(err)
+}
+
+func isTyped(err error) bool {
+	_, ok := route.Code(err)
+	return ok
+}
+
+// passKeyed passes the answer of a keyed unit on.
+func (s *session) passKeyed() error {
+	s.restoreParameters()
+	s.reportToken()
+	s.out.released()
+	s.releaseTx(true)
+	s.ready()
+	s.out.flush()
+	return nil
+}
+
+// recorded is a row of the request log.
+type recorded struct {
+	fingerprint string
+	// answer is nil if it was not kept.
+	answer []byte
+}
+
+// readRecord leaves the failed transaction and reads the row of the key. ok is
+// false if there is none.
+func (s *session) readRecord(key string) (rec recorded, ok bool, err error) {
+	if _, err := s.control("ROLLBACK"); err != nil {
+		return rec, false, err
+	}
+	s.wire = s.wire[:0]
+	if err := s.execute(ReadAnswerSQL, []uint32{oidText}, []byte(key)); err != nil {
+		return rec, false, err
+	}
+	o, err := s.runInternal()
+	if err != nil {
+		return rec, false, err
+	}
+	if o.failure != nil {
+		return rec, false, serverRefusal(o.failure)
+	}
+	if len(o.row) != 2 {
+		return rec, false, nil
+	}
+	return recorded{fingerprint: string(o.row[0]), answer: o.row[1]}, true, nil
+}
+
+// replay answers a request that has run already. The record must be durable
+// before its answer is passed on.
+func (s *session) replay(u *unit, r route.Request, fingerprint string) error {
+	rec, ok, err := s.readRecord(r.Key)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return &lostError{err: errors.New("row of the request key was removed"), sent: false}
+	}
+	if err := s.finish(); err != nil {
+		return s.keyedInDoubt(err)
+	}
+	switch {
+	case rec.fingerprint != fingerprint:
+		return s.refuseReplay(u, keyReused())
+	case rec.answer == nil:
+		return s.refuseReplay(u, &refusal{
+			code:    route.CodeAnswerNotKept,
+			message: "request has run already, but its answer was too large to keep",
+		})
+	}
+	s.out.raw(rec.answer)
+	return s.passKeyed()
+}
+
+func keyReused() *refusal {
+	return &refusal{code: route.CodeKeyReused, message: "request key was used for a different request"}
+}
+
+// refuseReplay gives the connection back, which is in order, and reports r.
+func (s *session) refuseReplay(u *unit, r *refusal) error {
+	s.releaseTx(true)
+	s.reportToken()
+	return s.refuse(u, r)
+}
+
+// beginKeyed begins an explicit transaction with a request key.
+func (s *session) beginKeyed(u *unit, r route.Request) error {
+	if err := s.build(u, ""); err != nil {
+		return err
+	}
+	if _, err := s.exchange(u, relayMode{}); err != nil {
+		return err
+	}
+	if s.unitFailed || s.status != upstream.StatusInTransaction {
+		return s.complete(u)
+	}
+	conflict, err := s.insertKey(r, explicitFingerprint, false)
+	if err != nil {
+		return err
+	}
+	if !conflict {
+		s.txKey = r.Key
+		return s.complete(u)
+	}
+	rec, ok, err := s.readRecord(r.Key)
+	if err != nil {
+		return err
+	}
+	if !ok {
+		return &lostError{err: errors.New("row of the request key was removed"), sent: false}
+	}
+	if err := s.finish(); err != nil {
+		return s.keyedInDoubt(err)
+	}
+	s.out.withdraw()
+	if rec.fingerprint != explicitFingerprint {
+		return s.refuseReplay(u, keyReused())
+	}
+	return s.refuseReplay(u, &refusal{
+		code:    route.CodeAnswerNotKept,
+		message: "transaction with this request key has been committed already",
+		detail:  string(rec.answer),
+	})
+}
+
+// recordTags records the results of an explicit transaction before its commit.
+func (s *session) recordTags(u *unit) error {
+	sql, single := u.single()
+	if s.txKey == "" || !single || !isCommit(sql) || s.status != upstream.StatusInTransaction {
+		return nil
+	}
+	s.wire = s.wire[:0]
+	err := s.execute(RecordAnswerSQL, []uint32{oidText, oidBytea}, []byte(s.txKey), s.tags)
+	if err != nil {
+		return err
+	}
+	o, err := s.runInternal()
+	var lost *lostError
+	if errors.As(err, &lost) {
+		// The commit has not been asked for.
+		lost.sent = false
+	}
+	if err != nil {
+		return err
+	}
+	if o.failure != nil {
+		return serverRefusal(o.failure)
+	}
+	return nil
+}
+
+// settleCommit finds out whether an explicit transaction whose commit got no
+// answer was committed: a new transaction either meets its key or, by inserting
+// the key itself, shows that the first was rolled back.
+func (s *session) settleCommit(u *unit, lost *lostError) error {
+	r := route.Request{Database: s.database, User: s.user, Class: s.class, Token: s.token, Key: s.txKey, Arrived: time.Now()}
+	s.releaseTx(false)
+	deadline := s.deadlineOf(r)
+	delay := defaultRetryDelay
+	for {
+		committed, err := s.settleOnce(r, deadline)
+		var again *lostError
+		switch {
+		case err == nil && committed:
+			s.out.withdrawAll()
+			s.emitUnit(u, "COMMIT")
+			return s.passKeyed()
+		case err == nil:
+			s.releaseTx(true)
+			return s.refuse(u, &refusal{
+				code:    codeConnectionFailure,
+				message: "connection failed and the transaction was rolled back: " + lost.err.Error(),
+			})
+		case errors.Is(err, errCaller):
+			return err
+		case !errors.As(err, &again) || !s.pause(&delay, deadline):
+			s.releaseTx(false)
+			return s.refuse(u, refusalOf(&route.UnknownOutcomeError{Reason: "connection failed", Err: lost.err}))
+		}
+		s.releaseTx(false)
+	}
+}
+
+func (s *session) settleOnce(r route.Request, deadline time.Time) (committed bool, err error) {
+	if err := s.begin(r, deadline); err != nil {
+		return false, &lostError{err: err}
+	}
+	if s.forwarded {
+		return false, errors.New("the outcome is known to the owner only")
+	}
+	conflict, err := s.insertKey(r, explicitFingerprint, true)
+	if err != nil {
+		return false, err
+	}
+	if _, err := s.control("ROLLBACK"); err != nil {
+		return false, err
+	}
+	s.lastRollback = !conflict
+	if err := s.finish(); err != nil {
+		return false, s.keyedInDoubt(err)
+	}
+	return conflict, nil
+}
--- /dev/null
+++ b/daemon/internal/session/server.go
@@ -0,0 +1,305 @@
+package session
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/binary"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+)
+
+const (
+	defaultStartupTimeout    = 10 * time.Second
+	defaultIdleTimeout       = 12 * time.Hour
+	defaultIdleInTransaction = time.Minute
+	defaultCallerTimeout     = 30 * time.Second
+	defaultRequestTimeout    = 30 * time.Second
+	defaultFinishTimeout     = 30 * time.Second
+	defaultResetTimeout      = 5 * time.Second
+	defaultMaxUnitBytes      = 64 << 20
+	defaultRetryDelay        = 10 * time.Millisecond
+	maxRetryDelay            = 500 * time.Millisecond
+	maxAcceptDelay           = time.Second
+	cancelSecretBytes        = 4
+	defaultServerVersion     = "16.0 (gypsumgap)"
+)
+
+// Verifiers looks up what callers log in with.
+type Verifiers interface {
+	// Verifier returns the SCRAM-SHA-256 verifier, as PostgreSQL stores it, of a
+	// user of the database. It fails with ErrUnknownDatabase or ErrUnknownUser.
+	Verifier(database, user string) (string, error)
+}
+
+// The failures of Verifiers.
+var (
+	ErrUnknownDatabase = errors.New("database does not exist")
+	ErrUnknownUser     = errors.New("user does not exist")
+)
+
+// ErrServerClosed is returned by Serve after Shutdown.
+var ErrServerClosed = errors.New("session server is shut down")
+
+// Options configure a Server. Zero durations and sizes take the default that is
+// named with them.
+type Options struct {
+	Router route.Router
+	// Verifiers is nil if connections need no password, which is meant for the
+	// listener of other hosts.
+	Verifiers Verifiers
+	// TLS is nil if SSLRequest is to be refused.
+	TLS *tls.Config
+	// Forwarded marks the listener of other hosts, the only one that accepts
+	// the forward setting.
+	Forwarded bool
+	// Parameters are announced to callers in addition to the usual ones.
+	Parameters map[string]string
+	// Deadline returns the time allowed to a request of a class; nil or a
+	// result of 0 takes RequestTimeout.
+	Deadline func(database, class string) time.Duration
+	// StartupTimeout bounds each wait of the start-up phase (10 seconds).
+	StartupTimeout time.Duration
+	// IdleTimeout bounds the wait for the next transaction (12 hours).
+	IdleTimeout time.Duration
+	// IdleInTransaction bounds the wait for the next message while a
+	// connection is held (1 minute).
+	IdleInTransaction time.Duration
+	// CallerTimeout bounds the wait for the rest of a message and for a caller
+	// that does not read its answer (30 seconds).
+	CallerTimeout time.Duration
+	// RequestTimeout bounds the wait for a connection and the time in which a
+	// request is repeated (30 seconds).
+	RequestTimeout time.Duration
+	// FinishTimeout bounds the wait for the end of a transaction (30 seconds).
+	FinishTimeout time.Duration
+	// ResetTimeout bounds the reset of a connection (5 seconds).
+	ResetTimeout time.Duration
+	// MaxUnitBytes bounds the messages between two Syncs (64 MiB).
+	MaxUnitBytes int
+	// Log is nil for the standard logger.
+	Log logrus.FieldLogger
+}
+
+func (o Options) withDefaults() Options {
+	setDuration(&o.StartupTimeout, defaultStartupTimeout)
+	setDuration(&o.IdleTimeout, defaultIdleTimeout)
+	setDuration(&o.IdleInTransaction, defaultIdleInTransaction)
+	setDuration(&o.CallerTimeout, defaultCallerTimeout)
+	setDuration(&o.RequestTimeout, defaultRequestTimeout)
+	setDuration(&o.FinishTimeout, defaultFinishTimeout)
+	setDuration(&o.ResetTimeout, defaultResetTimeout)
+	if o.MaxUnitBytes <= 0 {
+		o.MaxUnitBytes = defaultMaxUnitBytes
+	}
+	if o.Log == nil {
+		o.Log = logrus.StandardLogger()
+	}
+	return o
+}
+
+func setDuration(d *time.Duration, fallback time.Duration) {
+	if *d <= 0 {
+		*d = fallback
+	}
+}
+
+// Server serves caller connections.
+type Server struct {
+	options Options
+
+	// stopping is true once Shutdown was called.
+	stopping atomic.Bool
+
+	mu        sync.Mutex
+	draining  bool
+	listeners map[net.Listener]struct{}
+	sessions  map[uint32]*session
+	nextPID   uint32
+	wg        sync.WaitGroup
+	drained   chan struct{}
+}
+
+// NewServer returns a server that serves nothing yet.
+func NewServer(o Options) *Server {
+	return &Server{
+		options:   o.withDefaults(),
+		listeners: map[net.Listener]struct{}{},
+		sessions:  map[uint32]*session{},
+		drained:   make(chan struct{}),
+	}
+}
+
+// Serve accepts connections until Shutdown, after which it returns
+// ErrServerClosed. It closes the listener.
+func (s *Server) Serve(ln net.Listener) error {
+	defer ln.Close()
+	if !s.addListener(ln) {
+		return ErrServerClosed
+	}
+	delay := time.Duration(0)
+	for {
+		nc, err := ln.Accept()
+		if s.isDraining() {
+			if err == nil {
+				nc.Close()
+			}
+			return ErrServerClosed
+		}
+		if err != nil {
+			var temporary interface{ Temporary() bool }
+			if !errors.As(err, &temporary) || !temporary.Temporary() {
+				return err
+			}
+			// Accept fails for a while when file descriptors run out.
+			delay = min(max(2*delay, time.Millisecond), maxAcceptDelay)
+			s.options.Log.WithError(err).Warn("accept_failed")
+			s.pause(delay)
+			continue
+		}
+		delay = 0
+		s.start(nc)
+	}
+}
+
+func (s *Server) pause(d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.drained:
+	}
+}
+
+func (s *Server) addListener(ln net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		return false
+	}
+	s.listeners[ln] = struct{}{}
+	return true
+}
+
+func (s *Server) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
+// start registers a session under a new process id and runs it.
+func (s *Server) start(nc net.Conn) {
+	se := newSession(s, nc)
+	s.mu.Lock()
+	if s.draining {
+		s.mu.Unlock()
+		nc.Close()
+		return
+	}
+	for {
+		s.nextPID++
+		if _, taken := s.sessions[s.nextPID]; !taken && s.nextPID != 0 {
+			break
+		}
+	}
+	se.pid = s.nextPID
+	s.sessions[se.pid] = se
+	s.wg.Add(1)
+	s.mu.Unlock()
+	go func() {
+		defer s.wg.Done()
+		defer s.remove(se)
+		se.serve()
+	}()
+}
+
+func (s *Server) remove(se *session) {
+	s.mu.Lock()
+	delete(s.sessions, se.pid)
+	s.mu.Unlock()
+}
+
+// Sessions counts the open caller connections.
+func (s *Server) Sessions() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.sessions)
+}
+
+// cancel forwards a cancel request to the connection that the session with this
+// key uses now; a request with a wrong key is ignored.
+func (s *Server) cancel(pid uint32, secret []byte) {
+	s.mu.Lock()
+	se := s.sessions[pid]
+	s.mu.Unlock()
+	if se == nil || !se.secretMatches(secret) {
+		return
+	}
+	if err := se.cancelCurrent(); err != nil {
+		s.options.Log.WithError(err).WithField("pid", pid).Warn("cancel_failed")
+	}
+}
+
+// Shutdown stops accepting, ends idle sessions and waits until running
+// transactions have finished. When ctx ends it closes what is left and returns
+// the context's error.
+func (s *Server) Shutdown(ctx context.Context) error {
+	for _, se := range s.beginDrain() {
+		se.wake()
+	}
+	done := make(chan struct{})
+	go func() {
+		s.wg.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+	}
+	for _, se := range s.all() {
+		se.abort()
+	}
+	<-done
+	return ctx.Err()
+}
+
+func (s *Server) beginDrain() []*session {
+	s.mu.Lock()
+	if !s.draining {
+		s.draining = true
+		s.stopping.Store(true)
+		close(s.drained)
+	}
+	for ln := range s.listeners {
+		ln.Close()
+	}
+	s.mu.Unlock()
+	return s.all()
+}
+
+func (s *Server) all() []*session {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	list := make([]*session, 0, len(s.sessions))
+	for _, se := range s.sessions {
+		list = append(list, se)
+	}
+	return list
+}
+
+// newSecret draws the secret of a cancel key.
+func newSecret() [cancelSecretBytes]byte {
+	var b [cancelSecretBytes]byte
+	if _, err := rand.Read(b[:]); err != nil {
+		binary.BigEndian.PutUint32(b[:], uint32(time.Now().UnixNano()))
+	}
+	return b
+}
--- /dev/null
+++ b/daemon/internal/session/unit.go
@@ -0,0 +1,331 @@
+package session
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+)
+
+// statement is what a caller's statement name stands for.
+type statement struct {
+	*upstream.Statement
+	// setting is set if the statement sets one of the session's own settings.
+	setting *setting
+}
+
+type itemKind byte
+
+const (
+	itemQuery itemKind = iota
+	itemCall
+	itemParse
+	itemBind
+	itemDescribeStatement
+	itemDescribePortal
+	itemExecute
+	itemCloseStatement
+	itemClosePortal
+	itemSync
+	itemFlush
+)
+
+// item is one message of a unit.
+type item struct {
+	kind itemKind
+	// local says that the session answers the message itself.
+	local bool
+	// duplicate marks a Parse of a name that exists already.
+	duplicate bool
+	// name is the caller's name of the statement.
+	name string
+	stmt *statement
+	// previous is what the name stood for before a Parse or Close.
+	previous *statement
+	// sql is the text of a Query.
+	sql string
+	// start and end delimit the encoded message.
+	start, end int
+}
+
+// unit is what a caller sends up to a Sync, or one simple query. A unit that is
+// partial ends with a Flush.
+type unit struct {
+	items   []item
+	buf     []byte
+	arrived time.Time
+	simple  bool
+	partial bool
+	// remote says that some message needs a server.
+	remote bool
+	// executed counts the statements that the unit runs.
+	executed int
+	// sql is the first statement that concerns a server.
+	sql string
+	// tooLarge says that messages were dropped because of the size limit.
+	tooLarge bool
+}
+
+func (u *unit) reset() {
+	clear(u.items)
+	*u = unit{items: u.items[:0], buf: u.buf[:0]}
+}
+
+// add encodes a message into the unit.
+func (u *unit) add(it item, m encoder) error {
+	it.start = len(u.buf)
+	if !it.local {
+		b, err := m.Encode(u.buf)
+		if err != nil {
+			return err
+		}
+		u.buf = b
+	}
+	it.end = len(u.buf)
+	u.items = append(u.items, it)
+	return nil
+}
+
+// note records the first statement that concerns a server.
+func (u *unit) note(sql string) {
+	u.remote = true
+	if u.sql == "" {
+		u.sql = sql
+	}
+}
+
+// single returns the SQL of a unit that runs exactly one statement.
+func (u *unit) single() (string, bool) { return u.sql, u.executed == 1 }
+
+// mayEnd reports whether the unit could have ended a transaction block.
+func (u *unit) mayEnd() bool {
+	for i := range u.items {
+		it := &u.items[i]
+		switch {
+		case it.kind == itemCall:
+			return true
+		case it.kind == itemQuery && mayEndPattern.MatchString(it.sql):
+			return true
+		case it.kind == itemExecute:
+			// The portal may stem from an earlier unit.
+			if u.sql == "" {
+				return true
+			}
+		case it.stmt != nil && it.stmt.Statement != nil && mayEndPattern.MatchString(it.stmt.SQL):
+			return true
+		}
+	}
+	return false
+}
+
+// readUnit reads messages up to the end of a unit. It fails with errEnded when
+// the caller terminates the session.
+func (s *session) readUnit(u *unit) error {
+	u.reset()
+	if err := s.await(); err != nil {
+		return err
+	}
+	u.arrived = time.Now()
+	for {
+		m, err := s.in.backend.Receive()
+		if err != nil {
+			return s.refuseMessage(err)
+		}
+		done, err := s.take(u, m)
+		if err != nil || done {
+			return err
+		}
+		if len(u.buf) > s.options().MaxUnitBytes {
+			u.tooLarge = true
+			s.undoUnit(u)
+			u.buf = u.buf[:0]
+			u.items = u.items[:0]
+		}
+	}
+}
+
+// take adds a message to the unit and reports whether it ends it.
+func (s *session) take(u *unit, m pgproto3.FrontendMessage) (bool, error) {
+	switch m := m.(type) {
+	case *pgproto3.Query:
+		return true, s.takeQuery(u, m)
+	case *pgproto3.FunctionCall:
+		u.remote = true
+		u.simple = true
+		u.executed++
+		return true, u.add(item{kind: itemCall}, m)
+	case *pgproto3.Parse:
+		return false, s.takeParse(u, m)
+	case *pgproto3.Bind:
+		return false, s.takeBind(u, m)
+	case *pgproto3.Describe:
+		return false, s.takeDescribe(u, m)
+	case *pgproto3.Execute:
+		return false, s.takeExecute(u, m)
+	case *pgproto3.Close:
+		return false, s.takeClose(u, m)
+	case *pgproto3.Sync:
+		return true, u.add(item{kind: itemSync}, m)
+	case *pgproto3.Flush:
+		u.partial = true
+		return true, u.add(item{kind: itemFlush}, m)
+	case *pgproto3.CopyData, *pgproto3.CopyDone, *pgproto3.CopyFail:
+		// Left over from a COPY that the server has ended with an error.
+		return false, nil
+	case *pgproto3.Terminate:
+		return false, errEnded
+	default:
+		return false, s.fatal(codeProtocolViolation, fmt.Sprintf("unexpected message %T", m))
+	}
+}
+
+func (s *session) takeQuery(u *unit, m *pgproto3.Query) error {
+	u.simple = true
+	if set, ok := parseSetting(m.String); ok {
+		return u.add(item{kind: itemQuery, local: true, stmt: &statement{setting: &set}}, m)
+	}
+	u.executed++
+	u.note(m.String)
+	return u.add(item{kind: itemQuery, sql: m.String}, m)
+}
+
+func (s *session) takeParse(u *unit, m *pgproto3.Parse) error {
+	previous := s.statements[m.Name]
+	it := item{kind: itemParse, name: m.Name, previous: previous}
+	if m.Name != "" && previous != nil {
+		it.duplicate = true
+		it.stmt = previous
+		u.note(m.Query)
+		if previous.setting != nil {
+			return u.add(item{kind: itemParse, local: true, duplicate: true, stmt: previous}, m)
+		}
+		return u.add(it, &pgproto3.Parse{Name: previous.Name, Query: m.Query, ParameterOIDs: m.ParameterOIDs})
+	}
+	it.stmt = &statement{}
+	if set, ok := parseSetting(m.Query); ok {
+		it.stmt.setting = &set
+		it.local = true
+	} else {
+		it.stmt.Statement = upstream.NewStatement(m.Query, m.ParameterOIDs)
+		u.note(m.Query)
+	}
+	s.setStatement(m.Name, it.stmt)
+	if it.local {
+		return u.add(it, m)
+	}
+	return u.add(it, &pgproto3.Parse{
+		Name: serverName(m.Name, it.stmt), Query: m.Query, ParameterOIDs: m.ParameterOIDs,
+	})
+}
+
+// serverName is the name under which a connection holds the caller's statement.
+func serverName(name string, st *statement) string {
+	if name == "" {
+		return ""
+	}
+	return st.Name
+}
+
+// unknownName is a name that no connection holds, so that the server itself
+// reports that the statement does not exist.
+func unknownName(name string) string {
+	if strings.HasPrefix(name, "gg_") {
+		return "?" + name
+	}
+	return name
+}
+
+func (s *session) setStatement(name string, st *statement) {
+	if st == nil {
+		delete(s.statements, name)
+		return
+	}
+	if s.statements == nil {
+		s.statements = map[string]*statement{}
+	}
+	s.statements[name] = st
+}
+
+func (s *session) takeBind(u *unit, m *pgproto3.Bind) error {
+	st := s.statements[m.PreparedStatement]
+	it := item{kind: itemBind, name: m.PreparedStatement, stmt: st}
+	if st != nil && st.setting != nil {
+		it.local = true
+		if s.portals == nil {
+			s.portals = map[string]*statement{}
+		}
+		s.portals[m.DestinationPortal] = st
+		return u.add(it, m)
+	}
+	delete(s.portals, m.DestinationPortal)
+	if st == nil {
+		u.remote = true
+		m.PreparedStatement = unknownName(m.PreparedStatement)
+		return u.add(it, m)
+	}
+	u.note(st.SQL)
+	m.PreparedStatement = serverName(m.PreparedStatement, st)
+	return u.add(it, m)
+}
+
+func (s *session) takeDescribe(u *unit, m *pgproto3.Describe) error {
+	if m.ObjectType == 'P' {
+		st := s.portals[m.Name]
+		u.remote = u.remote || st == nil
+		return u.add(item{kind: itemDescribePortal, local: st != nil}, m)
+	}
+	st := s.statements[m.Name]
+	it := item{kind: itemDescribeStatement, name: m.Name, stmt: st}
+	switch {
+	case st == nil:
+		u.remote = true
+		return u.add(it, &pgproto3.Describe{ObjectType: 'S', Name: unknownName(m.Name)})
+	case st.setting != nil:
+		it.local = true
+		return u.add(it, m)
+	default:
+		u.note(st.SQL)
+		return u.add(it, &pgproto3.Describe{ObjectType: 'S', Name: serverName(m.Name, st)})
+	}
+}
+
+func (s *session) takeExecute(u *unit, m *pgproto3.Execute) error {
+	if st := s.portals[m.Portal]; st != nil {
+		return u.add(item{kind: itemExecute, local: true, stmt: st}, m)
+	}
+	u.remote = true
+	u.executed++
+	return u.add(item{kind: itemExecute}, m)
+}
+
+func (s *session) takeClose(u *unit, m *pgproto3.Close) error {
+	if m.ObjectType == 'P' {
+		local := s.portals[m.Name] != nil || s.tx == nil && !u.remote
+		delete(s.portals, m.Name)
+		u.remote = u.remote || !local
+		return u.add(item{kind: itemClosePortal, local: local}, m)
+	}
+	it := item{kind: itemCloseStatement, local: true, name: m.Name, previous: s.statements[m.Name]}
+	delete(s.statements, m.Name)
+	return u.add(it, m)
+}
+
+// undo takes back what the item did to the caller's statement names.
+func (s *session) undo(it *item) {
+	switch {
+	case it.kind == itemParse && !it.duplicate:
+		s.setStatement(it.name, it.previous)
+	case it.kind == itemCloseStatement:
+		s.setStatement(it.name, it.previous)
+	}
+}
+
+// undoUnit takes back every statement name of a unit that did not run.
+func (s *session) undoUnit(u *unit) {
+	for i := len(u.items) - 1; i >= 0; i-- {
+		s.undo(&u.items[i])
+	}
+}
--- /dev/null
+++ b/daemon/internal/upstream/conn.go
@@ -0,0 +1,327 @@
+// Package upstream holds connections to backend servers and to the forward
+// listeners of owner hosts. Both speak version 3 of the PostgreSQL protocol.
+//
+// A Conn is used by one transaction at a time. It remembers what the peer holds
+// for it: the transaction status of the last ReadyForQuery, the prepared
+// statements (a bounded least-recently-used set of server-side names) and the
+// key for cancel requests. Messages received are valid until the next Receive;
+// buffers are reused, so that memory does not grow with an answer.
+package upstream
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+)
+
+const (
+	defaultAnswerTimeout  = 10 * time.Minute
+	defaultWriteTimeout   = 30 * time.Second
+	defaultDialTimeout    = 10 * time.Second
+	defaultStatementLimit = 256
+	cancelTimeout         = 5 * time.Second
+
+	// StatusIdle, StatusInTransaction and StatusFailed are the transaction
+	// states of ReadyForQuery.
+	StatusIdle          = 'I'
+	StatusInTransaction = 'T'
+	StatusFailed        = 'E'
+)
+
+// ErrUnreachable is wrapped by Dial's errors if no connection could be made, in
+// which case the peer has executed nothing.
+var ErrUnreachable = errors.New("peer is unreachable")
+
+// ServerError is an ErrorResponse of the peer.
+type ServerError struct {
+	Severity string
+	// Code is the SQLSTATE.
+	Code    string
+	Message string
+}
+
+// Error returns the message and the SQLSTATE.
+func (e *ServerError) Error() string {
+	return fmt.Sprintf("%s: %s (SQLSTATE %s)", e.Severity, e.Message, e.Code)
+}
+
+// NewServerError copies an ErrorResponse, whose buffers are reused.
+func NewServerError(m *pgproto3.ErrorResponse) *ServerError {
+	return &ServerError{Severity: m.Severity, Code: m.Code, Message: m.Message}
+}
+
+// Options describe a connection.
+type Options struct {
+	// Address is the peer's host:port.
+	Address string
+	// LocalIP is the source address; nil leaves the choice to the system.
+	LocalIP  net.IP
+	User     string
+	Database string
+	// Password answers a SCRAM-SHA-256 request; empty if the peer trusts the address.
+	Password string
+	// Parameters are run-time parameters of the connection.
+	Parameters map[string]string
+	// Host and Incarnation form the label in application_name, by which the
+	// connections of a dead host are recognised.
+	Host        string
+	Incarnation string
+	// StatementLimit bounds the prepared statements held; 0 takes 256.
+	StatementLimit int
+	// AnswerTimeout bounds the wait for more bytes of an answer; 0 takes 10 minutes.
+	AnswerTimeout time.Duration
+	// WriteTimeout bounds one write; 0 takes 30 seconds.
+	WriteTimeout time.Duration
+}
+
+// Label returns the application_name of a host's connections.
+func Label(host, incarnation string) string {
+	return "gypsumgap/" + host + "/" + incarnation
+}
+
+// Conn is a connection to a backend server or to an owner host. Only Close and
+// Cancel may be called concurrently with the other methods.
+type Conn struct {
+	nc            net.Conn
+	frontend      *pgproto3.Frontend
+	address       string
+	localIP       net.IP
+	writeTimeout  time.Duration
+	answerTimeout time.Duration
+	scratch       []byte
+
+	status     byte
+	pid        uint32
+	secret     []byte
+	parameters map[string]string
+	statements *statementSet
+	unnamed    string
+
+	closeOnce sync.Once
+	closeErr  error
+	closed    atomic.Bool
+}
+
+var _ route.Conn = (*Conn)(nil)
+
+// Dial connects and logs in. It fails with an error that wraps ErrUnreachable if
+// no connection could be made, or with *ServerError if the peer refused it.
+func Dial(ctx context.Context, o Options) (*Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
+	defer cancel()
+	nc, err := dialTCP(ctx, o.Address, o.LocalIP)
+	if err != nil {
+		return nil, err
+	}
+	c := newConn(nc, o)
+	stop := context.AfterFunc(ctx, func() { nc.Close() })
+	err = c.login(o)
+	stopped := stop()
+	if err == nil && !stopped {
+		err = ctx.Err()
+	}
+	if err != nil {
+		c.Close()
+		return nil, fmt.Errorf("log in to %s: %w", o.Address, err)
+	}
+	return c, nil
+}
+
+func dialTCP(ctx context.Context, address string, localIP net.IP) (net.Conn, error) {
+	d := net.Dialer{}
+	if localIP != nil {
+		d.LocalAddr = &net.TCPAddr{IP: localIP}
+	}
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	return nc, nil
+}
+
+func newConn(nc net.Conn, o Options) *Conn {
+	c := &Conn{
+		nc:            nc,
+		address:       o.Address,
+		localIP:       o.LocalIP,
+		writeTimeout:  orDefault(o.WriteTimeout, defaultWriteTimeout),
+		answerTimeout: orDefault(o.AnswerTimeout, defaultAnswerTimeout),
+		parameters:    map[string]string{},
+	}
+	limit := o.StatementLimit
+	if limit <= 0 {
+		limit = defaultStatementLimit
+	}
+	c.statements = newStatementSet(limit)
+	c.frontend = pgproto3.NewFrontend((*deadlineReader)(c), nil)
+	return c
+}
+
+func orDefault(d, fallback time.Duration) time.Duration {
+	if d <= 0 {
+		return fallback
+	}
+	return d
+}
+
+// deadlineReader gives each read of the connection a deadline.
+type deadlineReader Conn
+
+func (r *deadlineReader) Read(p []byte) (int, error) {
+	if err := r.nc.SetReadDeadline(time.Now().Add(r.answerTimeout)); err != nil {
+		return 0, err
+	}
+	return r.nc.Read(p)
+}
+
+// Write sends encoded messages and returns the number of bytes that were handed
+// to the network; 0 with an error means that the peer has seen none of them.
+func (c *Conn) Write(p []byte) (int, error) {
+	if err := c.nc.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+		return 0, err
+	}
+	return c.nc.Write(p)
+}
+
+// Receive returns the next message, which is valid until the next call.
+func (c *Conn) Receive() (pgproto3.BackendMessage, error) {
+	m, err := c.frontend.Receive()
+	if err != nil {
+		return nil, err
+	}
+	switch m := m.(type) {
+	case *pgproto3.ReadyForQuery:
+		c.status = m.TxStatus
+	case *pgproto3.BackendKeyData:
+		c.pid = m.ProcessID
+		c.secret = append([]byte(nil), m.SecretKey...)
+	}
+	return m, nil
+}
+
+// TxStatus returns the transaction status of the last ReadyForQuery.
+func (c *Conn) TxStatus() byte { return c.status }
+
+// PID returns the process id that the peer gave for cancel requests.
+func (c *Conn) PID() uint32 { return c.pid }
+
+// Parameter returns a run-time parameter as the peer reported it during login.
+func (c *Conn) Parameter(name string) (string, bool) {
+	v, ok := c.parameters[name]
+	return v, ok
+}
+
+// Holds reports whether the peer holds the named statement, and counts as its use.
+func (c *Conn) Holds(name string) bool { return c.statements.touch(name) }
+
+// Held counts the prepared statements that the peer holds.
+func (c *Conn) Held() int { return c.statements.order.Len() }
+
+// Add records that the peer is told to prepare the named statement. The evicted
+// statement, if the name is not empty, has to be closed.
+func (c *Conn) Add(name string) (evicted string) { return c.statements.add(name) }
+
+// Forget records that the peer does not hold the named statement.
+func (c *Conn) Forget(name string) { c.statements.remove(name) }
+
+// Restore records that the peer still holds an evicted statement, because it did
+// not execute the message that was to close it.
+func (c *Conn) Restore(name string) { c.statements.restore(name) }
+
+// ForgetAll records that the peer has dropped every statement.
+func (c *Conn) ForgetAll() {
+	c.statements.clear()
+	c.unnamed = ""
+}
+
+// Unnamed returns the Name of the statement that the peer holds as its unnamed
+// one; empty for none.
+func (c *Conn) Unnamed() string { return c.unnamed }
+
+// SetUnnamed records the peer's unnamed statement.
+func (c *Conn) SetUnnamed(name string) { c.unnamed = name }
+
+// Close closes the connection without waiting for the peer.
+func (c *Conn) Close() error {
+	c.closed.Store(true)
+	c.closeOnce.Do(func() { c.closeErr = c.nc.Close() })
+	return c.closeErr
+}
+
+// Closed reports whether Close was called.
+func (c *Conn) Closed() bool { return c.closed.Load() }
+
+// Ping sends an empty query and waits for its answer.
+func (c *Conn) Ping(ctx context.Context) error { return c.simple(ctx, "") }
+
+// Reset discards all state of the server session, prepared statements included.
+// It fails with *ServerError if the peer refused.
+func (c *Conn) Reset(ctx context.Context) error {
+	c.ForgetAll()
+	return c.simple(ctx, "DISCARD ALL")
+}
+
+// simple runs a query without rows of interest.
+func (c *Conn) simple(ctx context.Context, sql string) error {
+	stop := context.AfterFunc(ctx, func() { c.Close() })
+	defer stop()
+	c.unnamed = ""
+	var err error
+	c.scratch, err = (&pgproto3.Query{String: sql}).Encode(c.scratch[:0])
+	if err != nil {
+		return err
+	}
+	if _, err = c.Write(c.scratch); err != nil {
+		return err
+	}
+	return c.untilReady()
+}
+
+func (c *Conn) untilReady() error {
+	var failure error
+	for {
+		m, err := c.Receive()
+		if err != nil {
+			return errors.Join(failure, err)
+		}
+		switch m := m.(type) {
+		case *pgproto3.ErrorResponse:
+			failure = NewServerError(m)
+		case *pgproto3.ReadyForQuery:
+			return failure
+		}
+	}
+}
+
+// Cancel asks the peer, on a connection of its own, to cancel the statement
+// that now runs on c.
+func (c *Conn) Cancel(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
+	defer cancel()
+	nc, err := dialTCP(ctx, c.address, c.localIP)
+	if err != nil {
+		return err
+	}
+	defer nc.Close()
+	if err := nc.SetDeadline(time.Now().Add(cancelTimeout)); err != nil {
+		return err
+	}
+	buf, err := (&pgproto3.CancelRequest{ProcessID: c.pid, SecretKey: c.secret}).Encode(nil)
+	if err != nil {
+		return err
+	}
+	if _, err := nc.Write(buf); err != nil {
+		return err
+	}
+	// The peer closes the connection once it has taken the request.
+	_, _ = nc.Read(make([]byte, 1))
+	return nil
+}
