--- a/daemon/internal/session/exchange.go
+++ b/daemon/internal/session/exchange.go
@@ -565,7 +565,7 @@
 		if s.lastRollback && errors.As(err, &unknown) {
 			// A rolled back transaction has no outcome in doubt, but what it
 			// has read may be stale.
-			return &route.StaleReadError{Reason: "transaction was rolled back", Err: err}
+			return &route.StaleReadError{Reason: "transaction was rolled back: " + err.Error()}
 		}
 		return err
 	}
--- a/daemon/internal/session/fake_test.go
+++ b/daemon/internal/session/fake_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/sirupsen/logrus"
 
@@ -28,6 +30,8 @@
 	dropBefore
 	// dropAfter lets the statement take effect and closes without an answer.
 	dropAfter
+	// endSession ends the session as a server does that is being stopped.
+	endSession
 )
 
 type logRow struct {
@@ -35,6 +39,99 @@
 	answer      []byte
 }
 
+// network connects the parties of a test by pipes, which have no buffer and
+// follow the virtual time of synctest. A nil network stands for TCP.
+type network struct {
+	mu        sync.Mutex
+	listeners map[string]*pipeListener
+	next      int
+	// record, if set, is told what listeners write.
+	record func(address string, p []byte)
+}
+
+func newNetwork() *network { return &network{listeners: map[string]*pipeListener{}} }
+
+func (n *network) listen(t testing.TB) net.Listener {
+	if n == nil {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return ln
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.next++
+	ln := &pipeListener{
+		n: n, name: fmt.Sprintf("127.0.0.1:%d", n.next),
+		conns: make(chan net.Conn), closed: make(chan struct{}),
+	}
+	n.listeners[ln.name] = ln
+	return ln
+}
+
+func (n *network) dial(ctx context.Context, _, address string) (net.Conn, error) {
+	if n == nil {
+		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+	}
+	n.mu.Lock()
+	ln := n.listeners[address]
+	record := n.record
+	n.mu.Unlock()
+	if ln == nil {
+		return nil, errors.New("connection refused")
+	}
+	near, far := net.Pipe()
+	if record != nil {
+		far = &recordedConn{Conn: far, record: func(p []byte) { record(address, p) }}
+	}
+	select {
+	case ln.conns <- far:
+		return near, nil
+	case <-ln.closed:
+		return nil, errors.New("connection refused")
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+type recordedConn struct {
+	net.Conn
+	record func(p []byte)
+}
+
+func (c *recordedConn) Write(p []byte) (int, error) {
+	c.record(p)
+	return c.Conn.Write(p)
+}
+
+type pipeListener struct {
+	n      *network
+	name   string
+	conns  chan net.Conn
+	once   sync.Once
+	closed chan struct{}
+}
+
+func (l *pipeListener) Accept() (net.Conn, error) {
+	select {
+	case c := <-l.conns:
+		return c, nil
+	case <-l.closed:
+		return nil, net.ErrClosed
+	}
+}
+
+func (l *pipeListener) Close() error {
+	l.once.Do(func() { close(l.closed) })
+	return nil
+}
+
+func (l *pipeListener) Addr() net.Addr {
+	a, _ := net.ResolveTCPAddr("tcp", l.name)
+	return a
+}
+
 // fakeBackend is a scripted backend server with a request log.
 type fakeBackend struct {
 	t    testing.TB
@@ -60,13 +157,9 @@
 	waiting chan struct{}
 }
 
-func newFakeBackend(t testing.TB) *fakeBackend {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+func newFakeBackend(t testing.TB, n *network) *fakeBackend {
 	b := &fakeBackend{
-		t: t, ln: ln, stop: make(chan struct{}), conns: map[uint32]*fakeConn{},
+		t: t, ln: n.listen(t), stop: make(chan struct{}), conns: map[uint32]*fakeConn{},
 		log: map[string]logRow{}, faults: map[string][]fault{},
 		gate: make(chan struct{}), waiting: make(chan struct{}, 16),
 	}
@@ -333,6 +426,8 @@
 	c.status = 'E'
 	c.skip = true
 	c.be.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+	// A server sends errors at once, because it ignores a following Flush.
+	_ = c.be.Flush()
 }
 
 func (c *fakeConn) nextFault(sql string) fault {
@@ -355,6 +450,13 @@
 	if f == dropBefore {
 		return io.EOF
 	}
+	if f == endSession {
+		c.be.Send(&pgproto3.ErrorResponse{
+			Severity: "FATAL", SeverityUnlocalized: "FATAL", Code: codeAdminShutdown, Message: "terminating connection",
+		})
+		_ = c.be.Flush()
+		return io.EOF
+	}
 	if c.status == 'E' && body != "ROLLBACK" && body != "COMMIT" {
 		c.fail("25P02", "current transaction is aborted")
 		c.skip = c.skip && !simple
@@ -528,7 +630,6 @@
 	backends []string
 	// forwarded marks the connections as leading to an owner.
 	forwarded bool
-	user      string
 	options   upstream.Options
 
 	mu       sync.Mutex
@@ -550,6 +651,13 @@
 	n := r.begins
 	r.begins++
 	begin := r.begin
+	r.mu.Unlock()
+	if begin != nil {
+		if err := begin(n); err != nil {
+			return nil, err
+		}
+	}
+	r.mu.Lock()
 	address := r.backends[r.turn%len(r.backends)]
 	r.turn++
 	var conn *upstream.Conn
@@ -558,11 +666,6 @@
 		r.idle[address] = list[:len(list)-1]
 	}
 	r.mu.Unlock()
-	if begin != nil {
-		if err := begin(n); err != nil {
-			return nil, err
-		}
-	}
 	if conn == nil {
 		var err error
 		o := r.options
@@ -630,25 +733,23 @@
 	x.r.idle[x.address] = append(x.r.idle[x.address], x.conn)
 }
 
-func newFakeRouter(t testing.TB, backends ...*fakeBackend) *fakeRouter {
+func newFakeRouter(t testing.TB, n *network, backends ...*fakeBackend) *fakeRouter {
 	r := &fakeRouter{t: t, idle: map[string][]*upstream.Conn{}}
+	r.options.DialContext = n.dial
 	for _, b := range backends {
 		r.backends = append(r.backends, b.address())
 	}
 	return r
 }
 
-// startServer runs a server on a loopback address until the test ends.
-func startServer(t testing.TB, o Options) (*Server, string) {
+// startServer runs a server until the test ends.
+func startServer(t testing.TB, n *network, o Options) (*Server, string) {
 	if o.Log == nil {
 		quiet := logrus.New()
 		quiet.SetOutput(io.Discard)
 		o.Log = quiet
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
+	ln := n.listen(t)
 	s := NewServer(o)
 	done := make(chan error, 1)
 	go func() { done <- s.Serve(ln) }()
@@ -665,8 +766,9 @@
 }
 
 // connect opens a caller's connection with stock pgx.
-func connect(t testing.TB, address string, parameters string) *pgx.Conn {
-	c, err := pgx.Connect(context.Background(), "postgres://mechanic@"+address+"/werkplaats-1-a?sslmode=disable"+parameters)
+func connect(t testing.TB, n *network, address string, parameters string) *pgx.Conn {
+	t.Helper()
+	c, err := tryConnect(n, address, parameters)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -674,6 +776,35 @@
 	return c
 }
 
+func tryConnect(n *network, address, parameters string) (*pgx.Conn, error) {
+	config, err := pgx.ParseConfig("postgres://mechanic:secret@" + address + "/werkplaats-1-a?sslmode=disable" + parameters)
+	if err != nil {
+		return nil, err
+	}
+	config.DialFunc = n.dial
+	return pgx.ConnectConfig(context.Background(), config)
+}
+
+// sqlState returns the SQLSTATE of an error, empty for nil.
+func sqlState(t testing.TB, err error) string {
+	t.Helper()
+	if err == nil {
+		return ""
+	}
+	var pe *pgconn.PgError
+	if !errors.As(err, &pe) {
+		t.Fatalf("error without SQLSTATE: %v", err)
+	}
+	return pe.Code
+}
+
+func wantState(t testing.TB, err error, code string) {
+	t.Helper()
+	if got := sqlState(t, err); got != code {
+		t.Fatalf("got %v, want SQLSTATE %s", err, code)
+	}
+}
+
 func mustExec(t testing.TB, c *pgx.Conn, sql string, arguments ...any) string {
 	t.Helper()
 	tag, err := c.Exec(context.Background(), sql, arguments...)
--- /dev/null
+++ b/daemon/internal/session/golden_test.go
@@ -0,0 +1,163 @@
+package session
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"testing"
+	"testing/synctest"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+)
+
+// wireCaller is a caller that logs each message of its session.
+type wireCaller struct {
+	t   *testing.T
+	nc  net.Conn
+	fe  *pgproto3.Frontend
+	log bytes.Buffer
+}
+
+func newWireCaller(t *testing.T, w *world) *wireCaller {
+	nc, err := w.n.dial(context.Background(), "tcp", w.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { nc.Close() })
+	c := &wireCaller{t: t, nc: nc, fe: pgproto3.NewFrontend(nc, nc)}
+	c.send(&pgproto3.StartupMessage{
+		ProtocolVersion: pgproto3.ProtocolVersion30,
+		Parameters:      map[string]string{"user": "mechanic", "database": "werkplaats-1-a"},
+	})
+	c.receive()
+	return c
+}
+
+func (c *wireCaller) note(direction string, m any) {
+	text, err := json.Marshal(m)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	fmt.Fprintf(&c.log, "%s %s\n", direction, text)
+}
+
+// send sends messages at once.
+func (c *wireCaller) send(messages ...pgproto3.FrontendMessage) {
+	c.t.Helper()
+	for _, m := range messages {
+		c.note("caller:", m)
+		c.fe.Send(m)
+	}
+	if err := c.fe.Flush(); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// receive logs the answer up to ReadyForQuery or the end of the connection.
+func (c *wireCaller) receive() {
+	c.t.Helper()
+	for {
+		m, err := c.fe.Receive()
+		if err != nil {
+			c.log.WriteString("proxy:  closed\n")
+			return
+		}
+		if k, ok := m.(*pgproto3.BackendKeyData); ok {
+			m = &pgproto3.BackendKeyData{ProcessID: k.ProcessID}
+		}
+		c.note("proxy: ", m)
+		if _, ok := m.(*pgproto3.ReadyForQuery); ok {
+			return
+		}
+	}
+}
+
+func (c *wireCaller) query(sql string) {
+	c.t.Helper()
+	c.send(&pgproto3.Query{String: sql})
+	c.receive()
+}
+
+// parameters sends a statement by the extended protocol.
+func (c *wireCaller) parameters(sql string, values ...string) {
+	c.t.Helper()
+	bind := &pgproto3.Bind{}
+	for _, v := range values {
+		bind.Parameters = append(bind.Parameters, []byte(v))
+	}
+	c.send(&pgproto3.Parse{Query: sql}, bind, &pgproto3.Describe{ObjectType: 'P'}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	c.receive()
+}
+
+// golden compares the session, and what the backend ran, with a file.
+func golden(t *testing.T, w *world, c *wireCaller) {
+	t.Helper()
+	for _, s := range w.backends[0].statements() {
+		fmt.Fprintf(&c.log, "server: %s\n", s)
+	}
+	goldie.New(t, goldie.WithFixtureDir("testdata/sessions")).Assert(t, t.Name(), c.log.Bytes())
+}
+
+// Guards against a change of the answer to a request that got no connection.
+func TestGoldenRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		w.router.begin = func(int) error { return &route.NotRunError{Reason: "queue of class job-card is full"} }
+		c := newWireCaller(t, w)
+		c.query("INSERT job_card /*class='job-card'*/")
+		c.parameters("INSERT job_card", "42")
+		golden(t, w, c)
+	})
+}
+
+// Guards against a replay that differs on the wire from the first answer.
+func TestGoldenReplayed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		w.router.finish = func(int) (string, error) { return "werkplaats-1-a/1:100", nil }
+		c := newWireCaller(t, w)
+		for range 2 {
+			c.query("SET gypsumgap.request_key = 'claim-7'")
+			c.parameters("SELECT $1", "paid")
+		}
+		golden(t, w, c)
+	})
+}
+
+// Guards against a caller that notices how an outcome in doubt was settled.
+func TestGoldenSettled(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		w.backends[0].fail("COMMIT", dropAfter)
+		w.router.finish = func(int) (string, error) { return "werkplaats-1-a/2:7", nil }
+		c := newWireCaller(t, w)
+		c.query("INSERT claim /*request_key='claim-8'*/")
+		golden(t, w, c)
+		wantEffects(t, w.backends[0], "INSERT claim")
+	})
+}
+
+// Guards against a drained session that is cut inside its transaction or ends
+// without a reason.
+func TestGoldenDrained(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := newWireCaller(t, w)
+		c.query("BEGIN")
+		done := make(chan error, 1)
+		go func() { done <- w.server.Shutdown(context.Background()) }()
+		synctest.Wait()
+		c.query("INSERT inspection")
+		c.query("COMMIT")
+		c.receive()
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		golden(t, w, c)
+	})
+}
--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -1,26 +1,1058 @@
 package session
 
 import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
 )
 
-// Guards against an unusable path: plain and prepared statements, and a
+// world is a server with its router and backends.
+type world struct {
+	n        *network
+	backends []*fakeBackend
+	router   *fakeRouter
+	server   *Server
+	address  string
+}
+
+func newWorld(t *testing.T, backends int, change func(*Options)) *world {
+	w := &world{n: newNetwork()}
+	for range backends {
+		w.backends = append(w.backends, newFakeBackend(t, w.n))
+	}
+	w.router = newFakeRouter(t, w.n, w.backends...)
+	o := Options{Router: w.router}
+	if change != nil {
+		change(&o)
+	}
+	w.server, w.address = startServer(t, w.n, o)
+	return w
+}
+
+func (w *world) connect(t *testing.T, parameters string) *pgx.Conn {
+	t.Helper()
+	return connect(t, w.n, w.address, parameters)
+}
+
+// cancel sends a cancel request for the caller's session and waits until the
+// server has taken it.
+func (w *world) cancel(t *testing.T, c *pgx.Conn, secret []byte) {
+	t.Helper()
+	nc, err := w.n.dial(context.Background(), "tcp", w.address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	buf, err := (&pgproto3.CancelRequest{ProcessID: c.PgConn().PID(), SecretKey: secret}).Encode(nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := nc.Write(buf); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := nc.Read(make([]byte, 1)); err == nil {
+		t.Fatal("cancel request was answered")
+	}
+}
+
+// exec returns the SQLSTATE of a statement, empty for success.
+func exec(t *testing.T, c *pgx.Conn, sql string, arguments ...any) string {
+	t.Helper()
+	_, err := c.Exec(context.Background(), sql, arguments...)
+	return sqlState(t, err)
+}
+
+func wantEffects(t *testing.T, b *fakeBackend, want ...string) {
+	t.Helper()
+	if got := b.effects(); !slices.Equal(got, want) {
+		t.Fatalf("committed %q, want %q", got, want)
+	}
+}
+
+func unknown(n int) (string, error) {
+	return "", &route.UnknownOutcomeError{Reason: "scripted"}
+}
+
+// Guards against an unusable path: plain and prepared statements and a
 // transaction block.
 func TestStatementsThroughRouter(t *testing.T) {
-	b := newFakeBackend(t)
-	r := newFakeRouter(t, b)
-	_, address := startServer(t, Options{Router: r})
-	c := connect(t, address, "")
-	if got := mustExec(t, c, "INSERT a"); got != "INSERT 0 1" {
-		t.Fatalf("tag %q", got)
-	}
-	if got := queryString(t, c, "SELECT $1", "x"); got != "x" {
-		t.Fatalf("row %q", got)
-	}
-	mustExec(t, c, "BEGIN")
-	mustExec(t, c, "INSERT b")
-	mustExec(t, c, "COMMIT")
-	if got := b.effects(); len(got) != 2 {
-		t.Fatalf("effects %q", got)
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		if got := mustExec(t, c, "INSERT a"); got != "INSERT 0 1" {
+			t.Fatalf("tag %q", got)
+		}
+		if got := queryString(t, c, "SELECT $1", "x"); got != "x" {
+			t.Fatalf("row %q", got)
+		}
+		mustExec(t, c, "BEGIN")
+		mustExec(t, c, "INSERT b")
+		mustExec(t, c, "COMMIT")
+		wantEffects(t, w.backends[0], "INSERT a", "INSERT b")
+		if got := w.router.released(); !slices.Equal(got, []bool{true, true, true, true}) {
+			t.Fatalf("releases %v", got)
+		}
+	})
+}
+
+// Guards against named statements that exist on the connection where they were
+// prepared only, and against preparing them anew on each use.
+func TestPreparedStatementsFollowTheCaller(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 3, nil)
+		a, b := w.connect(t, ""), w.connect(t, "")
+		ctx := context.Background()
+		for _, c := range []*pgx.Conn{a, b} {
+			d, err := c.Prepare(ctx, "st", "SELECT $1")
+			if err != nil {
+				t.Fatal(err)
+			}
+			if len(d.ParamOIDs) != 1 || len(d.Fields) != 1 {
+				t.Fatalf("describe answered %+v", d)
+			}
+		}
+		for i := range 9 {
+			want := fmt.Sprint(i)
+			if got := queryString(t, []*pgx.Conn{a, b}[i%2], "st", want); got != want {
+				t.Fatalf("row %q, want %q", got, want)
+			}
+		}
+		if err := a.Deallocate(ctx, "st"); err != nil {
+			t.Fatal(err)
+		}
+		if got := queryString(t, b, "st", "still"); got != "still" {
+			t.Fatalf("row %q", got)
+		}
+		wantState(t, a.PgConn().ExecPrepared(ctx, "st", [][]byte{nil}, nil, nil).Read().Err, codeUnknownStatement)
+		_, err := b.PgConn().Prepare(ctx, "st", "SELECT other", nil)
+		wantState(t, err, "42P05")
+	})
+}
+
+// Guards against a statement that stays recorded on a connection although the
+// server skipped or refused its Parse.
+func TestFailedParseIsNotRecorded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		ctx := context.Background()
+		for range 2 {
+			_, err := c.PgConn().Prepare(ctx, "bad", "SYNTAX", nil)
+			wantState(t, err, "42601")
+		}
+		batch := &pgconn.Batch{}
+		batch.ExecParams("FAIL 22012", nil, nil, nil, nil)
+		batch.ExecParams("SELECT later", nil, nil, nil, nil)
+		_, err := c.PgConn().ExecBatch(ctx, batch).ReadAll()
+		wantState(t, err, "22012")
+		if got := queryString(t, c, "SELECT later"); got != "later" {
+			t.Fatalf("row %q", got)
+		}
+	})
+}
+
+// Guards against eviction that leaves the server's statement behind or closes
+// one that is still used.
+func TestEvictedStatementIsPreparedAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		w.router.options.StatementLimit = 2
+		c := w.connect(t, "")
+		for range 2 {
+			for i := range 4 {
+				name := fmt.Sprintf("SELECT $1 /*%d*/", i)
+				if got := queryString(t, c, name, "v"); got != "v" {
+					t.Fatalf("row %q", got)
+				}
+			}
+		}
+		w.backends[0].mu.Lock()
+		defer w.backends[0].mu.Unlock()
+		for _, conn := range w.backends[0].conns {
+			if len(conn.statements) > 3 {
+				t.Fatalf("server holds %d statements", len(conn.statements))
+			}
+		}
+	})
+}
+
+// Guards against state of one caller that reaches the next on its connection.
+func TestStateDoesNotCrossCallers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		a, b := w.connect(t, ""), w.connect(t, "")
+		mustExec(t, a, "BEGIN")
+		mustExec(t, a, "SET search_path = mine")
+		if got := queryString(t, a, "SHOW search_path"); got != "mine" {
+			t.Fatalf("own transaction sees %q", got)
+		}
+		mustExec(t, a, "COMMIT")
+		if got := queryString(t, b, "SHOW search_path"); got != "" {
+			t.Fatalf("other caller sees %q", got)
+		}
+		if n := w.backends[0].count("DISCARD ALL"); n != 1 {
+			t.Fatalf("%d resets, want 1", n)
+		}
+	})
+}
+
+// Guards against a SET that is reported as done and silently lost, and against a
+// caller that keeps a wrong idea of a reported parameter.
+func TestSetOutsideTransactionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		if got := exec(t, c, "SET search_path = mine"); got != codeFeatureNotSupported {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+		if got := exec(t, c, "LISTEN news"); got != codeFeatureNotSupported {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+		mustExec(t, c, "BEGIN")
+		mustExec(t, c, "SET TimeZone = Dar")
+		if got := c.PgConn().ParameterStatus("TimeZone"); got != "Dar" {
+			t.Fatalf("TimeZone in the transaction is %q", got)
+		}
+		mustExec(t, c, "COMMIT")
+		if got := c.PgConn().ParameterStatus("TimeZone"); got != "UTC" {
+			t.Fatalf("TimeZone after the transaction is %q", got)
+		}
+	})
+}
+
+// Guards against a completion that reaches the caller before Finish allows it.
+func TestCompletionIsHeldUntilFinish(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		var mu sync.Mutex
+		var written []byte
+		w.n.record = func(address string, p []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			if address == w.address {
+				written = append(written, p...)
+			}
+		}
+		w.router.finish = func(n int) (string, error) {
+			mu.Lock()
+			defer mu.Unlock()
+			if n == 0 && strings.Contains(string(written), "INSERT 0 1") {
+				t.Error("completion was written before Finish returned")
+			}
+			if n == 2 && strings.Contains(string(written), "COMMIT") {
+				t.Error("commit was written before Finish returned")
+			}
+			return fmt.Sprintf("werkplaats-1-a/1:%d", n), nil
+		}
+		c := w.connect(t, "")
+		mustExec(t, c, "INSERT a")
+		if got := c.PgConn().ParameterStatus(tokenParameter); got != "werkplaats-1-a/1:0" {
+			t.Fatalf("token %q", got)
+		}
+		mustExec(t, c, "SELECT 1")
+		mustExec(t, c, "BEGIN")
+		mustExec(t, c, "COMMIT")
+		last := w.router.begun()[2]
+		if last.Token != "werkplaats-1-a/1:1" {
+			t.Fatalf("token of the next request is %q", last.Token)
+		}
+	})
+}
+
+// Guards against a false success when the outcome is unknown or a read stale,
+// also for a commit in the middle of a unit.
+func TestFinishErrorReplacesCompletion(t *testing.T) {
+	cases := []struct {
+		name string
+		sql  []string
+		err  error
+		code string
+	}{
+		{"implicit write", []string{"INSERT a"}, &route.UnknownOutcomeError{Reason: "gate"}, route.CodeUnknownOutcome},
+		{"explicit write", []string{"BEGIN", "INSERT a", "COMMIT"}, &route.UnknownOutcomeError{Reason: "gate"}, route.CodeUnknownOutcome},
+		{"read", []string{"SELECT 1"}, &route.StaleReadError{Reason: "term"}, route.CodeStaleRead},
+		{"rolled back", []string{"BEGIN", "SELECT 1", "ROLLBACK"}, &route.UnknownOutcomeError{Reason: "gate"}, route.CodeStaleRead},
+		{"untyped", []string{"INSERT a"}, errors.New("unexpected"), route.CodeUnknownOutcome},
 	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, nil)
+				w.router.finish = func(int) (string, error) { return "", tc.err }
+				c := w.connect(t, "")
+				for _, sql := range tc.sql[:len(tc.sql)-1] {
+					mustExec(t, c, sql)
+				}
+				if got := exec(t, c, tc.sql[len(tc.sql)-1]); got != tc.code {
+					t.Fatalf("SQLSTATE %q, want %s", got, tc.code)
+				}
+				if got := c.PgConn().TxStatus(); got != 'I' {
+					t.Fatalf("transaction status %c", got)
+				}
+			})
+		})
+	}
+	t.Run("commit inside a unit", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.finish = unknown
+			c := w.connect(t, "")
+			batch := &pgconn.Batch{}
+			for _, sql := range []string{"BEGIN", "INSERT a", "COMMIT", "SELECT 1"} {
+				batch.ExecParams(sql, nil, nil, nil, nil)
+			}
+			results, err := c.PgConn().ExecBatch(context.Background(), batch).ReadAll()
+			wantState(t, err, route.CodeUnknownOutcome)
+			for _, r := range results {
+				if r.CommandTag.String() == "COMMIT" && r.Err == nil {
+					t.Fatal("commit was reported although its outcome is unknown")
+				}
+			}
+		})
+	})
+}
+
+// Guards against a refused request that is reported as anything but not run.
+func TestNotRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		w.router.begin = func(int) error { return &route.NotRunError{Reason: "queue is full"} }
+		c := w.connect(t, "")
+		if got := exec(t, c, "INSERT a"); got != route.CodeNotRun {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+		if got := exec(t, c, "INSERT $1", "x"); got != route.CodeNotRun {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+		wantEffects(t, w.backends[0])
+	})
+}
+
+// Guards against a write that runs twice or a false report after the connection
+// is lost.
+func TestLostConnection(t *testing.T) {
+	t.Run("write without a key", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.backends[0].fail("INSERT a", dropAfter)
+			c := w.connect(t, "")
+			if got := exec(t, c, "INSERT a"); got != route.CodeUnknownOutcome {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			wantEffects(t, w.backends[0], "INSERT a")
+			mustExec(t, c, "INSERT b")
+		})
+	})
+	t.Run("repeatable", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.mayRepeat = true
+			w.backends[0].fail("SELECT 1", dropBefore, dropAfter)
+			c := w.connect(t, "")
+			if got := queryString(t, c, "SELECT 1"); got != "1" {
+				t.Fatalf("row %q", got)
+			}
+			if got := w.router.released(); got[len(got)-1] != true || slices.Index(got, false) < 0 {
+				t.Fatalf("releases %v", got)
+			}
+		})
+	})
+	t.Run("repeatable but then refused", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.mayRepeat = true
+			w.router.begin = func(n int) error {
+				if n == 0 {
+					return nil
+				}
+				return &route.NotRunError{Reason: "queue is full"}
+			}
+			w.backends[0].fail("INSERT a", dropAfter)
+			c := w.connect(t, "")
+			// An attempt has reached the server, so "not run" would be false.
+			if got := exec(t, c, "INSERT a"); got != route.CodeUnknownOutcome {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+		})
+	})
+	t.Run("inside a transaction", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.mayRepeat = true
+			w.backends[0].fail("INSERT b", dropAfter)
+			c := w.connect(t, "")
+			mustExec(t, c, "BEGIN")
+			mustExec(t, c, "INSERT a")
+			if got := exec(t, c, "INSERT b"); got != codeConnectionFailure {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			// The rest of the block must not run by itself.
+			if got := exec(t, c, "INSERT c"); got != codeFailedTransaction {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			if got := exec(t, c, "INSERT $1", "d"); got != codeFailedTransaction {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			if got := mustExec(t, c, "COMMIT"); got != "ROLLBACK" {
+				t.Fatalf("tag %q", got)
+			}
+			mustExec(t, c, "INSERT e")
+			wantEffects(t, w.backends[0], "INSERT e")
+		})
+	})
+	t.Run("at commit", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.backends[0].fail("COMMIT", dropAfter)
+			c := w.connect(t, "")
+			mustExec(t, c, "BEGIN")
+			mustExec(t, c, "INSERT a")
+			if got := exec(t, c, "COMMIT"); got != route.CodeUnknownOutcome {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+		})
+	})
+}
+
+// Guards against a request that runs twice under its key, loses its answer or
+// answers a different request.
+func TestRequestKey(t *testing.T) {
+	const insert = "INSERT claim /*request_key='k1'*/"
+	t.Run("replay", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 2, nil)
+			w.backends[1].log = w.backends[0].log
+			a, b := w.connect(t, ""), w.connect(t, "")
+			first := mustExec(t, a, insert)
+			w.router.turn = 0
+			if got := mustExec(t, b, insert); got != first {
+				t.Fatalf("replayed tag %q, want %q", got, first)
+			}
+			wantEffects(t, w.backends[0], "INSERT claim")
+		})
+	})
+	t.Run("by setting and extended protocol", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			c := w.connect(t, "")
+			for range 2 {
+				mustExec(t, c, "SET gypsumgap.request_key = 'k2'")
+				if got := queryString(t, c, "SELECT $1", "answer"); got != "answer" {
+					t.Fatalf("row %q", got)
+				}
+			}
+			if n := w.backends[0].count("SELECT $1"); n != 1 {
+				t.Fatalf("request ran %d times", n)
+			}
+			// The key counts for one transaction only.
+			queryString(t, c, "SELECT $1", "answer")
+			if n := w.backends[0].count("SELECT $1"); n != 2 {
+				t.Fatalf("request ran %d times", n)
+			}
+		})
+	})
+	t.Run("reuse", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			c := w.connect(t, "")
+			mustExec(t, c, insert)
+			if got := exec(t, c, "INSERT other /*request_key='k1'*/"); got != route.CodeKeyReused {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			wantEffects(t, w.backends[0], "INSERT claim")
+		})
+	})
+	t.Run("failed request frees its key", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			c := w.connect(t, "")
+			if got := exec(t, c, "FAIL 22012 /*request_key='k1'*/"); got != "22012" {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			mustExec(t, c, insert)
+			wantEffects(t, w.backends[0], "INSERT claim")
+		})
+	})
+	t.Run("large answer", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			c := w.connect(t, "")
+			const sql = "SELECT rows 100 1000 /*request_key='k1'*/"
+			if got := mustExec(t, c, sql); got != "SELECT 100" {
+				t.Fatalf("tag %q", got)
+			}
+			if got := exec(t, c, sql); got != route.CodeAnswerNotKept {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+		})
+	})
+	t.Run("connection lost at commit", func(t *testing.T) {
+		for _, f := range []fault{dropBefore, dropAfter} {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, nil)
+				w.backends[0].fail("COMMIT", f)
+				c := w.connect(t, "")
+				if got := mustExec(t, c, insert); got != "INSERT 0 1" {
+					t.Fatalf("tag %q", got)
+				}
+				wantEffects(t, w.backends[0], "INSERT claim")
+			})
+		}
+	})
+	t.Run("unknown outcome of Finish", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.finish = func(n int) (string, error) {
+				if n < 2 {
+					return unknown(n)
+				}
+				return "werkplaats-1-a/2:7", nil
+			}
+			c := w.connect(t, "")
+			mustExec(t, c, insert)
+			wantEffects(t, w.backends[0], "INSERT claim")
+			if got := c.PgConn().ParameterStatus(tokenParameter); got != "werkplaats-1-a/2:7" {
+				t.Fatalf("token %q", got)
+			}
+		})
+	})
+	t.Run("never settled", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.finish = unknown
+			c := w.connect(t, "")
+			if got := exec(t, c, insert); got != route.CodeUnknownOutcome {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			wantEffects(t, w.backends[0], "INSERT claim")
+		})
+	})
+	t.Run("transaction control", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			c := w.connect(t, "")
+			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
+			if got := exec(t, c, "ROLLBACK"); got != codeFeatureNotSupported {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
+			if got := exec(t, c, "COMMIT"); got == "" {
+				t.Fatal("commit inside a keyed unit was accepted")
+			}
+		})
+	})
+	t.Run("transaction block", func(t *testing.T) {
+		for _, f := range []fault{noFault, dropBefore, dropAfter} {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 1, nil)
+				c := w.connect(t, "")
+				mustExec(t, c, "BEGIN /*request_key='k1'*/")
+				mustExec(t, c, "INSERT claim")
+				w.backends[0].fail("COMMIT", f)
+				got := exec(t, c, "COMMIT")
+				if f == dropBefore {
+					if got != codeConnectionFailure {
+						t.Fatalf("SQLSTATE %q", got)
+					}
+					wantEffects(t, w.backends[0])
+					return
+				}
+				if got != "" {
+					t.Fatalf("SQLSTATE %q", got)
+				}
+				wantEffects(t, w.backends[0], "INSERT claim")
+				_, err := c.Exec(context.Background(), "BEGIN /*request_key='k1'*/")
+				wantState(t, err, route.CodeAnswerNotKept)
+				var pe *pgconn.PgError
+				if errors.As(err, &pe); pe.Detail != "INSERT 0 1\n" {
+					t.Fatalf("recorded tags %q", pe.Detail)
+				}
+				if got := exec(t, c, insert); got != route.CodeKeyReused {
+					t.Fatalf("SQLSTATE %q", got)
+				}
+			})
+		}
+	})
+}
+
+// Guards against a request that is routed by the wrong class, key or token.
+func TestRequestSettings(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "&application_name=status-page&gypsumgap.session_token=none")
+		mustExec(t, c, "SELECT 1")
+		mustExec(t, c, "SET gypsumgap.class TO 'stock-count';")
+		mustExec(t, c, "SET gypsumgap.session_token = 'werkplaats-1-a/1:5'")
+		mustExec(t, c, "SELECT 1")
+		mustExec(t, c, "SELECT 1 /*class='job%2Dcard',route='x'*/")
+		mustExec(t, c, "BEGIN READ ONLY")
+		mustExec(t, c, "COMMIT")
+		mustExec(t, c, "START TRANSACTION ISOLATION LEVEL REPEATABLE READ, READ ONLY")
+		mustExec(t, c, "COMMIT")
+		mustExec(t, c, "SELECT $1", "READ ONLY")
+		got := w.router.begun()
+		want := []struct {
+			class, token string
+			readOnly     bool
+		}{
+			{"status-page", "none", false},
+			{"stock-count", "werkplaats-1-a/1:5", false},
+			{"job-card", "werkplaats-1-a/1:5", false},
+			{"stock-count", "werkplaats-1-a/1:5", true},
+			{"stock-count", "werkplaats-1-a/1:5", true},
+			{"stock-count", "werkplaats-1-a/1:5", false},
+		}
+		for i, x := range want {
+			if got[i].Class != x.class || got[i].Token != x.token || got[i].ReadOnly != x.readOnly {
+				t.Errorf("request %d is %+v, want %+v", i, got[i], x)
+			}
+		}
+	})
+}
+
+// Guards against settings sent through the extended protocol that reach the
+// server or go unanswered.
+func TestSettingsByExtendedProtocol(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		ctx := context.Background()
+		if _, err := c.Prepare(ctx, "s", "SET gypsumgap.class = 'it''s'"); err != nil {
+			t.Fatal(err)
+		}
+		mustExec(t, c, "s")
+		batch := &pgconn.Batch{}
+		batch.ExecParams("SET gypsumgap.class = 'batched'", nil, nil, nil, nil)
+		batch.ExecParams("SELECT 1", nil, nil, nil, nil)
+		if _, err := c.PgConn().ExecBatch(ctx, batch).ReadAll(); err != nil {
+			t.Fatal(err)
+		}
+		if got := w.router.begun(); len(got) != 1 || got[0].Class != "batched" {
+			t.Fatalf("requests %+v", got)
+		}
+		if n := len(w.backends[0].statements()); n != 1 {
+			t.Fatalf("server saw %q", w.backends[0].statements())
+		}
+	})
+}
+
+// Guards against a caller that claims to be another host.
+func TestForwardSettingIsForHostsOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		if got := exec(t, c, `SET gypsumgap.forward = '{"user":"admin"}'`); got != codeInvalidSetting {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+	})
+}
+
+// forwardWorld is an entry host in front of an owner host.
+func forwardWorld(t *testing.T) (owner *world, entry *fakeRouter, address string, ownerOptions *Options) {
+	owner = newWorld(t, 1, func(o *Options) {
+		o.Forwarded = true
+		ownerOptions = o
+	})
+	entry = newFakeRouter(t, owner.n)
+	entry.backends = []string{owner.address}
+	entry.forwarded = true
+	_, address = startServer(t, owner.n, Options{Router: entry})
+	return owner, entry, address, ownerOptions
+}
+
+// Guards against a forwarded request that loses its class, key, token, deadline
+// or user, and against state shared between callers of one forwarding connection.
+func TestForwarding(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, entry, address, _ := forwardWorld(t)
+		owner.router.finish = func(n int) (string, error) {
+			if n > 3 {
+				n = 3
+			}
+			return fmt.Sprintf("werkplaats-1-a/1:%d", n), nil
+		}
+		a, b := connect(t, owner.n, address, "&gypsumgap.session_token=none"), connect(t, owner.n, address, "")
+		mustExec(t, a, "INSERT a /*class='job-card',request_key='k1'*/")
+		mustExec(t, b, "INSERT a /*class='job-card',request_key='k1'*/")
+		wantEffects(t, owner.backends[0], "INSERT a")
+		got := owner.router.begun()
+		first := got[0]
+		if first.Class != "job-card" || first.Key != "k1" || first.User != "mechanic" || first.Hops != 1 || first.Token != "none" {
+			t.Fatalf("owner got %+v", first)
+		}
+		if first.Deadline.IsZero() || got[1].Token != "" {
+			t.Fatalf("owner got %+v and %+v", first, got[1])
+		}
+		mustExec(t, a, "BEGIN")
+		if got := queryString(t, a, "SELECT $1", "x"); got != "x" {
+			t.Fatalf("row %q", got)
+		}
+		mustExec(t, a, "INSERT b")
+		mustExec(t, a, "COMMIT")
+		mustExec(t, b, "INSERT c")
+		for _, c := range []*pgx.Conn{a, b} {
+			if got := c.PgConn().ParameterStatus(tokenParameter); got != "werkplaats-1-a/1:2" && got != "werkplaats-1-a/1:3" {
+				t.Fatalf("token %q", got)
+			}
+		}
+		if entry.finishes != 0 {
+			t.Fatal("entry host held a completion that the owner has held already")
+		}
+		wantEffects(t, owner.backends[0], "INSERT a", "INSERT b", "INSERT c")
+	})
+}
+
+// Guards against an owner's errors that change on their way to the caller.
+func TestOwnerErrorsPassThrough(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, _, address, _ := forwardWorld(t)
+		c := connect(t, owner.n, address, "")
+		owner.router.begin = func(int) error { return &route.NotRunError{Reason: "queue is full"} }
+		_, err := c.Exec(context.Background(), "INSERT a")
+		wantState(t, err, route.CodeNotRun)
+		if !strings.Contains(err.Error(), "queue is full") {
+			t.Fatalf("message changed: %v", err)
+		}
+		owner.router.begin = nil
+		owner.router.finish = unknown
+		if got := exec(t, c, "INSERT b"); got != route.CodeUnknownOutcome {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+	})
+}
+
+// Guards against a failed request when a pooled connection leads to an owner
+// that has stopped.
+func TestStoppedOwnerHasNotTakenTheRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		owner, entry, address, _ := forwardWorld(t)
+		c := connect(t, owner.n, address, "")
+		mustExec(t, c, "INSERT a")
+		_, other := startServer(t, owner.n, Options{Router: owner.router, Forwarded: true})
+		if err := owner.server.Shutdown(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		entry.begin = func(n int) error {
+			if n == 2 {
+				entry.mu.Lock()
+				entry.backends = []string{other}
+				entry.mu.Unlock()
+			}
+			return nil
+		}
+		mustExec(t, c, "INSERT b")
+		wantEffects(t, owner.backends[0], "INSERT a", "INSERT b")
+	})
+}
+
+// Guards against an unknown outcome reported for a request that a draining owner
+// has not taken, and against the same conclusion for a backend server, which may
+// end a session at any time.
+func TestSessionEndedByPeer(t *testing.T) {
+	for _, forwarded := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			w.router.forwarded = forwarded
+			w.backends[0].fail("INSERT a", endSession)
+			c := w.connect(t, "")
+			got := exec(t, c, "INSERT a")
+			if forwarded && got != "" || !forwarded && got != route.CodeUnknownOutcome {
+				t.Fatalf("forwarded %v: SQLSTATE %q", forwarded, got)
+			}
+		})
+	}
+}
+
+// Guards against a cancel request that is lost, or that hits the next user of
+// the connection.
+func TestCancel(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		ctx := context.Background()
+		failed := make(chan error, 1)
+		go func() {
+			_, err := c.Exec(ctx, "SELECT wait")
+			failed <- err
+		}()
+		<-w.backends[0].waiting
+		w.cancel(t, c, c.PgConn().SecretKey())
+		wantState(t, <-failed, "57014")
+		if got := w.router.released(); !slices.Equal(got, []bool{false}) {
+			t.Fatalf("cancelled connection was released as %v", got)
+		}
+		// Nothing runs now, so nothing may be cancelled.
+		w.cancel(t, c, c.PgConn().SecretKey())
+		if n := len(w.backends[0].cancelled); n != 1 {
+			t.Fatalf("server got %d cancel requests", n)
+		}
+	})
+}
+
+// Guards against a cancel request with a wrong secret.
+func TestCancelNeedsTheSecret(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Exec(context.Background(), "SELECT wait")
+			done <- err
+		}()
+		<-w.backends[0].waiting
+		w.cancel(t, c, []byte{0, 0, 0, 0})
+		close(w.backends[0].gate)
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		if n := len(w.backends[0].cancelled); n != 0 {
+			t.Fatalf("server got %d cancel requests", n)
+		}
+	})
+}
+
+// Guards against a planned stop that cuts a running transaction, or that waits
+// for idle sessions.
+func TestShutdown(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		idle, busy, long := w.connect(t, ""), w.connect(t, ""), w.connect(t, "")
+		mustExec(t, idle, "SELECT 1")
+		mustExec(t, busy, "BEGIN")
+		mustExec(t, busy, "INSERT a")
+		// A session that has been idle for long holds no buffer.
+		time.Sleep(10 * time.Second)
+		mustExec(t, long, "SELECT 1")
+		done := make(chan error, 1)
+		go func() { done <- w.server.Shutdown(context.Background()) }()
+		synctest.Wait()
+		for _, c := range []*pgx.Conn{idle, long} {
+			_, err := c.Exec(context.Background(), "SELECT 1")
+			if err == nil {
+				t.Fatal("idle session was not ended")
+			}
+			var pe *pgconn.PgError
+			if errors.As(err, &pe) && pe.Code != codeAdminShutdown {
+				t.Fatalf("idle session ended with %v", err)
+			}
+		}
+		if _, err := tryConnect(w.n, w.address, ""); err == nil {
+			t.Fatal("new connection was accepted")
+		}
+		mustExec(t, busy, "INSERT b")
+		mustExec(t, busy, "COMMIT")
+		if err := <-done; err != nil {
+			t.Fatal(err)
+		}
+		wantEffects(t, w.backends[0], "INSERT a", "INSERT b")
+	})
+}
+
+// Guards against a stop that waits without bound.
+func TestShutdownIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		mustExec(t, c, "BEGIN")
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		if err := w.server.Shutdown(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatalf("Shutdown returned %v", err)
+		}
+		if w.server.Sessions() != 0 {
+			t.Fatal("sessions remain")
+		}
+	})
+}
+
+// Guards against a caller that holds a connection by doing nothing.
+func TestIdleInTransaction(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		mustExec(t, c, "BEGIN")
+		mustExec(t, c, "INSERT a")
+		time.Sleep(2 * defaultIdleInTransaction)
+		if _, err := c.Exec(context.Background(), "COMMIT"); err == nil {
+			t.Fatal("commit after the timeout was accepted")
+		}
+		wantEffects(t, w.backends[0])
+		if got := w.router.released(); !slices.Equal(got, []bool{false}) {
+			t.Fatalf("releases %v", got)
+		}
+	})
+}
+
+// Guards against an answer that piles up in memory while its caller does not read.
+func TestBackPressure(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		var mu sync.Mutex
+		sent := 0
+		w.n.record = func(address string, p []byte) {
+			mu.Lock()
+			defer mu.Unlock()
+			if address == w.backends[0].address() {
+				sent += len(p)
+			}
+		}
+		c := w.connect(t, "")
+		rows, err := c.Query(context.Background(), "SELECT rows 20000 1000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !rows.Next() {
+			t.Fatal(rows.Err())
+		}
+		synctest.Wait()
+		mu.Lock()
+		// The buffers on the way are those of the server's connection, of the
+		// session and of the caller.
+		if sent > 1<<20 {
+			t.Errorf("server has sent %d bytes to a caller that does not read", sent)
+		}
+		mu.Unlock()
+		n := 1
+		for rows.Next() {
+			n++
+		}
+		if n != 20000 || rows.Err() != nil {
+			t.Fatalf("%d rows, %v", n, rows.Err())
+		}
+	})
+}
+
+// Guards against a caller that never reads its answer and keeps the connection.
+func TestCallerThatDoesNotRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		rows, err := c.Query(context.Background(), "SELECT rows 20000 1000")
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(2 * defaultCallerTimeout)
+		// The first release is that of the connection which prepared the statement.
+		if got := w.router.released(); !slices.Equal(got, []bool{true, false}) {
+			t.Fatalf("releases %v", got)
+		}
+		rows.Close()
+	})
+}
+
+// Guards against a deadlock when a large unit and its answers exceed the buffers
+// of the connection.
+func TestLargePipeline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		batch := &pgx.Batch{}
+		const n = 300
+		for i := range n {
+			batch.Queue("SELECT $1", strings.Repeat("y", 1000)+fmt.Sprint(i))
+		}
+		results := c.SendBatch(context.Background(), batch)
+		for i := range n {
+			var v string
+			if err := results.QueryRow().Scan(&v); err != nil {
+				t.Fatal(err)
+			}
+			if !strings.HasSuffix(v, "y"+fmt.Sprint(i)) {
+				t.Fatalf("answer %d is out of order", i)
+			}
+		}
+		if err := results.Close(); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+// Guards against a COPY that loses data or does not end.
+func TestCopyIn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		text := strings.Repeat("line\n", 20000)
+		tag, err := c.PgConn().CopyFrom(context.Background(), strings.NewReader(text), "COPY t FROM STDIN")
+		if err != nil || tag.String() != "COPY 1" {
+			t.Fatalf("tag %q, %v", tag, err)
+		}
+		wantEffects(t, w.backends[0], fmt.Sprintf("COPY %d bytes", len(text)))
+		mustExec(t, c, "INSERT a")
+	})
+}
+
+// Guards against memory that a unit without bound takes.
+func TestUnitLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, func(o *Options) { o.MaxUnitBytes = 10000 })
+		c := w.connect(t, "")
+		batch := &pgx.Batch{}
+		for range 20 {
+			batch.Queue("SELECT $1", strings.Repeat("y", 1000))
+		}
+		err := c.SendBatch(context.Background(), batch).Close()
+		wantState(t, err, codeLimitExceeded)
+		mustExec(t, c, "INSERT a")
+		wantEffects(t, w.backends[0], "INSERT a")
+	})
+}
+
+// Guards against answers that a caller awaits after a Flush but gets only after
+// its Sync.
+func TestFlush(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		ctx := context.Background()
+		pipeline := c.PgConn().StartPipeline(ctx)
+		pipeline.SendQueryParams("INSERT a", nil, nil, nil, nil)
+		pipeline.SendFlushRequest()
+		if err := pipeline.Flush(); err != nil {
+			t.Fatal(err)
+		}
+		r, err := pipeline.GetResults()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if tag, err := r.(*pgconn.ResultReader).Close(); err != nil || tag.String() != "INSERT 0 1" {
+			t.Fatalf("tag %q, %v", tag, err)
+		}
+		if err := pipeline.Sync(); err != nil {
+			t.Fatal(err)
+		}
+		if err := pipeline.Close(); err != nil {
+			t.Fatal(err)
+		}
+		wantEffects(t, w.backends[0], "INSERT a")
+		if w.router.finishes != 1 {
+			t.Fatalf("Finish was called %d times", w.router.finishes)
+		}
+		pipeline = c.PgConn().StartPipeline(ctx)
+		pipeline.SendQueryParams("FAIL 22012", nil, nil, nil, nil)
+		pipeline.SendFlushRequest()
+		pipeline.SendQueryParams("INSERT b", nil, nil, nil, nil)
+		if err := pipeline.Sync(); err != nil {
+			t.Fatal(err)
+		}
+		_, err = pipeline.GetResults()
+		if r, ok := err.(*pgconn.PgError); ok && r.Code != "22012" {
+			t.Fatal(err)
+		}
+		_ = pipeline.Close()
+		mustExec(t, c, "INSERT c")
+		wantEffects(t, w.backends[0], "INSERT a", "INSERT c")
+	})
 }
--- a/daemon/internal/upstream/conn.go
+++ b/daemon/internal/upstream/conn.go
@@ -63,7 +63,10 @@
 	// Address is the peer's host:port.
 	Address string
 	// LocalIP is the source address; nil leaves the choice to the system.
-	LocalIP  net.IP
+	LocalIP net.IP
+	// DialContext opens the network connection; nil takes a net.Dialer.
+	DialContext func(ctx context.Context, network, address string) (net.Conn, error)
+	// User and Database are what the connection logs in to.
 	User     string
 	Database string
 	// Password answers a SCRAM-SHA-256 request; empty if the peer trusts the address.
@@ -93,7 +96,7 @@
 	nc            net.Conn
 	frontend      *pgproto3.Frontend
 	address       string
-	localIP       net.IP
+	dial          dialFunc
 	writeTimeout  time.Duration
 	answerTimeout time.Duration
 	scratch       []byte
@@ -117,11 +120,16 @@
 func Dial(ctx context.Context, o Options) (*Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, defaultDialTimeout)
 	defer cancel()
-	nc, err := dialTCP(ctx, o.Address, o.LocalIP)
+	dial := o.DialContext
+	if dial == nil {
+		dial = dialer(o.LocalIP)
+	}
+	nc, err := connect(ctx, dial, o.Address)
 	if err != nil {
 		return nil, err
 	}
 	c := newConn(nc, o)
+	c.dial = dial
 	stop := context.AfterFunc(ctx, func() { nc.Close() })
 	err = c.login(o)
 	stopped := stop()
@@ -135,12 +143,18 @@
 	return c, nil
 }
 
-func dialTCP(ctx context.Context, address string, localIP net.IP) (net.Conn, error) {
-	d := net.Dialer{}
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+func dialer(localIP net.IP) dialFunc {
+	d := &net.Dialer{}
 	if localIP != nil {
 		d.LocalAddr = &net.TCPAddr{IP: localIP}
 	}
-	nc, err := d.DialContext(ctx, "tcp", address)
+	return d.DialContext
+}
+
+func connect(ctx context.Context, dial dialFunc, address string) (net.Conn, error) {
+	nc, err := dial(ctx, "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("%w: %w", ErrUnreachable, err)
 	}
@@ -151,7 +165,6 @@
 	c := &Conn{
 		nc:            nc,
 		address:       o.Address,
-		localIP:       o.LocalIP,
 		writeTimeout:  orDefault(o.WriteTimeout, defaultWriteTimeout),
 		answerTimeout: orDefault(o.AnswerTimeout, defaultAnswerTimeout),
 		parameters:    map[string]string{},
@@ -306,7 +319,7 @@
 func (c *Conn) Cancel(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, cancelTimeout)
 	defer cancel()
-	nc, err := dialTCP(ctx, c.address, c.localIP)
+	nc, err := connect(ctx, c.dial, c.address)
 	if err != nil {
 		return err
 	}
