--- /dev/null
+++ b/standin/dbgroup/admin.go
@@ -0,0 +1,274 @@
+package dbgroup
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/standin/latency"
+)
+
+// maxFaultsBody bounds a request to the admin endpoint, in bytes.
+const maxFaultsBody = 64 << 10
+
+// Faults is a change of a slot's faults and settings; a nil field stays as it is.
+type Faults struct {
+	Killed *bool `json:"killed,omitempty"`
+	Frozen *bool `json:"frozen,omitempty"`
+	// CutSlots lists the indexes of the slots that this one is cut off from.
+	CutSlots *[]int `json:"cut_slots,omitempty"`
+	// CutClients lists addresses or prefixes of clients that are cut off.
+	CutClients *[]string `json:"cut_clients,omitempty"`
+	// SilenceConnections, if true, silences the connections open now for good.
+	SilenceConnections *bool             `json:"silence_connections,omitempty"`
+	Leaving            *bool             `json:"leaving,omitempty"`
+	ApplyLag           *latency.Duration `json:"apply_lag,omitempty"`
+	ConnectTime        *latency.Duration `json:"connect_time,omitempty"`
+	ConnectionLimit    *int              `json:"connection_limit,omitempty"`
+}
+
+// SlotState is a slot as the admin endpoint shows it.
+type SlotState struct {
+	ID         string       `json:"id"`
+	Address    string       `json:"address"`
+	Zone       string       `json:"zone"`
+	Running    bool         `json:"running"`
+	Frozen     bool         `json:"frozen"`
+	CutSlots   []int        `json:"cut_slots"`
+	CutClients []string     `json:"cut_clients"`
+	Status     group.Status `json:"status"`
+}
+
+// GroupState is a group as the admin endpoint shows it.
+type GroupState struct {
+	Name  string      `json:"name"`
+	Slots []SlotState `json:"slots"`
+}
+
+// Set applies the faults. It checks all fields first and fails, without a
+// change, on an unknown slot, a malformed address or a negative time or limit;
+// it fails after the other changes if a killed slot cannot restart.
+func (s *Slot) Set(f Faults) error {
+	prefixes, err := s.check(f)
+	if err != nil {
+		return err
+	}
+	s.setNetwork(f, prefixes)
+	s.setSettings(f)
+	if f.Killed == nil {
+		return nil
+	}
+	if *f.Killed {
+		s.Kill()
+		return nil
+	}
+	return s.Restart()
+}
+
+func (s *Slot) check(f Faults) ([]netip.Prefix, error) {
+	if f.CutSlots != nil {
+		for _, i := range *f.CutSlots {
+			if i < 0 || i >= len(s.group.slots) {
+				return nil, fmt.Errorf("cut_slots: %d is not a slot of 0 to %d", i, len(s.group.slots)-1)
+			}
+		}
+	}
+	if f.ApplyLag != nil && *f.ApplyLag < 0 || f.ConnectTime != nil && *f.ConnectTime < 0 ||
+		f.ConnectionLimit != nil && *f.ConnectionLimit < 0 {
+		return nil, fmt.Errorf("times and limits must not be negative")
+	}
+	if f.CutClients == nil {
+		return nil, nil
+	}
+	var prefixes []netip.Prefix
+	for _, text := range *f.CutClients {
+		prefix, err := ParseClientPrefix(text)
+		if err != nil {
+			return nil, fmt.Errorf("cut_clients: %w", err)
+		}
+		prefixes = append(prefixes, prefix)
+	}
+	return prefixes, nil
+}
+
+func (s *Slot) setNetwork(f Faults, prefixes []netip.Prefix) {
+	s.changeNetwork(func(n *networkFaults) {
+		if f.Frozen != nil {
+			n.frozen = *f.Frozen
+		}
+		if f.CutSlots != nil {
+			n.cutSlots = append([]int(nil), *f.CutSlots...)
+		}
+		if f.CutClients != nil {
+			n.cutClients = prefixes
+		}
+	})
+	if f.SilenceConnections != nil && *f.SilenceConnections {
+		s.SilenceConnections()
+	}
+}
+
+func (s *Slot) setSettings(f Faults) {
+	s.changeSettings(func(o *slotSettings) {
+		if f.Leaving != nil {
+			o.leaving = *f.Leaving
+		}
+		if f.ApplyLag != nil {
+			o.applyLag = f.ApplyLag.Std()
+		}
+		if f.ConnectTime != nil {
+			o.connectTime = f.ConnectTime.Std()
+		}
+		if f.ConnectionLimit != nil {
+			o.connectionLimit = *f.ConnectionLimit
+		}
+	})
+}
+
+// State returns the slot's faults and status.
+func (s *Slot) State() SlotState {
+	n := s.network.Load()
+	state := SlotState{
+		ID: s.id, Address: s.address, Zone: s.zone,
+		Running: s.Running(), Frozen: n.frozen,
+		CutSlots: append([]int{}, n.cutSlots...), CutClients: []string{},
+		Status: s.Status(),
+	}
+	for _, prefix := range n.cutClients {
+		state.CutClients = append(state.CutClients, prefix.String())
+	}
+	return state
+}
+
+// State returns the state of all slots.
+func (g *Group) State() GroupState {
+	state := GroupState{Name: g.Name()}
+	for _, slot := range g.slots {
+		state.Slots = append(state.Slots, slot.State())
+	}
+	return state
+}
+
+// Admin returns the HTTP handler that shows and changes groups:
+//
+//	GET  /groups                       all groups
+//	GET  /groups/{group}               one group
+//	POST /groups/{group}/slots/{slot}  apply Faults to the slot of this index
+//
+// Bodies are JSON. Errors are answered with 400 or 404 and a line of text.
+func Admin(groups ...*Group) http.Handler {
+	a := admin{groups}
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /groups", a.list)
+	mux.HandleFunc("GET /groups/{group}", a.show)
+	mux.HandleFunc("POST /groups/{group}/slots/{slot}", a.set)
+	return mux
+}
+
+type admin struct{ groups []*Group }
+
+func (a admin) list(w http.ResponseWriter, _ *http.Request) {
+	states := []GroupState{}
+	for _, g := range a.groups {
+		states = append(states, g.State())
+	}
+	writeJSON(w, states)
+}
+
+func (a admin) show(w http.ResponseWriter, r *http.Request) {
+	if g := a.find(w, r); g != nil {
+		writeJSON(w, g.State())
+	}
+}
+
+func (a admin) set(w http.ResponseWriter, r *http.Request) {
+	g := a.find(w, r)
+	if g == nil {
+		return
+	}
+	index, err := strconv.Atoi(r.PathValue("slot"))
+	if err != nil || index < 0 || index >= len(g.slots) {
+		http.Error(w, "unknown slot", http.StatusNotFound)
+		return
+	}
+	var faults Faults
+	body := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxFaultsBody))
+	body.DisallowUnknownFields()
+	if err := body.Decode(&faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	if err := g.slots[index].Set(faults); err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	writeJSON(w, g.slots[index].State())
+}
+
+func (a admin) find(w http.ResponseWriter, r *http.Request) *Group {
+	for _, g := range a.groups {
+		if g.Name() == r.PathValue("group") {
+			return g
+		}
+	}
+	http.Error(w, "unknown group", http.StatusNotFound)
+	return nil
+}
+
+func writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	// The client sees a broken body if it has gone.
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+// AdminClient calls the admin endpoint of another process.
+type AdminClient struct {
+	// URL is the endpoint's base, for example "http://127.0.0.1:5001".
+	URL string
+	// HTTP is the client to use; nil for http.DefaultClient.
+	HTTP *http.Client
+}
+
+// Groups returns all groups. It fails if the endpoint does not answer with them.
+func (a AdminClient) Groups(ctx context.Context) ([]GroupState, error) {
+	var states []GroupState
+	return states, a.call(ctx, http.MethodGet, "/groups", nil, &states)
+}
+
+// Set applies faults to the slot of the index and returns its state. It fails
+// if the endpoint refuses them or does not answer.
+func (a AdminClient) Set(ctx context.Context, group string, slot int, f Faults) (SlotState, error) {
+	var state SlotState
+	return state, a.call(ctx, http.MethodPost, fmt.Sprintf("/groups/%s/slots/%d", group, slot), f, &state)
+}
+
+func (a AdminClient) call(ctx context.Context, method, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return err
+	}
+	request, err := http.NewRequestWithContext(ctx, method, a.URL+path, bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	client := a.HTTP
+	if client == nil {
+		client = http.DefaultClient
+	}
+	answer, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode != http.StatusOK {
+		text, _ := io.ReadAll(io.LimitReader(answer.Body, maxFaultsBody))
+		return fmt.Errorf("%s %s: %s: %s", method, path, answer.Status, bytes.TrimSpace(text))
+	}
+	return json.NewDecoder(answer.Body).Decode(out)
+}
--- /dev/null
+++ b/standin/dbgroup/command.go
@@ -0,0 +1,188 @@
+package dbgroup
+
+import (
+	"regexp"
+	"strings"
+
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup/internal/sqlite"
+)
+
+// kind says who runs a statement. The embedded database parses SQL; only the
+// statements that it lacks or that the session must know are recognised, by
+// their first words.
+type kind int
+
+const (
+	kindSQL kind = iota
+	kindEmpty
+	kindBegin
+	kindCommit
+	kindRollback
+	kindSavepoint
+	kindRelease
+	kindRollbackTo
+	kindSet
+	kindReset
+	kindShow
+	kindDiscard
+	kindDeallocate
+	kindSleep
+)
+
+// command is a classified statement.
+type command struct {
+	kind kind
+	sql  string
+	// words are the lower-case words at its start.
+	words []string
+	// name is the savepoint, setting or prepared statement it names, and value
+	// a setting's value or the seconds of a sleep.
+	name, value string
+}
+
+const leadingWords = 8
+
+var (
+	setPattern   = regexp.MustCompile(`(?is)^set\s+(?:session\s+|local\s+)?([a-z_][a-z0-9_.]*)\s*(?:=|\s+to\s+)\s*(.*)$`)
+	sleepPattern = regexp.MustCompile(`(?i)^select\s+pg_sleep\(\s*([0-9.]+)\s*\)$`)
+	namePattern  = regexp.MustCompile(`(?i)([a-z_][a-z0-9_.$]*|"[^"]*")\s*$`)
+)
+
+func classify(sql string) command {
+	bare := strings.TrimRight(skipComments(sql), "; \t\r\n")
+	c := command{sql: sql, words: lowerWords(bare)}
+	if len(c.words) == 0 {
+		c.kind = kindEmpty
+		return c
+	}
+	switch c.words[0] {
+	case "begin", "start":
+		c.kind = kindBegin
+	case "commit", "end":
+		c.kind = kindCommit
+	case "rollback", "abort":
+		c.kind = kindRollback
+		if c.has("to") {
+			c.kind, c.name = kindRollbackTo, lastName(bare)
+		}
+	case "savepoint":
+		c.kind, c.name = kindSavepoint, lastName(bare)
+	case "release":
+		c.kind, c.name = kindRelease, lastName(bare)
+	case "set":
+		c.kind = kindSet
+		if m := setPattern.FindStringSubmatch(bare); m != nil {
+			c.name, c.value = strings.ToLower(m[1]), unquote(m[2])
+		}
+	case "reset":
+		c.kind, c.name = kindReset, lastName(bare)
+	case "show":
+		c.kind, c.name = kindShow, lastName(bare)
+	case "discard":
+		c.kind = kindDiscard
+	case "deallocate":
+		c.kind, c.name = kindDeallocate, lastName(bare)
+	case "select":
+		if m := sleepPattern.FindStringSubmatch(bare); m != nil {
+			c.kind, c.value = kindSleep, m[1]
+		}
+	}
+	return c
+}
+
+func (c command) has(word string) bool {
+	for _, w := range c.words {
+		if w == word {
+			return true
+		}
+	}
+	return false
+}
+
+// skipComments removes white space and comments at the start.
+func skipComments(sql string) string {
+	for {
+		sql = strings.TrimLeft(sql, " \t\r\n;")
+		switch {
+		case strings.HasPrefix(sql, "--"):
+			_, sql, _ = strings.Cut(sql, "\n")
+		case strings.HasPrefix(sql, "/*"):
+			_, sql, _ = strings.Cut(sql, "*/")
+		default:
+			return sql
+		}
+	}
+}
+
+func lowerWords(sql string) []string {
+	head := sql[:min(len(sql), 128)]
+	words := strings.Fields(strings.ToLower(head))
+	words = words[:min(len(words), leadingWords)]
+	for i := range words {
+		words[i] = strings.Trim(words[i], ",;")
+	}
+	return words
+}
+
+func lastName(sql string) string {
+	name := namePattern.FindString(sql)
+	return unquote(strings.TrimSpace(strings.ToLower(name)))
+}
+
+func unquote(s string) string {
+	s = strings.TrimSpace(s)
+	if len(s) >= 2 && s[0] == '\'' && s[len(s)-1] == '\'' {
+		return strings.ReplaceAll(s[1:len(s)-1], "''", "'")
+	}
+	return strings.Trim(s, `"`)
+}
+
+// splitScript cuts a simple query into statements. The embedded database's own
+// tokenizer decides which semicolons end a statement.
+func splitScript(script string) []string {
+	if end := strings.IndexByte(script, ';'); end < 0 || strings.TrimSpace(script[end+1:]) == "" {
+		return []string{script}
+	}
+	var statements []string
+	start := 0
+	for i := range len(script) {
+		if script[i] == ';' && sqlite.Complete(script[start:i+1]) {
+			statements = append(statements, script[start:i+1])
+			start = i + 1
+		}
+	}
+	if strings.TrimSpace(script[start:]) != "" {
+		statements = append(statements, script[start:])
+	}
+	return statements
+}
+
+// tagVerb returns the command tag without its count.
+func (c command) tagVerb(readOnly bool) string {
+	switch c.words[0] {
+	case "insert", "replace":
+		return "INSERT 0"
+	case "update":
+		return "UPDATE"
+	case "delete":
+		return "DELETE"
+	case "create", "drop", "alter":
+		return strings.ToUpper(strings.Join(c.words[:min(len(c.words), 2)], " "))
+	case "with", "select", "values", "pragma", "explain":
+		if readOnly {
+			return "SELECT"
+		}
+		return "INSERT 0"
+	default:
+		return strings.ToUpper(c.words[0])
+	}
+}
+
+// countsRows reports whether the command tag of the verb ends in a row count.
+func countsRows(verb string) bool {
+	switch verb {
+	case "INSERT 0", "UPDATE", "DELETE", "SELECT":
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/standin/dbgroup/log.go
@@ -0,0 +1,113 @@
+package dbgroup
+
+import (
+	"sort"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// logKept bounds the records that a slot keeps in memory: after twice as many
+// it drops the older half. A replica that needs a dropped record is rebuilt
+// from a copy of the primary's database.
+const logKept = 200_000
+
+// statement is one write with its parameters.
+type statement struct {
+	sql  string
+	args []any
+}
+
+// record is one committed transaction, or the start of a term if it has no
+// statements. Slots of a group share the record in memory.
+type record struct {
+	pos       group.Position
+	committed time.Time
+	stmts     []statement
+}
+
+// termStart is the offset of the first record of a term.
+type termStart struct {
+	term  group.Term
+	first uint64
+}
+
+// history is a slot's log. Offsets of successive records differ by one.
+type history struct {
+	end     group.Position
+	records []*record
+	terms   []termStart
+}
+
+// firstKept returns the offset of the first record in memory.
+func (h *history) firstKept() uint64 { return h.end.Offset - uint64(len(h.records)) + 1 }
+
+func (h *history) append(r *record) {
+	if r.pos.Term != h.end.Term {
+		h.terms = append(h.terms, termStart{r.pos.Term, r.pos.Offset})
+	}
+	h.end = r.pos
+	h.records = append(h.records, r)
+	if len(h.records) >= 2*logKept {
+		h.records = append([]*record(nil), h.records[logKept:]...)
+	}
+}
+
+// after returns up to limit records behind the offset; ok is false if some of
+// them are no longer in memory.
+func (h *history) after(offset uint64, limit int) (recs []*record, ok bool) {
+	if offset+1 < h.firstKept() {
+		return nil, false
+	}
+	from := int(offset + 1 - h.firstKept())
+	to := min(len(h.records), from+limit)
+	return h.records[from:to:to], true
+}
+
+// truncate drops the records behind the offset. It returns false, and changes
+// nothing, if the record at the offset is no longer in memory.
+func (h *history) truncate(offset uint64) bool {
+	if offset == h.end.Offset {
+		return true
+	}
+	if offset < h.firstKept() {
+		return false
+	}
+	keep := int(offset + 1 - h.firstKept())
+	h.records = append([]*record(nil), h.records[:keep]...)
+	h.end = h.records[keep-1].pos
+	starts := sort.Search(len(h.terms), func(i int) bool { return h.terms[i].first > offset })
+	h.terms = h.terms[:starts:starts]
+	return true
+}
+
+// clone copies the history; the records themselves are shared.
+func (h *history) clone() history {
+	return history{
+		end:     h.end,
+		records: append([]*record(nil), h.records...),
+		terms:   append([]termStart(nil), h.terms...),
+	}
+}
+
+// commonOffset returns the offset up to which two logs are equal. Two logs with
+// a record of the same term and offset are equal up to it, because only one
+// slot writes at a term.
+func commonOffset(a []termStart, endA uint64, b []termStart, endB uint64) uint64 {
+	same := 0
+	for same < len(a) && same < len(b) && a[same] == b[same] {
+		same++
+	}
+	if same == 0 {
+		return 0
+	}
+	return min(segmentEnd(a, endA, same-1), segmentEnd(b, endB, same-1))
+}
+
+// segmentEnd returns the last offset of the i-th term.
+func segmentEnd(terms []termStart, end uint64, i int) uint64 {
+	if i+1 < len(terms) {
+		return terms[i+1].first - 1
+	}
+	return end
+}
--- /dev/null
+++ b/standin/dbgroup/query.go
@@ -0,0 +1,576 @@
+package dbgroup
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/jackc/pgx/v5/pgtype"
+
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup/internal/sqlite"
+)
+
+// column is a column of a result.
+type column struct {
+	name string
+	oid  uint32
+}
+
+// prepared is a parsed statement.
+type prepared struct {
+	command
+	// params holds the types of $1, $2 and so on.
+	params []uint32
+	// order holds, for each parameter of the embedded database, the index in params.
+	order    []int
+	columns  []column
+	readOnly bool
+	// settled says that the types of all columns are known as far as they can be.
+	settled bool
+}
+
+// portal is a prepared statement with its parameters.
+type portal struct {
+	*prepared
+	args    []any
+	formats []int16
+	// describe asks for a RowDescription before the rows, as simple queries have it.
+	describe bool
+	stmt     *sqlite.Stmt
+	rows     int64
+	done     bool
+}
+
+// prepare parses a statement.
+func (c *session) prepare(sql string, oids []uint32) (*prepared, error) {
+	p := &prepared{command: classify(sql), readOnly: true, settled: true}
+	if c.tx.status == statusFailed && !p.endsTransaction() {
+		return nil, failf(codeFailedTransaction, messageOfFailedTx)
+	}
+	switch p.kind {
+	case kindSQL:
+		return p, c.describeSQL(p, oids)
+	case kindShow:
+		p.columns = []column{{p.name, pgtype.TextOID}}
+	case kindSleep:
+		p.columns = []column{{"pg_sleep", pgtype.TextOID}}
+	}
+	return p, nil
+}
+
+// endsTransaction reports whether a failed transaction admits the statement.
+func (c command) endsTransaction() bool {
+	switch c.kind {
+	case kindCommit, kindRollback, kindRollbackTo, kindEmpty:
+		return true
+	}
+	return false
+}
+
+// describeSQL asks the embedded database for parameters and columns.
+func (c *session) describeSQL(p *prepared, oids []uint32) error {
+	stmt, err := c.acquire(p.sql)
+	if err != nil {
+		return err
+	}
+	defer c.release(p.sql, stmt)
+	if stmt.Empty() {
+		p.kind = kindEmpty
+		return nil
+	}
+	p.readOnly = stmt.ReadOnly
+	p.params = append(p.params, oids...)
+	for _, name := range stmt.Params {
+		if err := p.addParam(name); err != nil {
+			return err
+		}
+	}
+	for _, col := range stmt.Columns {
+		oid := oidOfName(col.DeclType)
+		p.columns = append(p.columns, column{col.Name, oid})
+		p.settled = p.settled && oid != unknownOID
+	}
+	return nil
+}
+
+// addParam takes a parameter name such as "$1" or "$1::int8". The embedded
+// database takes a cast behind a parameter as a part of its name.
+func (p *prepared) addParam(name string) error {
+	number, cast, _ := strings.Cut(strings.TrimPrefix(name, "$"), "::")
+	n, err := strconv.Atoi(number)
+	if err != nil || n < 1 || n > 65535 || !strings.HasPrefix(name, "$") {
+		return failf(codeUndefinedParameter, "parameter %q is not of the form $1", name)
+	}
+	for len(p.params) < n {
+		p.params = append(p.params, unknownOID)
+	}
+	if p.params[n-1] == unknownOID {
+		p.params[n-1] = oidOfName(cast)
+	}
+	p.order = append(p.order, n-1)
+	return nil
+}
+
+// settle finds the types of expression columns from the first row that the
+// statement gives without parameters. The type stays unknown if there is none.
+func (c *session) settle(p *prepared) {
+	if p.settled {
+		return
+	}
+	p.settled = true
+	if !p.readOnly {
+		return
+	}
+	stmt, err := c.acquire(p.sql)
+	if err != nil {
+		return
+	}
+	defer c.release(p.sql, stmt)
+	if more, err := stmt.Step(); err == nil && more {
+		p.takeTypes(stmt)
+	}
+}
+
+func (p *prepared) takeTypes(stmt *sqlite.Stmt) {
+	for i := range p.columns {
+		if p.columns[i].oid == unknownOID {
+			p.columns[i].oid = oidOfValue(stmt.Type(i))
+		}
+	}
+}
+
+func describeRow(columns []column, formats []int16) *pgproto3.RowDescription {
+	d := &pgproto3.RowDescription{}
+	for i, col := range columns {
+		d.Fields = append(d.Fields, pgproto3.FieldDescription{
+			Name: []byte(col.name), DataTypeOID: col.oid, DataTypeSize: typeSize(col.oid),
+			TypeModifier: -1, Format: formatOf(formats, i),
+		})
+	}
+	return d
+}
+
+// formatOf reads a list of format codes, of which one holds for all.
+func formatOf(formats []int16, i int) int16 {
+	switch len(formats) {
+	case 0:
+		return textFormat
+	case 1:
+		return formats[0]
+	}
+	if i < len(formats) {
+		return formats[i]
+	}
+	return textFormat
+}
+
+// extended serves the messages of the extended protocol other than Sync.
+func (c *session) extended(msg pgproto3.FrontendMessage) error {
+	switch msg := msg.(type) {
+	case *pgproto3.Parse:
+		return c.parse(msg)
+	case *pgproto3.Bind:
+		return c.bind(msg)
+	case *pgproto3.Describe:
+		return c.describe(msg)
+	case *pgproto3.Execute:
+		return c.executePortal(msg)
+	case *pgproto3.Close:
+		return c.closeObject(msg)
+	}
+	return failf(codeProtocolViolation, "message %T is not supported", msg)
+}
+
+func (c *session) parse(msg *pgproto3.Parse) error {
+	if _, exists := c.prepared[msg.Name]; exists && msg.Name != "" {
+		return failf(codeDuplicateStatement, "prepared statement %q already exists", msg.Name)
+	}
+	p, err := c.prepare(msg.Query, msg.ParameterOIDs)
+	if err != nil {
+		return err
+	}
+	c.prepared[msg.Name] = p
+	c.send(&pgproto3.ParseComplete{})
+	return nil
+}
+
+func (c *session) statement(name string) (*prepared, error) {
+	if p, ok := c.prepared[name]; ok {
+		return p, nil
+	}
+	return nil, failf(codeUnknownStatement, "prepared statement %q does not exist", name)
+}
+
+func (c *session) bind(msg *pgproto3.Bind) error {
+	p, err := c.statement(msg.PreparedStatement)
+	if err != nil {
+		return err
+	}
+	if c.tx.status == statusFailed && !p.endsTransaction() {
+		return failf(codeFailedTransaction, messageOfFailedTx)
+	}
+	if len(msg.Parameters) != len(p.params) {
+		return failf(codeProtocolViolation, "bind message supplies %d parameters, but prepared statement %q requires %d",
+			len(msg.Parameters), msg.PreparedStatement, len(p.params))
+	}
+	values := make([]any, len(p.params))
+	for i, src := range msg.Parameters {
+		if values[i], err = c.codec.decode(p.params[i], formatOf(msg.ParameterFormatCodes, i), src); err != nil {
+			return err
+		}
+	}
+	target := &portal{prepared: p, formats: append([]int16(nil), msg.ResultFormatCodes...)}
+	for _, index := range p.order {
+		target.args = append(target.args, values[index])
+	}
+	c.closePortal(msg.DestinationPortal)
+	c.portals[msg.DestinationPortal] = target
+	c.send(&pgproto3.BindComplete{})
+	return nil
+}
+
+func (c *session) describe(msg *pgproto3.Describe) error {
+	if msg.ObjectType == 'P' {
+		target, err := c.portal(msg.Name)
+		if err != nil {
+			return err
+		}
+		c.sendDescription(target.prepared, target.formats)
+		return nil
+	}
+	p, err := c.statement(msg.Name)
+	if err != nil {
+		return err
+	}
+	c.send(&pgproto3.ParameterDescription{ParameterOIDs: p.params})
+	c.sendDescription(p, nil)
+	return nil
+}
+
+func (c *session) sendDescription(p *prepared, formats []int16) {
+	if len(p.columns) == 0 {
+		c.send(&pgproto3.NoData{})
+		return
+	}
+	c.settle(p)
+	c.send(describeRow(p.columns, formats))
+}
+
+func (c *session) portal(name string) (*portal, error) {
+	if target, ok := c.portals[name]; ok {
+		return target, nil
+	}
+	return nil, failf(codeUnknownPortal, "portal %q does not exist", name)
+}
+
+func (c *session) executePortal(msg *pgproto3.Execute) error {
+	target, err := c.portal(msg.Portal)
+	if err != nil {
+		return err
+	}
+	if c.tx.status == statusFailed && !target.endsTransaction() {
+		return failf(codeFailedTransaction, messageOfFailedTx)
+	}
+	suspended, err := c.execute(target, int64(msg.MaxRows))
+	if suspended {
+		c.send(&pgproto3.PortalSuspended{})
+	}
+	return err
+}
+
+func (c *session) closeObject(msg *pgproto3.Close) error {
+	if msg.ObjectType == 'P' {
+		c.closePortal(msg.Name)
+	} else {
+		delete(c.prepared, msg.Name)
+	}
+	c.send(&pgproto3.CloseComplete{})
+	return nil
+}
+
+func (c *session) closePortal(name string) {
+	if target, ok := c.portals[name]; ok {
+		c.releasePortal(target)
+		delete(c.portals, name)
+	}
+}
+
+func (c *session) closePortals() {
+	for name := range c.portals {
+		c.closePortal(name)
+	}
+}
+
+// releasePortal ends the portal's execution.
+func (c *session) releasePortal(target *portal) {
+	if target.stmt != nil {
+		c.release(target.sql, target.stmt)
+		target.stmt = nil
+	}
+}
+
+// resetPortalStatements ends unfinished executions, which would keep the
+// embedded database from ending its transaction.
+func (c *session) resetPortalStatements() {
+	for _, target := range c.portals {
+		c.releasePortal(target)
+	}
+}
+
+// execute runs a portal and sends its rows and command tag, or reports that it
+// stopped at maxRows rows; 0 means all.
+func (c *session) execute(target *portal, maxRows int64) (suspended bool, err error) {
+	if c.cancelled.Load() {
+		return false, c.interrupted()
+	}
+	if target.kind == kindSQL {
+		return c.executeSQL(target, maxRows)
+	}
+	tag, err := c.executeCommand(target)
+	if err != nil {
+		return false, err
+	}
+	if target.kind == kindEmpty {
+		c.send(&pgproto3.EmptyQueryResponse{})
+		return false, nil
+	}
+	c.complete(tag)
+	return false, nil
+}
+
+func (c *session) complete(tag string) {
+	c.send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+// executeCommand runs a statement that the session serves itself.
+func (c *session) executeCommand(target *portal) (tag string, err error) {
+	cmd := target.command
+	switch cmd.kind {
+	case kindEmpty:
+		return "", nil
+	case kindBegin:
+		return "BEGIN", c.begin(cmd)
+	case kindCommit:
+		return c.endTransaction()
+	case kindRollback:
+		c.rollback()
+		return "ROLLBACK", nil
+	case kindSavepoint:
+		return "SAVEPOINT", c.setSavepoint(cmd.name)
+	case kindRelease:
+		return "RELEASE", c.releaseSavepoint(cmd.name)
+	case kindRollbackTo:
+		return "ROLLBACK", c.rollbackTo(cmd.name)
+	case kindShow:
+		return "SHOW", c.show(target)
+	case kindSleep:
+		return "SELECT 1", c.sleep(target)
+	}
+	return c.changeSetting(cmd), nil
+}
+
+func (c *session) endTransaction() (string, error) {
+	switch c.tx.status {
+	case statusFailed:
+		c.rollback()
+		return "ROLLBACK", nil
+	case statusIdle:
+		c.warn(codeNoActiveTransaction, "there is no transaction in progress")
+	}
+	return "COMMIT", c.commit()
+}
+
+func (c *session) changeSetting(cmd command) (tag string) {
+	switch cmd.kind {
+	case kindSet:
+		c.set(cmd.name, cmd.value)
+		return "SET"
+	case kindReset:
+		c.set(cmd.name, "")
+		return "RESET"
+	case kindDiscard:
+		clear(c.prepared)
+		return "DISCARD ALL"
+	case kindDeallocate:
+		if cmd.name == "all" {
+			clear(c.prepared)
+			return "DEALLOCATE ALL"
+		}
+		delete(c.prepared, cmd.name)
+	}
+	return "DEALLOCATE"
+}
+
+func (c *session) set(name, value string) {
+	c.settings[name] = value
+	if name == "application_name" {
+		c.send(&pgproto3.ParameterStatus{Name: name, Value: value})
+	}
+}
+
+func (c *session) show(target *portal) error {
+	value, known := c.settings[target.name]
+	switch target.name {
+	case "transaction_read_only", "in_hot_standby":
+		_, err := c.slot.writableEpoch()
+		value, known = onOff(err != nil || c.tx.readOnly), true
+	case "server_version":
+		value, known = serverVersion, true
+	}
+	if !known {
+		return failf(codeUndefinedObject, "unrecognized configuration parameter %q", target.name)
+	}
+	c.sendTextRow(target, value)
+	return nil
+}
+
+func onOff(v bool) string {
+	if v {
+		return "on"
+	}
+	return "off"
+}
+
+func (c *session) sendTextRow(target *portal, value string) {
+	if target.describe {
+		c.send(describeRow(target.columns, target.formats))
+	}
+	c.send(&pgproto3.DataRow{Values: [][]byte{[]byte(value)}})
+}
+
+// sleep serves pg_sleep, which tests use as a slow statement.
+func (c *session) sleep(target *portal) error {
+	seconds, err := strconv.ParseFloat(target.value, 64)
+	if err != nil {
+		return failf(codeInvalidText, "invalid input syntax for type double precision: %q", target.value)
+	}
+	timer := time.NewTimer(time.Duration(seconds * float64(time.Second)))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		c.sendTextRow(target, "")
+		return nil
+	case <-c.cancelCh:
+	case <-c.ctx.Done():
+	}
+	return c.interrupted()
+}
+
+// executeSQL runs a statement in the embedded database.
+func (c *session) executeSQL(target *portal, maxRows int64) (suspended bool, err error) {
+	if target.done {
+		c.complete(target.tag(0))
+		return false, nil
+	}
+	if !target.readOnly {
+		if err := c.becomeWriter(); err != nil {
+			return false, err
+		}
+		// A write runs to its end, so that its rows come at once.
+		maxRows = 0
+	}
+	if err := c.startPortal(target); err != nil {
+		return false, err
+	}
+	suspended, err = c.sendRows(target, maxRows)
+	if err != nil || suspended {
+		return suspended, err
+	}
+	target.done = true
+	c.finishSQL(target)
+	return false, nil
+}
+
+func (c *session) startPortal(target *portal) error {
+	if target.stmt != nil {
+		return nil
+	}
+	stmt, err := c.acquire(target.sql)
+	if err != nil {
+		return err
+	}
+	target.stmt = stmt
+	for i, arg := range target.args {
+		if err := stmt.Bind(i+1, arg); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// finishSQL notes a write for the log and sends the command tag.
+func (c *session) finishSQL(target *portal) {
+	count := target.rows
+	if !target.readOnly {
+		if len(target.columns) == 0 {
+			count = c.db.Load().Changes()
+		}
+		c.tx.pending = append(c.tx.pending, statement{target.sql, target.args})
+	}
+	c.releasePortal(target)
+	c.complete(target.tag(count))
+}
+
+func (p *portal) tag(count int64) string {
+	verb := p.tagVerb(p.readOnly)
+	if !countsRows(verb) {
+		return verb
+	}
+	return verb + " " + strconv.FormatInt(count, 10)
+}
+
+// sendRows sends rows up to the limit, or all if it is 0.
+func (c *session) sendRows(target *portal, maxRows int64) (suspended bool, err error) {
+	for sent := int64(0); maxRows == 0 || sent < maxRows; sent++ {
+		more, err := target.stmt.Step()
+		if err != nil {
+			return false, err
+		}
+		if err := c.describeOnce(target, more); err != nil || !more {
+			return false, err
+		}
+		if err := c.sendRow(target); err != nil {
+			return false, err
+		}
+		target.rows++
+	}
+	return true, nil
+}
+
+// describeOnce sends the RowDescription of a simple query, with the types of its first row.
+func (c *session) describeOnce(target *portal, hasRow bool) error {
+	if !target.describe || len(target.columns) == 0 {
+		return nil
+	}
+	target.describe = false
+	if hasRow {
+		target.takeTypes(target.stmt)
+	}
+	c.send(describeRow(target.columns, target.formats))
+	return nil
+}
+
+func (c *session) sendRow(target *portal) error {
+	c.values, c.buffer = c.values[:0], c.buffer[:0]
+	for i, col := range target.columns {
+		if target.stmt.Type(i) == sqlite.Null {
+			c.values = append(c.values, nil)
+			continue
+		}
+		start := len(c.buffer)
+		out, err := c.codec.encode(c.buffer, target.stmt, i, col.oid, formatOf(target.formats, i))
+		if err != nil {
+			return err
+		}
+		c.buffer = out
+		c.values = append(c.values, out[start:len(out):len(out)])
+	}
+	c.row.Values = c.values
+	c.send(&c.row)
+	c.unsent += len(c.buffer)
+	if c.unsent < flushThreshold {
+		return nil
+	}
+	return c.flush()
+}
--- /dev/null
+++ b/standin/dbgroup/replicate.go
@@ -0,0 +1,392 @@
+package dbgroup
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup/internal/sqlite"
+)
+
+// arrival is when the log reached an offset.
+type arrival struct {
+	offset uint64
+	at     time.Time
+}
+
+// receiver is what a replica's state was when it looked for records.
+type receiver struct {
+	term     group.Term
+	epoch    uint64
+	upstream *Slot
+	end      uint64
+	terms    []termStart
+	changed  <-chan struct{}
+}
+
+// receiveLoop pulls records from the upstream until ctx ends.
+func (s *Slot) receiveLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		wait, own, theirs := s.receiveOnce(ctx)
+		if wait == 0 {
+			continue
+		}
+		waitAny(ctx, wait, own, theirs)
+	}
+}
+
+func waitAny(ctx context.Context, wait time.Duration, own, theirs <-chan struct{}) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-own:
+	case <-theirs:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// receiveOnce takes the records that are due and returns how long to wait for
+// more, at most, and the channels whose closing ends the wait early.
+func (s *Slot) receiveOnce(ctx context.Context) (time.Duration, <-chan struct{}, <-chan struct{}) {
+	view, following := s.receiverView()
+	if !following || !linked(view.upstream, s) {
+		return heartbeatOfReplication, view.changed, nil
+	}
+	offer := view.upstream.offer(view)
+	switch {
+	case !offer.ok:
+		return heartbeatOfReplication, view.changed, offer.changed
+	case offer.rebuild:
+		s.rebuild(ctx, view)
+		return heartbeatOfReplication, view.changed, offer.changed
+	case offer.common < view.end:
+		if !s.discard(ctx, view, offer.common) {
+			s.rebuild(ctx, view)
+		}
+		return 0, nil, nil
+	}
+	due, wait := s.dueRecords(offer.records, view.upstream)
+	s.receive(view, due)
+	switch {
+	case len(due) > 0:
+		return 0, nil, nil
+	case wait > 0:
+		// Records in flight arrive in order, so that newer ones need no wake-up.
+		return min(wait, heartbeatOfReplication), view.changed, nil
+	}
+	return heartbeatOfReplication, view.changed, offer.changed
+}
+
+func (s *Slot) receiverView() (receiver, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	view := receiver{
+		term: s.accepted, epoch: s.epoch,
+		upstream: s.group.slotAt(s.upstream),
+		end:      s.log.end.Offset, terms: s.log.terms,
+		changed: s.changed,
+	}
+	return view, s.running && s.role == group.Replica && view.upstream != nil
+}
+
+// offer is what a primary has for a replica.
+type offer struct {
+	ok      bool
+	common  uint64
+	rebuild bool
+	records []*record
+	changed <-chan struct{}
+}
+
+// offer compares logs with a replica of the same term.
+func (s *Slot) offer(to receiver) offer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o := offer{changed: s.changed}
+	if !s.running || s.role != group.Primary || s.accepted != to.term {
+		return o
+	}
+	o.ok = true
+	o.common = commonOffset(s.log.terms, s.log.end.Offset, to.terms, to.end)
+	records, kept := s.log.after(o.common, replicationBatchRecords)
+	o.records, o.rebuild = records, !kept
+	return o
+}
+
+// dueRecords returns the records that have crossed the link, or the time until the next one has.
+func (s *Slot) dueRecords(records []*record, from *Slot) ([]*record, time.Duration) {
+	delay := s.group.opts.Latency.OneWay(from.zone, s.zone)
+	now := time.Now()
+	for i, r := range records {
+		if wait := r.committed.Add(delay).Sub(now); wait > 0 {
+			return records[:i], wait
+		}
+	}
+	return records, 0
+}
+
+// receive appends records unless the slot's role or upstream has changed.
+func (s *Slot) receive(view receiver, records []*record) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != view.epoch || !s.running {
+		return
+	}
+	s.lastHeard = time.Now()
+	if len(records) == 0 {
+		return
+	}
+	for _, r := range records {
+		s.log.append(r)
+	}
+	s.arrivals = append(s.arrivals, arrival{s.log.end.Offset, s.lastHeard})
+	s.broadcast()
+}
+
+// discard drops the tail of the log behind the offset. It returns false if
+// part of the tail has been applied, so that the database must be rebuilt.
+func (s *Slot) discard(ctx context.Context, view receiver, common uint64) bool {
+	if !s.writer.acquire(nil, nil, ctx.Done()) {
+		return true
+	}
+	defer s.writer.release()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != view.epoch {
+		return true
+	}
+	if s.applied.Offset > common || !s.log.truncate(common) {
+		return false
+	}
+	for i := range s.arrivals {
+		s.arrivals[i].offset = min(s.arrivals[i].offset, common)
+	}
+	s.logger.WithField("position", s.log.end).Info("log_truncated")
+	return true
+}
+
+// rebuild replaces the database by a copy of the upstream's. Ordinary
+// connections are closed first, as they hold the old database.
+func (s *Slot) rebuild(ctx context.Context, view receiver) {
+	if !s.writer.acquire(nil, nil, ctx.Done()) {
+		return
+	}
+	defer s.writer.release()
+	defer s.endRebuild()
+	if !s.beginRebuild(view) {
+		return
+	}
+	path := s.group.path("slot-%d-%d.db", s.index, s.generation)
+	copied, ok := view.upstream.copyTo(path, view.term)
+	if ok {
+		s.finishRebuild(view, path, copied)
+	}
+}
+
+func (s *Slot) endRebuild() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.rebuilding = false
+}
+
+// beginRebuild closes the ordinary connections and waits for their end.
+func (s *Slot) beginRebuild(view receiver) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != view.epoch || !s.running {
+		return false
+	}
+	s.rebuilding = true
+	s.generation++
+	for s.ordinary > 0 {
+		for _, session := range s.sessions {
+			if session.counted {
+				session.terminate(fatal(codeAdminShutdown, messageOfServerStopping))
+			}
+		}
+		changed := s.ordinary
+		s.mu.Unlock()
+		s.waitForFewer(changed)
+		s.mu.Lock()
+	}
+	return s.epoch == view.epoch
+}
+
+func (s *Slot) waitForFewer(than int) {
+	for {
+		s.mu.Lock()
+		now := s.ordinary
+		s.mu.Unlock()
+		if now < than {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// databaseCopy is the log and applied position that belong to a copied file.
+type databaseCopy struct {
+	log     history
+	applied group.Position
+}
+
+// copyTo writes a copy of a primary's database.
+func (s *Slot) copyTo(path string, term group.Term) (databaseCopy, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.running || s.role != group.Primary || s.accepted != term {
+		return databaseCopy{}, false
+	}
+	if err := s.admin.Exec(fmt.Sprintf("VACUUM INTO '%s'", path)); err != nil {
+		s.logger.WithError(err).Error("copy_failed")
+		return databaseCopy{}, false
+	}
+	return databaseCopy{log: s.log.clone(), applied: s.applied}, true
+}
+
+func (s *Slot) finishRebuild(view receiver, path string, copied databaseCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != view.epoch {
+		return
+	}
+	s.closeDatabase()
+	s.path = path
+	if err := s.openDatabase(); err != nil {
+		panic(fmt.Sprintf("dbgroup: slot %s cannot open its copy: %v", s.id, err))
+	}
+	s.log, s.applied, s.arrivals = copied.log, copied.applied, nil
+	s.lastHeard = time.Now()
+	s.broadcast()
+	s.logger.WithField("position", s.log.end).Info("slot_rebuilt")
+}
+
+// applyLoop applies received records after the lag until ctx ends.
+func (s *Slot) applyLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		records, epoch, wait, changed := s.dueToApply()
+		if len(records) == 0 {
+			waitAny(ctx, wait, changed, nil)
+			continue
+		}
+		s.applyAs(ctx, records, epoch)
+	}
+}
+
+func (s *Slot) dueToApply() (records []*record, epoch uint64, wait time.Duration, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changed = s.changed
+	if !s.running || s.role != group.Replica || s.network.Load().frozen {
+		return nil, 0, heartbeatOfReplication, changed
+	}
+	for len(s.arrivals) > 0 && s.arrivals[0].offset <= s.applied.Offset {
+		s.arrivals = s.arrivals[1:]
+	}
+	lag, now, upTo := s.settings.Load().applyLag, time.Now(), s.applied.Offset
+	for _, a := range s.arrivals {
+		if wait = a.at.Add(lag).Sub(now); wait > 0 {
+			break
+		}
+		upTo = a.offset
+	}
+	limit := min(int(upTo-s.applied.Offset), replicationBatchRecords)
+	records, _ = s.log.after(s.applied.Offset, limit)
+	if wait <= 0 {
+		wait = heartbeatOfReplication
+	}
+	return records, s.epoch, wait, changed
+}
+
+// applyAs applies records unless the role has changed since.
+func (s *Slot) applyAs(ctx context.Context, records []*record, epoch uint64) {
+	if !s.writer.acquire(nil, nil, ctx.Done()) {
+		return
+	}
+	defer s.writer.release()
+	s.mu.Lock()
+	current := s.epoch == epoch
+	s.mu.Unlock()
+	if !current {
+		return
+	}
+	s.applyRecords(records)
+}
+
+// applyRecords runs the records in one transaction; the caller holds the writer lock.
+func (s *Slot) applyRecords(records []*record) {
+	if len(records) == 0 {
+		return
+	}
+	if err := s.apply.run(records); err != nil {
+		// Another slot ran the same statements, so this is a fault of the
+		// stand-in or a statement that is not deterministic.
+		s.logger.WithError(err).Error("apply_failed")
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.applied = records[len(records)-1].pos
+}
+
+// applier runs replicated statements.
+type applier struct {
+	db         *sqlite.DB
+	statements map[string]*sqlite.Stmt
+}
+
+func newApplier(db *sqlite.DB) *applier {
+	return &applier{db: db, statements: map[string]*sqlite.Stmt{}}
+}
+
+func (a *applier) close() {
+	a.forget()
+	a.db.Close()
+}
+
+func (a *applier) forget() {
+	for sql, stmt := range a.statements {
+		stmt.Finalize()
+		delete(a.statements, sql)
+	}
+}
+
+// run applies all records it can and returns the first error.
+func (a *applier) run(records []*record) error {
+	if err := a.db.Exec("BEGIN IMMEDIATE"); err != nil {
+		return err
+	}
+	var first error
+	for _, r := range records {
+		for _, stmt := range r.stmts {
+			if err := a.exec(stmt); err != nil && first == nil {
+				first = fmt.Errorf("position %s: %s: %w", r.pos, stmt.sql, err)
+			}
+		}
+	}
+	if err := a.db.Exec("COMMIT"); err != nil && first == nil {
+		first = err
+	}
+	return first
+}
+
+func (a *applier) exec(s statement) error {
+	stmt, ok := a.statements[s.sql]
+	if !ok {
+		if len(a.statements) >= statementCacheSize {
+			a.forget()
+		}
+		var err error
+		if stmt, err = a.db.Prepare(s.sql); err != nil {
+			return err
+		}
+		a.statements[s.sql] = stmt
+	}
+	for i, arg := range s.args {
+		if err := stmt.Bind(i+1, arg); err != nil {
+			return err
+		}
+	}
+	return stmt.Run()
+}
--- /dev/null
+++ b/standin/dbgroup/slot.go
@@ -0,0 +1,339 @@
+package dbgroup
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup/internal/sqlite"
+)
+
+const (
+	// relistenAttempts and relistenPause bound the wait of a restart for its old port.
+	relistenAttempts = 50
+	relistenPause    = 20 * time.Millisecond
+)
+
+// Slot is one backend server of a group.
+type Slot struct {
+	group *Group
+	index int
+	id    string
+	zone  string
+	// address is set by the first start and stays the same.
+	address string
+	logger  logrus.FieldLogger
+
+	network  atomic.Pointer[networkFaults]
+	settings atomic.Pointer[slotSettings]
+	writer   *writerLock
+	// sessionsDone counts the goroutines of connections and of the listener.
+	sessionsDone sync.WaitGroup
+
+	// mu guards what follows. A commit holds it while it checks the role,
+	// commits in the embedded database and appends to the log.
+	mu       sync.Mutex
+	running  bool
+	listener net.Listener
+	sessions map[uint32]*session
+	ordinary int
+
+	accepted group.Term
+	role     group.Role
+	upstream string
+	// epoch changes with each change of role and each kill; work of an older
+	// epoch must not commit or be appended.
+	epoch     uint64
+	log       history
+	applied   group.Position
+	arrivals  []arrival
+	lastHeard time.Time
+	// changed is closed and replaced on each change that a loop waits for.
+	changed chan struct{}
+
+	rebuilding bool
+	generation int
+	path       string
+	// admin makes copies of the database under mu; apply runs replicated
+	// statements under the writer lock.
+	admin *sqlite.DB
+	apply *applier
+}
+
+// slotSettings are the limits and times that may change at run time.
+type slotSettings struct {
+	connectionLimit int
+	connectTime     time.Duration
+	applyLag        time.Duration
+	leaving         bool
+}
+
+// savedState is the part of a slot that survives its restart apart from the log.
+type savedState struct {
+	Accepted group.Term `json:"accepted"`
+	Role     group.Role `json:"role"`
+	Upstream string     `json:"upstream"`
+}
+
+func newSlot(g *Group, index int) *Slot {
+	o := g.opts.Slots[index]
+	s := &Slot{
+		group: g, index: index, id: o.ID, zone: o.Zone, address: o.Address,
+		logger:   g.opts.Logger.WithField("slot", o.ID),
+		sessions: map[uint32]*session{},
+		changed:  make(chan struct{}),
+		role:     group.Replica,
+	}
+	s.writer = newWriterLock(g.opts.WriterIdleLimit)
+	s.network.Store(&networkFaults{changed: make(chan struct{})})
+	s.settings.Store(&slotSettings{
+		connectionLimit: g.opts.ConnectionLimit,
+		connectTime:     g.opts.ConnectTime,
+		applyLag:        g.opts.ApplyLag,
+	})
+	return s
+}
+
+// ID returns the name of the slot.
+func (s *Slot) ID() string { return s.id }
+
+// Zone returns the availability zone of the slot.
+func (s *Slot) Zone() string { return s.zone }
+
+// Address returns the host:port of the listener, which a restart keeps.
+func (s *Slot) Address() string { return s.address }
+
+// start creates the database and listens.
+func (s *Slot) start() error {
+	s.path = s.group.path("slot-%d-0.db", s.index)
+	if err := s.openDatabase(); err != nil {
+		return err
+	}
+	for _, sql := range append([]string{schemaOfRequestLog}, s.group.opts.Schema...) {
+		if err := s.admin.Exec(sql); err != nil {
+			return fmt.Errorf("schema: %w", err)
+		}
+	}
+	return s.listen()
+}
+
+func (s *Slot) openDatabase() error {
+	admin, err := sqlite.Open(s.path)
+	if err != nil {
+		return err
+	}
+	db, err := sqlite.Open(s.path)
+	if err != nil {
+		admin.Close()
+		return err
+	}
+	s.admin = admin
+	s.apply = newApplier(db)
+	return nil
+}
+
+func (s *Slot) closeDatabase() {
+	if s.apply != nil {
+		s.apply.close()
+		s.apply = nil
+	}
+	if s.admin != nil {
+		s.admin.Close()
+		s.admin = nil
+	}
+}
+
+func (s *Slot) listen() error {
+	listener, err := net.Listen("tcp", s.address)
+	for range relistenAttempts {
+		if err == nil {
+			break
+		}
+		time.Sleep(relistenPause)
+		listener, err = net.Listen("tcp", s.address)
+	}
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = listener
+	s.address = listener.Addr().String()
+	if s.zone == "" {
+		s.zone = s.group.opts.Latency.Zone(listener.Addr().(*net.TCPAddr).AddrPort().Addr())
+	}
+	s.running = true
+	s.sessionsDone.Go(func() { s.acceptLoop(listener) })
+	s.broadcast()
+	return nil
+}
+
+func (s *Slot) acceptLoop(listener net.Listener) {
+	for {
+		conn, err := listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			s.logger.WithError(err).Warn("accept_failed")
+			time.Sleep(relistenPause)
+			continue
+		}
+		s.serve(conn)
+	}
+}
+
+func (s *Slot) serve(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.running {
+		_ = conn.Close()
+		return
+	}
+	session := newSession(s, conn, s.group.lastPID.Add(1))
+	s.sessions[session.pid] = session
+	s.sessionsDone.Go(session.run)
+}
+
+// remove forgets an ended session.
+func (s *Slot) remove(ended *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, ended.pid)
+	if ended.counted {
+		s.ordinary--
+	}
+}
+
+// admit counts an ordinary connection against the limit.
+func (s *Slot) admit(session *session) *sqlError {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.rebuilding {
+		return fatal("57P03", "the database system is starting up")
+	}
+	if s.ordinary >= s.settings.Load().connectionLimit {
+		return fatal(codeTooManyConnections, messageOfTooManyClients)
+	}
+	s.ordinary++
+	session.counted = true
+	return nil
+}
+
+// broadcast wakes the loops; the caller holds mu.
+func (s *Slot) broadcast() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// nudge wakes the loops.
+func (s *Slot) nudge() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.broadcast()
+}
+
+// saveState keeps what a restart needs; the caller holds mu. It panics if the
+// file cannot be written, because the contract needs the term to last.
+func (s *Slot) saveState() {
+	data, err := json.Marshal(savedState{s.accepted, s.role, s.upstream})
+	if err == nil {
+		err = os.WriteFile(s.statePath(), data, 0o600)
+	}
+	if err != nil {
+		panic(fmt.Sprintf("dbgroup: slot %s cannot keep its term: %v", s.id, err))
+	}
+}
+
+func (s *Slot) loadState() error {
+	data, err := os.ReadFile(s.statePath())
+	if err != nil {
+		return err
+	}
+	var saved savedState
+	if err := json.Unmarshal(data, &saved); err != nil {
+		return err
+	}
+	s.accepted, s.role, s.upstream = saved.Accepted, saved.Role, saved.Upstream
+	return nil
+}
+
+func (s *Slot) statePath() string { return s.group.path("slot-%d.json", s.index) }
+
+// Kill closes the listener and all connections at once, as a crash does.
+// Transactions that have not committed are gone when it returns.
+func (s *Slot) Kill() {
+	s.mu.Lock()
+	if !s.running {
+		s.mu.Unlock()
+		return
+	}
+	s.running = false
+	s.epoch++
+	// What a crash would erase from memory; Restart reads it back.
+	s.accepted, s.role, s.upstream = 0, group.Fenced, ""
+	listener := s.listener
+	sessions := s.currentSessions()
+	s.broadcast()
+	s.mu.Unlock()
+	_ = listener.Close()
+	for _, session := range sessions {
+		session.kill()
+	}
+	s.sessionsDone.Wait()
+	s.logger.Info("slot_killed")
+}
+
+// currentSessions returns the open sessions; the caller holds mu.
+func (s *Slot) currentSessions() []*session {
+	var sessions []*session
+	for _, session := range s.sessions {
+		sessions = append(sessions, session)
+	}
+	return sessions
+}
+
+// Restart starts a killed slot again on its address, with its log, accepted
+// term and role. It fails if the address is taken.
+func (s *Slot) Restart() error {
+	s.mu.Lock()
+	if s.running {
+		s.mu.Unlock()
+		return nil
+	}
+	err := s.loadState()
+	s.mu.Unlock()
+	if err != nil {
+		return fmt.Errorf("dbgroup: restart %s: %w", s.id, err)
+	}
+	if err := s.listen(); err != nil {
+		return fmt.Errorf("dbgroup: restart %s: %w", s.id, err)
+	}
+	s.logger.Info("slot_restarted")
+	return nil
+}
+
+// Running reports whether the slot is not killed.
+func (s *Slot) Running() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running
+}
+
+// oneWay returns the latency between the slot and a client.
+func (s *Slot) oneWay(client netip.Addr) time.Duration {
+	table := s.group.opts.Latency
+	if table == nil {
+		return 0
+	}
+	return table.OneWay(table.Zone(client), s.zone)
+}
--- /dev/null
+++ b/standin/dbgroup/transaction.go
@@ -0,0 +1,327 @@
+package dbgroup
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup/internal/sqlite"
+)
+
+// The transaction states of ReadyForQuery.
+const (
+	statusIdle   byte = 'I'
+	statusInTx   byte = 'T'
+	statusFailed byte = 'E'
+)
+
+// transaction is the state of a session's explicit or implicit transaction.
+//
+// At READ COMMITTED, the default, no transaction is opened in the embedded
+// database before the first write, so that each statement sees the latest
+// commits. The first write takes the slot's writer lock. A read-only or
+// REPEATABLE READ transaction opens one at once, for its snapshot.
+type transaction struct {
+	status     byte
+	readOnly   bool
+	snapshot   bool
+	writing    bool
+	epoch      uint64
+	pending    []statement
+	savepoints []savepoint
+}
+
+// savepoint remembers how many writes were pending when it was set.
+type savepoint struct {
+	name    string
+	pending int
+}
+
+func (t *transaction) engineOpen() bool { return t.snapshot || t.writing }
+
+// begin starts an explicit transaction.
+func (c *session) begin(cmd command) error {
+	if c.tx.status != statusIdle {
+		c.warn(codeActiveTransaction, "there is already a transaction in progress")
+		return nil
+	}
+	c.tx.status = statusInTx
+	c.tx.readOnly = cmd.has("read") && cmd.has("only")
+	repeatable := cmd.has("repeatable") || cmd.has("serializable")
+	if (c.tx.readOnly || repeatable) && !c.tx.writing {
+		if err := c.engine("BEGIN"); err != nil {
+			return err
+		}
+		c.tx.snapshot = true
+	}
+	return nil
+}
+
+func (c *session) warn(code, message string) {
+	c.send(&pgproto3.NoticeResponse{Severity: "WARNING", SeverityUnlocalized: "WARNING", Code: code, Message: message})
+}
+
+// becomeWriter opens the transaction of a first write. It fails with 25006
+// if the slot is not the primary.
+func (c *session) becomeWriter() error {
+	if c.tx.readOnly {
+		return failf(codeReadOnlyTransaction, messageOfReadOnlyTx)
+	}
+	if c.tx.writing {
+		return nil
+	}
+	if _, err := c.slot.writableEpoch(); err != nil {
+		return err
+	}
+	if !c.slot.writer.acquire(c, c.cancelCh, c.ctx.Done()) {
+		return c.interrupted()
+	}
+	epoch, err := c.slot.writableEpoch()
+	if err == nil && !c.tx.snapshot {
+		err = c.engine("BEGIN IMMEDIATE")
+	}
+	if err != nil {
+		c.slot.writer.release()
+		return err
+	}
+	c.tx.writing, c.tx.epoch = true, epoch
+	if !c.tx.snapshot {
+		return c.repeatSavepoints()
+	}
+	return nil
+}
+
+// repeatSavepoints sets the savepoints that are older than the first write.
+func (c *session) repeatSavepoints() error {
+	for _, sp := range c.tx.savepoints {
+		if err := c.engine("SAVEPOINT " + quoteName(sp.name)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (c *session) interrupted() error {
+	if c.ctx.Err() != nil {
+		return fatal(codeAdminShutdown, messageOfServerStopping)
+	}
+	return failf(codeQueryCanceled, messageOfCancelled)
+}
+
+// writableEpoch returns the epoch of a primary and fails with 25006 on another slot.
+func (s *Slot) writableEpoch() (uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.role != group.Primary || !s.running {
+		return 0, failf(codeReadOnlyTransaction, "cannot execute a write: the server is %s, not the primary", s.role)
+	}
+	return s.epoch, nil
+}
+
+// commit ends the open transaction, if any, and logs its writes. It fails with
+// 25006, and has rolled back, if the slot has stopped being the primary.
+func (c *session) commit() error {
+	writing, pending := c.tx.writing, c.tx.pending
+	if !c.tx.engineOpen() {
+		c.resetTransaction()
+		return nil
+	}
+	c.resetPortalStatements()
+	var err error
+	if writing {
+		err = c.slot.commitWrites(c, pending)
+	} else {
+		err = c.engine("COMMIT")
+	}
+	c.rollbackEngine()
+	c.resetTransaction()
+	return err
+}
+
+// commitWrites commits and appends to the log as one step against fences.
+func (s *Slot) commitWrites(c *session, pending []statement) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.epoch != c.tx.epoch || s.role != group.Primary || !s.running {
+		return failf(codeReadOnlyTransaction, messageOfFencedCommit)
+	}
+	if err := c.engine("COMMIT"); err != nil {
+		return err
+	}
+	if len(pending) == 0 {
+		return nil
+	}
+	pos := group.Position{Term: s.accepted, Offset: s.log.end.Offset + 1}
+	s.log.append(&record{pos: pos, committed: time.Now(), stmts: pending})
+	s.applied = pos
+	s.broadcast()
+	return nil
+}
+
+// rollback undoes the open transaction, if any.
+func (c *session) rollback() {
+	c.resetPortalStatements()
+	c.rollbackEngine()
+	c.resetTransaction()
+}
+
+// rollbackEngine ends what is open in the embedded database and gives the
+// writer lock back. The writes of the transaction are forgotten.
+func (c *session) rollbackEngine() {
+	if db := c.db.Load(); db != nil && c.tx.engineOpen() && db.InTransaction() {
+		if err := c.engine("ROLLBACK"); err != nil {
+			c.slot.logger.WithError(err).Error("rollback_failed")
+		}
+	}
+	if c.tx.writing {
+		c.slot.writer.release()
+	}
+	c.tx.writing, c.tx.snapshot, c.tx.pending = false, false, nil
+}
+
+func (c *session) resetTransaction() { c.tx = transaction{status: statusIdle} }
+
+// failTransaction has an error fail an explicit transaction and undo an
+// implicit one. Without savepoints nothing of it can be saved, so that the
+// writer lock is given back at once.
+func (c *session) failTransaction() {
+	if c.tx.status == statusIdle {
+		c.rollback()
+		return
+	}
+	c.tx.status = statusFailed
+	db := c.db.Load()
+	if len(c.tx.savepoints) == 0 || (c.tx.engineOpen() && db != nil && !db.InTransaction()) {
+		c.tx.savepoints = nil
+		c.resetPortalStatements()
+		c.rollbackEngine()
+	}
+}
+
+func (c *session) setSavepoint(name string) error {
+	if c.tx.status == statusIdle {
+		return failf(codeNoActiveTransaction, "SAVEPOINT can only be used in transaction blocks")
+	}
+	if c.tx.engineOpen() {
+		if err := c.engine("SAVEPOINT " + quoteName(name)); err != nil {
+			return err
+		}
+	}
+	c.tx.savepoints = append(c.tx.savepoints, savepoint{name, len(c.tx.pending)})
+	return nil
+}
+
+// findSavepoint returns the index of the latest savepoint of the name.
+func (c *session) findSavepoint(name string) (int, error) {
+	for i := len(c.tx.savepoints) - 1; i >= 0; i-- {
+		if c.tx.savepoints[i].name == name {
+			return i, nil
+		}
+	}
+	return 0, failf(codeInvalidSavepoint, "savepoint %q does not exist", name)
+}
+
+func (c *session) releaseSavepoint(name string) error {
+	i, err := c.findSavepoint(name)
+	if err != nil {
+		return err
+	}
+	if c.tx.engineOpen() {
+		if err := c.engine("RELEASE " + quoteName(name)); err != nil {
+			return err
+		}
+	}
+	c.tx.savepoints = c.tx.savepoints[:i]
+	return nil
+}
+
+func (c *session) rollbackTo(name string) error {
+	i, err := c.findSavepoint(name)
+	if err != nil {
+		return err
+	}
+	if c.tx.engineOpen() {
+		c.resetPortalStatements()
+		if err := c.engine("ROLLBACK TO " + quoteName(name)); err != nil {
+			return err
+		}
+	}
+	c.tx.pending = c.tx.pending[:min(len(c.tx.pending), c.tx.savepoints[i].pending)]
+	c.tx.savepoints = c.tx.savepoints[:i+1]
+	c.tx.status = statusInTx
+	return nil
+}
+
+func quoteName(name string) string { return `"` + name + `"` }
+
+// engine runs a statement of the session's own in the embedded database.
+func (c *session) engine(sql string) error {
+	stmt, err := c.acquire(sql)
+	if err != nil {
+		return err
+	}
+	defer c.release(sql, stmt)
+	return stmt.Run()
+}
+
+// statementCacheSize bounds the idle prepared statements of a session and of an applier.
+const statementCacheSize = 512
+
+// acquire returns a prepared statement for exclusive use.
+func (c *session) acquire(sql string) (*sqlite.Stmt, error) {
+	if idle := c.cache[sql]; len(idle) > 0 {
+		stmt := idle[len(idle)-1]
+		c.cache[sql] = idle[:len(idle)-1]
+		c.cached--
+		return stmt, nil
+	}
+	db, err := c.database()
+	if err != nil {
+		return nil, err
+	}
+	return db.Prepare(sql)
+}
+
+// release gives a statement back to the cache.
+func (c *session) release(sql string, stmt *sqlite.Stmt) {
+	stmt.Reset()
+	if c.cached >= statementCacheSize {
+		c.dropCache()
+	}
+	c.cache[sql] = append(c.cache[sql], stmt)
+	c.cached++
+}
+
+func (c *session) dropCache() {
+	for sql, idle := range c.cache {
+		for _, stmt := range idle {
+			stmt.Finalize()
+		}
+		delete(c.cache, sql)
+	}
+	c.cached = 0
+}
+
+// database opens the slot's database at the first use, which keeps an idle connection small.
+func (c *session) database() (*sqlite.DB, error) {
+	if db := c.db.Load(); db != nil {
+		return db, nil
+	}
+	c.slot.mu.Lock()
+	path := c.slot.path
+	c.slot.mu.Unlock()
+	db, err := sqlite.Open(path)
+	if err != nil {
+		return nil, err
+	}
+	c.db.Store(db)
+	return db, nil
+}
+
+func (c *session) closeDatabase() {
+	c.dropCache()
+	if db := c.db.Swap(nil); db != nil {
+		db.Close()
+	}
+}
