Add the control client of database groups and tests of the stand-in

A driver of a promotion needs to know whether an order may have been executed, so the client sends orders only on connections that are not known to be closed and tells refused, unreachable and unanswered apart. Its tests run against the stand-in in the standin module, which core must not import.

--- /dev/null
+++ b/core/group/pgcontrol/peek.go
@@ -0,0 +1,28 @@
+package pgcontrol
+
+import (
+	"net"
+	"syscall"
+)
+
+// broken reports whether an idle connection has been closed by its peer or
+// holds bytes that nobody asked for. It does not block. An order sent on a
+// connection that is known to be broken would count as possibly executed.
+func broken(conn net.Conn) bool {
+	socket, ok := conn.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	idle := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		idle = err == syscall.EAGAIN
+		return true
+	})
+	return err != nil || !idle
+}
--- /dev/null
+++ b/core/group/pgcontrol/pgcontrol.go
@@ -0,0 +1,300 @@
+// Package pgcontrol gives orders to backend servers over the PostgreSQL wire
+// protocol. It implements group.Client.
+//
+// The client keeps one control connection per backend server, of the user
+// gypsumgap_control, and uses it for one request at a time. Each request is a
+// simple query whose answer is one row of status. A connection on which a
+// request fails without a complete answer is closed, and the next request
+// opens another. The client starts no goroutine that outlives a call.
+package pgcontrol
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"strings"
+	"sync"
+	"sync/atomic"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// User is the user name of control connections.
+const User = "gypsumgap_control"
+
+const defaultApplicationName = "gypsumgap control"
+
+var (
+	errClosed    = errors.New("the client is closed")
+	errNoRedial  = errors.New("a control connection dials only once")
+	errBadAnswer = errors.New("malformed answer")
+)
+
+// Options sets a client up. The zero value is usable.
+type Options struct {
+	// LocalIP is the local address of connections; the zero value leaves it to the system.
+	LocalIP netip.Addr
+	// Database is the database named at connect; empty for the user's name.
+	Database string
+	// ApplicationName is reported to backend servers; empty for a default.
+	ApplicationName string
+}
+
+// Client is a group.Client. It is safe for concurrent use; requests to the same
+// backend server wait for each other, each no longer than its context allows.
+type Client struct {
+	opts Options
+
+	mu     sync.Mutex
+	closed bool
+	links  map[string]*link
+}
+
+var _ group.Client = (*Client)(nil)
+
+// link is the control connection to one address.
+type link struct {
+	address string
+	// turn holds a token while nobody uses the link.
+	turn chan struct{}
+	conn *pgconn.PgConn
+}
+
+// New returns a client; it connects at the first request.
+func New(opts Options) *Client {
+	if opts.ApplicationName == "" {
+		opts.ApplicationName = defaultApplicationName
+	}
+	return &Client{opts: opts, links: map[string]*link{}}
+}
+
+// Close closes all connections, after the requests in progress. Later requests
+// fail with group.ErrUnreachable.
+func (c *Client) Close() {
+	c.mu.Lock()
+	c.closed = true
+	links := c.links
+	c.links = map[string]*link{}
+	c.mu.Unlock()
+	for _, l := range links {
+		<-l.turn
+		l.discard()
+		l.turn <- struct{}{}
+	}
+}
+
+// Status implements group.Client.
+func (c *Client) Status(ctx context.Context, slot group.Slot) (group.Status, error) {
+	return c.status(ctx, slot, "status", "SELECT * FROM gypsumgap_status()", true)
+}
+
+// Fence implements group.Client.
+func (c *Client) Fence(ctx context.Context, slot group.Slot, t group.Term) (group.Status, error) {
+	return c.status(ctx, slot, "fence", fmt.Sprintf("SELECT gypsumgap_fence(%d)", t), false)
+}
+
+// Promote implements group.Client.
+func (c *Client) Promote(ctx context.Context, slot group.Slot, t group.Term) (group.Status, error) {
+	return c.status(ctx, slot, "promote", fmt.Sprintf("SELECT gypsumgap_promote(%d)", t), false)
+}
+
+// Follow implements group.Client.
+func (c *Client) Follow(ctx context.Context, slot group.Slot, t group.Term, primary string) (group.Status, error) {
+	sql := fmt.Sprintf("SELECT gypsumgap_follow(%d, '%s')", t, strings.ReplaceAll(primary, "'", "''"))
+	return c.status(ctx, slot, "follow", sql, false)
+}
+
+// Running reports whether the backend process with this id still runs a
+// statement. It fails as the methods of group.Client do.
+func (c *Client) Running(ctx context.Context, slot group.Slot, pid uint32) (bool, error) {
+	row, err := c.request(ctx, slot, "activity", fmt.Sprintf("SELECT gypsumgap_activity(%d)", pid), true)
+	if err != nil {
+		return false, err
+	}
+	return row.boolean(activityColumn), row.failure(slot, "activity")
+}
+
+func (c *Client) status(ctx context.Context, slot group.Slot, what, sql string, repeatable bool) (group.Status, error) {
+	row, err := c.request(ctx, slot, what, sql, repeatable)
+	if err != nil {
+		return group.Status{}, err
+	}
+	status := row.status()
+	return status, row.failure(slot, what)
+}
+
+// request sends sql and returns the row of its answer. A request that may be
+// repeated is repeated once if a kept connection turns out to be broken.
+func (c *Client) request(ctx context.Context, slot group.Slot, what, sql string, repeatable bool) (*row, error) {
+	l, err := c.link(slot.Address)
+	if err == nil {
+		err = l.take(ctx)
+	}
+	if err != nil {
+		return nil, fail(slot, what, group.ErrUnreachable, err)
+	}
+	defer l.give()
+	answer, kept, err := c.attempt(ctx, l, sql)
+	again := kept && ctx.Err() == nil && (repeatable && !errors.Is(err, group.ErrRefused) || errors.Is(err, group.ErrUnreachable))
+	if err != nil && again {
+		answer, _, err = c.attempt(ctx, l, sql)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("%s of %s: %w", what, slot.ID, err)
+	}
+	return answer, nil
+}
+
+func fail(slot group.Slot, what string, kind, cause error) error {
+	return fmt.Errorf("%s of %s: %w: %w", what, slot.ID, kind, cause)
+}
+
+func (c *Client) link(address string) (*link, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil, errClosed
+	}
+	l, ok := c.links[address]
+	if !ok {
+		l = &link{address: address, turn: make(chan struct{}, 1)}
+		l.turn <- struct{}{}
+		c.links[address] = l
+	}
+	return l, nil
+}
+
+func (l *link) take(ctx context.Context) error {
+	select {
+	case <-l.turn:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (l *link) give() { l.turn <- struct{}{} }
+
+// attempt sends sql once, on the kept connection if there is one that is not broken.
+func (c *Client) attempt(ctx context.Context, l *link, sql string) (answer *row, kept bool, err error) {
+	if l.conn != nil && (l.conn.IsClosed() || broken(l.conn.Conn())) {
+		l.discard()
+	}
+	kept = l.conn != nil
+	if !kept {
+		if err := c.connect(ctx, l); err != nil {
+			return nil, false, fmt.Errorf("%w: %w", group.ErrUnreachable, err)
+		}
+	}
+	results, err := l.conn.Exec(ctx, sql).ReadAll()
+	if err != nil {
+		return nil, kept, l.classify(err)
+	}
+	answer, err = newRow(results)
+	if err != nil {
+		return nil, kept, fmt.Errorf("%w: %w", group.ErrNoAnswer, err)
+	}
+	return answer, kept, nil
+}
+
+// classify turns a failed query into one of the kinds of group.Client and
+// closes the connection unless the backend server refused the order.
+func (l *link) classify(err error) error {
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) && refusal.SeverityUnlocalized != "FATAL" && refusal.SeverityUnlocalized != "PANIC" {
+		return fmt.Errorf("%w: %w", group.ErrRefused, err)
+	}
+	l.discard()
+	if pgconn.SafeToRetry(err) {
+		return fmt.Errorf("%w: %w", group.ErrUnreachable, err)
+	}
+	return fmt.Errorf("%w: %w", group.ErrNoAnswer, err)
+}
+
+func (c *Client) connect(ctx context.Context, l *link) error {
+	config, err := c.config(l.address)
+	if err != nil {
+		return err
+	}
+	dialer := c.newDialer()
+	config.DialFunc = dialer.dial
+	conn, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		dialer.close()
+		return err
+	}
+	l.conn = conn
+	return nil
+}
+
+func (c *Client) config(address string) (*pgconn.Config, error) {
+	peer, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return nil, err
+	}
+	config, err := pgconn.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.Host = peer.Addr().String()
+	config.Port = peer.Port()
+	config.User = User
+	config.Password = ""
+	config.Database = c.opts.Database
+	config.TLSConfig = nil
+	config.Fallbacks = nil
+	config.ConnectTimeout = 0
+	config.ValidateConnect = nil
+	config.RuntimeParams = map[string]string{"application_name": c.opts.ApplicationName}
+	return config, nil
+}
+
+// dialer dials once. When a context ends during a query, pgconn would otherwise
+// dial again in the background to send a cancel request, which outlives the
+// call and is of no use to an order.
+type dialer struct {
+	net.Dialer
+	used atomic.Bool
+	conn net.Conn
+}
+
+func (c *Client) newDialer() *dialer {
+	d := &dialer{}
+	if c.opts.LocalIP.IsValid() {
+		d.LocalAddr = &net.TCPAddr{IP: c.opts.LocalIP.AsSlice()}
+	}
+	return d
+}
+
+func (d *dialer) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	if d.used.Swap(true) {
+		return nil, errNoRedial
+	}
+	conn, err := d.DialContext(ctx, network, address)
+	d.conn = conn
+	return conn, err
+}
+
+// close ends what pgconn may still do with the socket after a failed connect.
+func (d *dialer) close() {
+	if d.conn != nil {
+		_ = d.conn.Close()
+	}
+}
+
+// discard closes the connection without waiting for the backend server. It
+// returns after pgconn's own cleanup, which ends as soon as the socket is closed.
+func (l *link) discard() {
+	if l.conn == nil {
+		return
+	}
+	_ = l.conn.Conn().Close()
+	// The socket is closed, so that this cannot block.
+	_ = l.conn.Close(context.Background())
+	<-l.conn.CleanupDone()
+	l.conn = nil
+}
--- /dev/null
+++ b/core/group/pgcontrol/row.go
@@ -0,0 +1,89 @@
+package pgcontrol
+
+import (
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// The columns of an answer. An order is answered with the status that follows it.
+const (
+	roleColumn            = "role"
+	acceptedColumn        = "accepted_term"
+	receivedTermColumn    = "received_term"
+	receivedOffsetColumn  = "received_offset"
+	appliedTermColumn     = "applied_term"
+	appliedOffsetColumn   = "applied_offset"
+	leavingColumn         = "leaving"
+	connectionsColumn     = "connections"
+	connectionLimitColumn = "connection_limit"
+	upstreamColumn        = "upstream"
+	receivingAgeColumn    = "receiving_age_us"
+	activityColumn        = "gypsumgap_activity"
+)
+
+// row is an answer of one row in text form. The first column that is missing
+// or malformed is kept as its error.
+type row struct {
+	values map[string]string
+	err    error
+}
+
+func newRow(results []*pgconn.Result) (*row, error) {
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return nil, fmt.Errorf("%w: expected one row", errBadAnswer)
+	}
+	r := &row{values: map[string]string{}}
+	for i, field := range results[0].FieldDescriptions {
+		r.values[field.Name] = string(results[0].Rows[0][i])
+	}
+	return r, nil
+}
+
+func (r *row) text(name string) string {
+	value, ok := r.values[name]
+	if !ok && r.err == nil {
+		r.err = fmt.Errorf("%w: no column %s", errBadAnswer, name)
+	}
+	return value
+}
+
+func (r *row) number(name string) uint64 {
+	value, err := strconv.ParseUint(r.text(name), 10, 63)
+	if err != nil && r.err == nil {
+		r.err = fmt.Errorf("%w: column %s: %w", errBadAnswer, name, err)
+	}
+	return value
+}
+
+func (r *row) boolean(name string) bool { return r.text(name) == "t" }
+
+func (r *row) position(term, offset string) group.Position {
+	return group.Position{Term: group.Term(r.number(term)), Offset: r.number(offset)}
+}
+
+func (r *row) status() group.Status {
+	return group.Status{
+		Role:            group.Role(r.text(roleColumn)),
+		Accepted:        group.Term(r.number(acceptedColumn)),
+		Received:        r.position(receivedTermColumn, receivedOffsetColumn),
+		Applied:         r.position(appliedTermColumn, appliedOffsetColumn),
+		Leaving:         r.boolean(leavingColumn),
+		Connections:     int(r.number(connectionsColumn)),
+		ConnectionLimit: int(r.number(connectionLimitColumn)),
+		Upstream:        r.text(upstreamColumn),
+		ReceivingAge:    time.Duration(r.number(receivingAgeColumn)) * time.Microsecond,
+	}
+}
+
+// failure reports a malformed answer as no answer.
+func (r *row) failure(slot group.Slot, what string) error {
+	if r.err == nil {
+		return nil
+	}
+	return fail(slot, what, group.ErrNoAnswer, r.err)
+}
--- a/standin/dbgroup/command.go
+++ b/standin/dbgroup/command.go
@@ -140,21 +140,25 @@
 // splitScript cuts a simple query into statements. The embedded database's own
 // tokenizer decides which semicolons end a statement.
 func splitScript(script string) []string {
-	if end := strings.IndexByte(script, ';'); end < 0 || strings.TrimSpace(script[end+1:]) == "" {
+	if end := strings.IndexByte(script, ';'); end < 0 || skipComments(script[end:]) == "" {
 		return []string{script}
 	}
 	var statements []string
 	start := 0
 	for i := range len(script) {
 		if script[i] == ';' && sqlite.Complete(script[start:i+1]) {
-			statements = append(statements, script[start:i+1])
+			statements = appendStatement(statements, script[start:i+1])
 			start = i + 1
 		}
 	}
-	if strings.TrimSpace(script[start:]) != "" {
-		statements = append(statements, script[start:])
+	return appendStatement(statements, script[start:])
+}
+
+func appendStatement(statements []string, sql string) []string {
+	if skipComments(sql) == "" {
+		return statements
 	}
-	return statements
+	return append(statements, sql)
 }
 
 // tagVerb returns the command tag without its count.
--- /dev/null
+++ b/standin/dbgroup/driver_test.go
@@ -0,0 +1,260 @@
+package dbgroup_test
+
+import (
+	"bytes"
+	"errors"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
+)
+
+// Guards against values that change on the way through the driver's default
+// mode, which prepares statements and asks for binary results.
+func TestDriverTypes(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	due := time.Date(2026, 12, 4, 5, 20, 0, 123000, time.UTC)
+	part := "0c9b7f0e-2f56-4a65-9a0c-0d7a1f3c9e11"
+	photo := []byte{0, 1, 0xff}
+	exec(t, c, "INSERT INTO jobs (id, card, done, cost, photo, due, part, price) VALUES ($1, $2, $3, $4, $5, $6, $7, $8)",
+		int64(1)<<40, "it's ü", true, 1.5, photo, due, part, "12.25")
+	var (
+		id        int64
+		card      string
+		done      bool
+		cost      float64
+		gotPhoto  []byte
+		gotDue    time.Time
+		gotPart   string
+		price     float64
+		none      *string
+		countText string
+	)
+	row := c.QueryRow(background, "SELECT id, card, done, cost, photo, due, part, price, null, count(*) FROM jobs WHERE id = $1", int64(1)<<40)
+	if err := row.Scan(&id, &card, &done, &cost, &gotPhoto, &gotDue, &gotPart, &price, &none, &countText); err != nil {
+		t.Fatal(err)
+	}
+	if id != 1<<40 || card != "it's ü" || !done || cost != 1.5 || !bytes.Equal(gotPhoto, photo) {
+		t.Fatalf("got %v %q %v %v %v", id, card, done, cost, gotPhoto)
+	}
+	if !gotDue.Equal(due) || gotPart != part || price != 12.25 || none != nil || countText != "1" {
+		t.Fatalf("got %v %v %v %v %v", gotDue, gotPart, price, none, countText)
+	}
+}
+
+// Guards against a mode of the driver that the stand-in answers differently.
+func TestDriverModes(t *testing.T) {
+	s := startGroup(t, nil).Slot(0)
+	exec(t, connect(t, s), insertJob, 7, "card")
+	for _, mode := range []pgx.QueryExecMode{
+		pgx.QueryExecModeCacheStatement, pgx.QueryExecModeCacheDescribe, pgx.QueryExecModeDescribeExec,
+		pgx.QueryExecModeExec, pgx.QueryExecModeSimpleProtocol,
+	} {
+		c := connect(t, s)
+		var id int
+		var card string
+		if err := c.QueryRow(background, "SELECT id, card FROM jobs WHERE id = $1", mode, 7).Scan(&id, &card); err != nil || id != 7 || card != "card" {
+			t.Fatalf("%v: got %d %q, %v", mode, id, card, err)
+		}
+	}
+}
+
+// Guards against the loss of SQLSTATEs that a proxy and its callers act on.
+func TestSQLStates(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	exec(t, c, insertJob, 1, "a")
+	for sql, code := range map[string]string{
+		"INSERT INTO jobs (id, card) VALUES (1, 'b')":              "23505",
+		"INSERT INTO jobs (id, card) VALUES (2, 'a')":              "23505",
+		"INSERT INTO gypsumgap_request_log (absent) VALUES (null)": "42703",
+		"SELECT * FROM nowhere":                                    "42P01",
+		"SELEC 1":                                                  "42601",
+	} {
+		_, err := c.Exec(background, sql)
+		wantCode(t, err, code)
+	}
+	var violation *pgconn.PgError
+	_, err := c.Exec(background, insertJob, 3, "a")
+	if !errors.As(err, &violation) || violation.ConstraintName != "jobs_card_key" {
+		t.Fatalf("got %v, want the constraint's name", err)
+	}
+}
+
+// Guards against work of a failed or rolled-back transaction that stays.
+func TestTransactions(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	tx, err := c.Begin(background)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exec(t, c, insertJob, 1, "a")
+	if status := c.PgConn().TxStatus(); status != 'T' {
+		t.Fatalf("got status %c in a transaction", status)
+	}
+	_, err = c.Exec(background, insertJob, 1, "again")
+	wantCode(t, err, "23505")
+	if status := c.PgConn().TxStatus(); status != 'E' {
+		t.Fatalf("got status %c after an error", status)
+	}
+	_, err = c.Exec(background, "SELECT 1")
+	wantCode(t, err, "25P02")
+	if err := tx.Commit(background); !errors.Is(err, pgx.ErrTxCommitRollback) {
+		t.Fatalf("commit of a failed transaction: %v", err)
+	}
+	if n := count(t, c, "true"); n != 0 {
+		t.Fatalf("%d rows of a failed transaction", n)
+	}
+}
+
+// Guards against a savepoint that undoes too much or too little, here and on a replica.
+func TestSavepoints(t *testing.T) {
+	g := startGroup(t, nil)
+	c := connect(t, g.Slot(0))
+	outer, err := c.Begin(background)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exec(t, c, insertJob, 1, "kept")
+	inner, err := outer.Begin(background)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exec(t, c, insertJob, 2, "undone")
+	if _, err := c.Exec(background, insertJob, 1, "fails"); err == nil {
+		t.Fatal("a duplicate was accepted")
+	}
+	if err := inner.Rollback(background); err != nil {
+		t.Fatal(err)
+	}
+	exec(t, c, insertJob, 3, "kept too")
+	if err := outer.Commit(background); err != nil {
+		t.Fatal(err)
+	}
+	awaitApplied(t, g.Slot(1), g.Slot(0).Status().Received)
+	for _, s := range []*dbgroup.Slot{g.Slot(0), g.Slot(1)} {
+		rows, _ := connect(t, s).Query(background, "SELECT id FROM jobs ORDER BY id")
+		ids, err := pgx.CollectRows(rows, pgx.RowTo[int])
+		if err != nil || !slices.Equal(ids, []int{1, 3}) {
+			t.Fatalf("%s: got %v, %v", s.ID(), ids, err)
+		}
+	}
+}
+
+// Guards against answers lost or mixed up when messages are pipelined before
+// one Sync, and against a pipeline that fails but keeps its first writes.
+func TestPipeline(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	batch := &pgx.Batch{}
+	for i := range 20 {
+		batch.Queue(insertJob, i, "card")
+		batch.Queue("UPDATE jobs SET card = $2 WHERE id = $1", i, string(rune('a'+i)))
+		batch.Queue("SELECT card FROM jobs WHERE id = $1", i)
+	}
+	results := c.SendBatch(background, batch)
+	for i := range 20 {
+		_, err1 := results.Exec()
+		_, err2 := results.Exec()
+		var card string
+		err3 := results.QueryRow().Scan(&card)
+		if err := errors.Join(err1, err2, err3); err != nil || card != string(rune('a'+i)) {
+			t.Fatalf("%d: got %q, %v", i, card, err)
+		}
+	}
+	if err := results.Close(); err != nil {
+		t.Fatal(err)
+	}
+	failing := &pgx.Batch{}
+	failing.Queue(insertJob, 100, "new")
+	failing.Queue(insertJob, 0, "duplicate")
+	wantCode(t, c.SendBatch(background, failing).Close(), "23505")
+	if n := count(t, c, "id = 100"); n != 0 {
+		t.Fatal("the first write of a failed pipeline stayed")
+	}
+}
+
+// Guards against a script of a simple query that is cut at the wrong semicolon
+// or that keeps its first statements when a later one fails.
+func TestSimpleScript(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	script := "/* c; */ INSERT INTO jobs (id, card) VALUES (1, 'a;b'); SET x = 'y'; SELECT card FROM jobs; -- end;"
+	results, err := c.PgConn().Exec(background, script).ReadAll()
+	if err != nil || len(results) != 3 || string(results[2].Rows[0][0]) != "a;b" {
+		t.Fatalf("got %d results, %v", len(results), err)
+	}
+	_, err = c.PgConn().Exec(background, "INSERT INTO jobs (id) VALUES (2); INSERT INTO jobs (id) VALUES (1)").ReadAll()
+	wantCode(t, err, "23505")
+	if n := count(t, c, "true"); n != 1 {
+		t.Fatalf("%d rows, want 1", n)
+	}
+}
+
+// Guards against a large result that is cut short, or rows fetched in parts
+// that repeat or skip.
+func TestLargeResult(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	series := "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 50000) SELECT i FROM n"
+	rows, _ := c.Query(background, series)
+	values, err := pgx.CollectRows(rows, pgx.RowTo[int])
+	if err != nil || len(values) != 50000 || values[49999] != 50000 {
+		t.Fatalf("got %d rows, %v", len(values), err)
+	}
+}
+
+// Guards against a cancel request that is ignored, or that fails the next statement.
+func TestCancel(t *testing.T) {
+	s := startGroup(t, nil).Slot(0)
+	for _, slow := range []string{
+		"SELECT pg_sleep(3600)",
+		"WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n) SELECT max(i) FROM n",
+	} {
+		c := connect(t, s).PgConn()
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Exec(background, slow).ReadAll()
+			done <- err
+		}()
+		canceller := connect(t, s)
+		var err error
+		for waiting := true; waiting; {
+			if err := c.CancelRequest(background); err != nil {
+				t.Fatal(err)
+			}
+			select {
+			case err = <-done:
+				waiting = false
+			default:
+				exec(t, canceller, "SELECT 1")
+			}
+		}
+		wantCode(t, err, "57014")
+		if _, err := c.Exec(background, "SELECT 1").ReadAll(); err != nil {
+			t.Fatalf("after the cancel: %v", err)
+		}
+	}
+}
+
+// Guards against a stand-in too slow to measure a proxy against.
+func BenchmarkSelectByKey(b *testing.B) {
+	c := connect(b, startGroup(b, nil).Slot(0))
+	exec(b, c, insertJob, 1, "card")
+	b.ReportAllocs()
+	for b.Loop() {
+		var card string
+		if err := c.QueryRow(background, "SELECT card FROM jobs WHERE id = $1", 1).Scan(&card); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkInsert(b *testing.B) {
+	c := connect(b, startGroup(b, nil).Slot(0))
+	id := 0
+	for b.Loop() {
+		id++
+		exec(b, c, "INSERT INTO jobs (id) VALUES ($1)", id)
+	}
+}
--- /dev/null
+++ b/standin/dbgroup/helper_test.go
@@ -0,0 +1,102 @@
+package dbgroup_test
+
+import (
+	"context"
+	"errors"
+	"runtime"
+	"testing"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
+)
+
+const (
+	testDatabase = "werkplaats-1-a"
+	testSchema   = `CREATE TABLE jobs (id integer primary key, card text unique, done boolean,
+		cost double precision, photo bytea, due timestamptz, part uuid, price numeric)`
+	insertJob = "INSERT INTO jobs (id, card) VALUES ($1, $2)"
+	// settleRounds is how many round trips on another connection stand for
+	// "long enough that an answer would have come".
+	settleRounds = 300
+)
+
+var background = context.Background()
+
+func startGroup(t testing.TB, change func(*dbgroup.Options)) *dbgroup.Group {
+	t.Helper()
+	opts := dbgroup.Options{Name: testDatabase, Size: 3, Schema: []string{testSchema}}
+	if change != nil {
+		change(&opts)
+	}
+	g, err := dbgroup.Start(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(g.Close)
+	return g
+}
+
+func connect(t testing.TB, s *dbgroup.Slot) *pgx.Conn {
+	t.Helper()
+	conn, err := tryConnect(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = conn.Close(background) })
+	return conn
+}
+
+func tryConnect(s *dbgroup.Slot) (*pgx.Conn, error) {
+	return pgx.Connect(background, "postgres://mechanic@"+s.Address()+"/"+testDatabase)
+}
+
+func exec(t testing.TB, c *pgx.Conn, sql string, args ...any) string {
+	t.Helper()
+	tag, err := c.Exec(background, sql, args...)
+	if err != nil {
+		t.Fatalf("%s: %v", sql, err)
+	}
+	return tag.String()
+}
+
+func count(t testing.TB, c *pgx.Conn, where string) int {
+	t.Helper()
+	var n int
+	if err := c.QueryRow(background, "SELECT count(*) FROM jobs WHERE "+where).Scan(&n); err != nil {
+		t.Fatal(err)
+	}
+	return n
+}
+
+func wantCode(t testing.TB, err error, code string) {
+	t.Helper()
+	var pg *pgconn.PgError
+	if !errors.As(err, &pg) || pg.Code != code {
+		t.Fatalf("got error %v, want SQLSTATE %s", err, code)
+	}
+}
+
+// await polls without a deadline of its own; a condition that never holds
+// shows as the timeout of the test binary.
+func await(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	t.Logf("waiting until %s", what)
+	for !condition() {
+		runtime.Gosched()
+	}
+}
+
+func awaitApplied(t testing.TB, s *dbgroup.Slot, p group.Position) {
+	t.Helper()
+	await(t, s.ID()+" has applied "+p.String(), func() bool { return s.Status().Applied.Covers(p) })
+}
+
+func must(t testing.TB, _ group.Status, err error) {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+}
--- /dev/null
+++ b/standin/dbgroup/orders_test.go
@@ -0,0 +1,217 @@
+package dbgroup_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
+)
+
+const never = 24 * time.Hour
+
+// Guards against a write on a replica, and against a replica that does not follow.
+func TestReplication(t *testing.T) {
+	g := startGroup(t, nil)
+	exec(t, connect(t, g.Slot(0)), insertJob, 1, "a")
+	awaitApplied(t, g.Slot(2), g.Slot(0).Status().Received)
+	replica := connect(t, g.Slot(2))
+	if n := count(t, replica, "card = 'a'"); n != 1 {
+		t.Fatalf("%d rows on the replica", n)
+	}
+	_, err := replica.Exec(background, insertJob, 2, "b")
+	wantCode(t, err, "25006")
+}
+
+// Guards against reads that run ahead of the lag, which would hide faults in
+// read-your-writes from tests.
+func TestApplyLag(t *testing.T) {
+	g := startGroup(t, func(o *dbgroup.Options) { o.ApplyLag = never })
+	exec(t, connect(t, g.Slot(0)), insertJob, 1, "a")
+	written := g.Slot(0).Status().Received
+	await(t, "the replica has received", func() bool { return g.Slot(1).Status().Received == written })
+	if applied := g.Slot(1).Status().Applied; applied.Covers(written) {
+		t.Fatalf("applied %s despite the lag", applied)
+	}
+	g.Slot(1).SetApplyLag(0)
+	awaitApplied(t, g.Slot(1), written)
+}
+
+// Guards against orders granted outside the contract: a fence twice at a term,
+// a promotion at a term that was not accepted, or a second primary at a term.
+func TestOrders(t *testing.T) {
+	g := startGroup(t, nil)
+	s := g.Slot(1)
+	if _, err := s.Fence(1); err == nil {
+		t.Fatal("fence at the accepted term was granted")
+	}
+	_, err := s.Fence(3)
+	must(t, group.Status{}, err)
+	if _, err := s.Fence(3); err == nil {
+		t.Fatal("a second fence at a term was granted")
+	}
+	if _, err := s.Promote(background, 2); err == nil {
+		t.Fatal("promotion at a lower term was granted")
+	}
+	if _, err := s.Promote(background, 4); err == nil {
+		t.Fatal("promotion at a term that was not accepted was granted")
+	}
+	before := s.Status().Received
+	status, err := s.Promote(background, 3)
+	must(t, status, err)
+	if want := (group.Position{Term: 3, Offset: before.Offset + 1}); status.Received != want || status.Applied != want {
+		t.Fatalf("the term starts at %v and %v, want %v", status.Received, status.Applied, want)
+	}
+	again, err := s.Promote(background, 3)
+	must(t, again, err)
+	if again.Received != status.Received {
+		t.Fatal("a repeated promotion wrote a second record")
+	}
+	must2 := func(status group.Status, err error) { must(t, status, err) }
+	must2(g.Slot(2).Follow(3, s.Address()))
+	if _, err := g.Slot(2).Promote(background, 3); err == nil {
+		t.Fatal("a replica of the term was promoted at it")
+	}
+	if _, err := g.Slot(2).Follow(2, g.Slot(0).Address()); err == nil {
+		t.Fatal("follow at a lower term was granted")
+	}
+	awaitApplied(t, g.Slot(2), status.Received)
+}
+
+// Guards against a commit that a fenced primary still acknowledges.
+func TestFenceStopsCommits(t *testing.T) {
+	g := startGroup(t, nil)
+	c := connect(t, g.Slot(0))
+	tx, err := c.Begin(background)
+	if err != nil {
+		t.Fatal(err)
+	}
+	exec(t, c, insertJob, 1, "a")
+	_, err = g.Slot(0).Fence(2)
+	must(t, group.Status{}, err)
+	wantCode(t, tx.Commit(background), "25006")
+	_, err = c.Exec(background, insertJob, 2, "b")
+	wantCode(t, err, "25006")
+	if n := count(t, c, "true"); n != 0 {
+		t.Fatalf("%d rows of refused commits", n)
+	}
+}
+
+// Guards against a replica that takes records of a primary whose term it has left.
+func TestFencedReplicaReceivesNothing(t *testing.T) {
+	g := startGroup(t, nil)
+	_, err := g.Slot(1).Fence(2)
+	must(t, group.Status{}, err)
+	before := g.Slot(1).Status().Received
+	exec(t, connect(t, g.Slot(0)), insertJob, 1, "a")
+	await(t, "the other replica has received", func() bool {
+		return g.Slot(2).Status().Received == g.Slot(0).Status().Received
+	})
+	if now := g.Slot(1).Status().Received; now != before {
+		t.Fatalf("a fenced slot received %v", now)
+	}
+}
+
+// Guards against writes of a replaced primary that survive on it, and against
+// records of the new term that it misses.
+func TestDivergedPrimaryFollows(t *testing.T) {
+	g := startGroup(t, nil)
+	old, next := g.Slot(0), g.Slot(1)
+	exec(t, connect(t, old), insertJob, 1, "shared")
+	awaitApplied(t, next, old.Status().Received)
+	old.CutSlots(1, 2)
+	exec(t, connect(t, old), insertJob, 2, "only on the old primary")
+	for _, s := range []*dbgroup.Slot{next, g.Slot(2)} {
+		_, err := s.Fence(2)
+		must(t, group.Status{}, err)
+	}
+	_, err := next.Promote(background, 2)
+	must(t, group.Status{}, err)
+	exec(t, connect(t, next), insertJob, 2, "of the new term")
+	if role := old.Status().Role; role != group.Primary {
+		t.Fatalf("the cut-off primary is %s", role)
+	}
+	old.CutSlots()
+	for _, s := range []*dbgroup.Slot{old, g.Slot(2)} {
+		_, err := s.Follow(2, next.Address())
+		must(t, group.Status{}, err)
+		awaitApplied(t, s, next.Status().Received)
+		c := connect(t, s)
+		if count(t, c, "card = 'of the new term'") != 1 || count(t, c, "true") != 2 {
+			t.Fatalf("%s differs from the new primary", s.ID())
+		}
+	}
+}
+
+// Guards against a rebuild, or a wrong tail, where a replica has only to drop
+// records that it has received and not applied.
+func TestUnappliedTailIsDropped(t *testing.T) {
+	g := startGroup(t, nil)
+	ahead, behind := g.Slot(1), g.Slot(2)
+	ahead.SetApplyLag(never)
+	g.Slot(0).CutSlots(2)
+	exec(t, connect(t, g.Slot(0)), insertJob, 1, "lost")
+	await(t, "one replica is ahead", func() bool { return ahead.Status().Received == g.Slot(0).Status().Received })
+	g.Slot(0).Kill()
+	_, err := behind.Fence(2)
+	must(t, group.Status{}, err)
+	_, err = behind.Promote(background, 2)
+	must(t, group.Status{}, err)
+	kept := connect(t, ahead)
+	_, err = ahead.Follow(2, behind.Address())
+	must(t, group.Status{}, err)
+	await(t, "the replica has the new log", func() bool { return ahead.Status().Received == behind.Status().Received })
+	ahead.SetApplyLag(0)
+	awaitApplied(t, ahead, behind.Status().Received)
+	if n := count(t, kept, "true"); n != 0 {
+		t.Fatalf("%d rows of the dropped tail", n)
+	}
+}
+
+// Guards against a restarted slot that forgets the term it accepted, and would
+// then grant it to a second driver, or that loses commits.
+func TestRestartKeepsTermAndCommits(t *testing.T) {
+	g := startGroup(t, nil)
+	exec(t, connect(t, g.Slot(0)), insertJob, 1, "a")
+	for _, s := range []*dbgroup.Slot{g.Slot(0), g.Slot(1)} {
+		before := s.Status()
+		s.Kill()
+		if _, err := tryConnect(s); err == nil {
+			t.Fatal("a killed slot accepted a connection")
+		}
+		if err := s.Restart(); err != nil {
+			t.Fatal(err)
+		}
+		if after := s.Status(); after.Role != before.Role || after.Accepted != before.Accepted || !after.Received.Covers(before.Received) {
+			t.Fatalf("before the restart %+v, after it %+v", before, after)
+		}
+	}
+	exec(t, connect(t, g.Slot(0)), insertJob, 2, "b")
+	awaitApplied(t, g.Slot(1), g.Slot(0).Status().Received)
+	_, err := g.Slot(1).Fence(9)
+	must(t, group.Status{}, err)
+	g.Slot(1).Kill()
+	if err := g.Slot(1).Restart(); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := g.Slot(1).Fence(9); err == nil {
+		t.Fatal("a term was granted again after a restart")
+	}
+}
+
+// Guards against a crash that leaves half a transaction, or the writer lock, behind.
+func TestKillUndoesOpenTransaction(t *testing.T) {
+	g := startGroup(t, nil)
+	c := connect(t, g.Slot(0))
+	exec(t, c, "BEGIN")
+	exec(t, c, insertJob, 1, "open")
+	g.Slot(0).Kill()
+	if err := g.Slot(0).Restart(); err != nil {
+		t.Fatal(err)
+	}
+	after := connect(t, g.Slot(0))
+	if n := count(t, after, "true"); n != 0 {
+		t.Fatalf("%d rows of a transaction that did not commit", n)
+	}
+	exec(t, after, insertJob, 1, "again")
+}
--- a/standin/dbgroup/slot.go
+++ b/standin/dbgroup/slot.go
@@ -29,7 +29,7 @@
 	index int
 	id    string
 	zone  string
-	// address is set by the first start and stays the same.
+	// address and zone are set by start and stay the same.
 	address string
 	logger  logrus.FieldLogger
 
@@ -123,7 +123,17 @@
 			return fmt.Errorf("schema: %w", err)
 		}
 	}
-	return s.listen()
+	if err := s.listen(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	address := s.listener.Addr().(*net.TCPAddr).AddrPort()
+	s.address = address.String()
+	if s.zone == "" {
+		s.zone = s.group.opts.Latency.Zone(address.Addr())
+	}
+	return nil
 }
 
 func (s *Slot) openDatabase() error {
@@ -167,10 +177,6 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.listener = listener
-	s.address = listener.Addr().String()
-	if s.zone == "" {
-		s.zone = s.group.opts.Latency.Zone(listener.Addr().(*net.TCPAddr).AddrPort().Addr())
-	}
 	s.running = true
 	s.sessionsDone.Go(func() { s.acceptLoop(listener) })
 	s.broadcast()
