--- a/standin/dbgroup/driver_test.go
+++ b/standin/dbgroup/driver_test.go
@@ -258,3 +258,15 @@
 		exec(b, c, "INSERT INTO jobs (id) VALUES ($1)", id)
 	}
 }
+
+func BenchmarkConnect(b *testing.B) {
+	s := startGroup(b, nil).Slot(0)
+	for b.Loop() {
+		c, err := tryConnect(s)
+		if err != nil {
+			b.Fatal(err)
+		}
+		exec(b, c, "SELECT 1")
+		_ = c.Close(background)
+	}
+}
--- a/standin/dbgroup/internal/sqlite/sqlite.go
+++ b/standin/dbgroup/internal/sqlite/sqlite.go
@@ -23,6 +23,13 @@
 // pointerSize is the size in bytes of a pointer on the 64-bit platforms that the stand-in runs on.
 const pointerSize = 8
 
+// openPragmas set up a connection. The data needs to survive the stop of a
+// slot but not of the process, so nothing is synced; the page cache is small
+// because a process holds thousands of connections.
+var openPragmas = []string{
+	"PRAGMA journal_mode=WAL", "PRAGMA synchronous=OFF", "PRAGMA foreign_keys=ON", "PRAGMA cache_size=-512",
+}
+
 // Error is a failure reported by the library.
 type Error struct {
 	// Code is the extended result code.
@@ -70,7 +77,7 @@
 	}
 	lib.Xsqlite3_extended_result_codes(d.tls, d.db, 1)
 	lib.Xsqlite3_busy_timeout(d.tls, d.db, busyTimeoutMillis)
-	for _, sql := range []string{"PRAGMA journal_mode=WAL", "PRAGMA synchronous=OFF", "PRAGMA foreign_keys=ON"} {
+	for _, sql := range openPragmas {
 		if err := d.Exec(sql); err != nil {
 			d.Close()
 			return nil, err
--- a/standin/dbgroup/session.go
+++ b/standin/dbgroup/session.go
@@ -19,7 +19,10 @@
 	secretKeySize  = 4
 	flushThreshold = 64 << 10
 	drainChunk     = 4 << 10
-	serverVersion  = "17.0 (gypsumgap stand-in)"
+	// farewellTime bounds the writes of a session that is being terminated, in
+	// case its client does not read.
+	farewellTime  = time.Second
+	serverVersion = "17.0 (gypsumgap stand-in)"
 )
 
 // session is one connection. Its goroutine reads messages and runs statements;
@@ -161,6 +164,7 @@
 	c.cancel()
 	c.interrupt()
 	_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+	_ = c.raw.SetWriteDeadline(time.Now().Add(farewellTime))
 }
 
 func (c *session) silence() {
--- /dev/null
+++ b/standin/load/caller.go
@@ -0,0 +1,353 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+)
+
+const (
+	// codeNotRun and codeUnknownOutcome are the SQLSTATEs of a proxy.
+	codeNotRun         = "YG001"
+	codeUnknownOutcome = "08007"
+
+	tokenParameter = "gypsumgap.session_token"
+	emptyToken     = "none"
+
+	sessionApplication = "gypsumgap-load"
+
+	// readWindow is how many of a session's latest writes a read covers.
+	readWindow = 50
+	// reconnectPause is the time between attempts to connect.
+	reconnectPause = 50 * time.Millisecond
+	// readShare is the share of reads among a session's operations.
+	readShare = 0.5
+
+	insertSQL = "INSERT INTO gypsumgap_load (write_id, session, seq) VALUES ($1, $2, $3)"
+	ownSQL    = "SELECT seq FROM gypsumgap_load WHERE session = $1 AND seq >= $2"
+	statusSQL = "SELECT count(*) FROM gypsumgap_load WHERE session = $1"
+)
+
+// caller is one caller with its session.
+type caller struct {
+	opts   Options
+	record *Record
+	random *rand.Rand
+
+	name       string
+	statusPage bool
+	useToken   bool
+
+	conn    *pgx.Conn
+	address string
+	token   string
+	seq     int
+	// acked holds the sequence numbers of acknowledged writes in the window.
+	acked []int
+}
+
+func newCaller(opts Options, index int, record *Record) *caller {
+	return &caller{
+		opts: opts, record: record, random: newRandom(opts.Seed, index),
+		name:       fmt.Sprintf("%s-%d", opts.Run, index),
+		statusPage: index >= opts.Sessions,
+		useToken:   index%2 == 0,
+		token:      emptyToken,
+	}
+}
+
+// run works until ctx ends or all operations are done. An operation under way
+// when ctx ends is completed, so that its outcome is known.
+func (c *caller) run(ctx context.Context) {
+	defer c.disconnect()
+	for done := 0; ctx.Err() == nil && (c.opts.Operations == 0 || done < c.opts.Operations); done++ {
+		if c.random.IntN(c.opts.RoamEvery) == 0 {
+			c.disconnect()
+		}
+		if !c.connected(ctx) {
+			return
+		}
+		c.operate(context.WithoutCancel(ctx))
+		pause(ctx, c.opts.Pause)
+	}
+}
+
+func (c *caller) operate(parent context.Context) {
+	ctx, cancel := context.WithTimeout(parent, c.opts.Timeout)
+	defer cancel()
+	switch {
+	case c.statusPage:
+		c.readStatusPage(ctx)
+	case c.seq > 0 && c.random.Float64() < readShare:
+		c.readOwn(ctx)
+	default:
+		c.write(ctx)
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// connected makes sure of a connection and returns false if ctx ends before.
+func (c *caller) connected(ctx context.Context) bool {
+	for ctx.Err() == nil {
+		if c.conn != nil && !c.conn.IsClosed() {
+			return true
+		}
+		c.disconnect()
+		if c.connect(ctx) == nil {
+			c.record.count(func(n *Counts) { n.Connects++ })
+			return true
+		}
+		if ctx.Err() == nil {
+			c.record.count(func(n *Counts) { n.ConnectsFailed++ })
+		}
+		pause(ctx, reconnectPause)
+	}
+	return false
+}
+
+func (c *caller) connect(parent context.Context) error {
+	ctx, cancel := context.WithTimeout(parent, c.opts.Timeout)
+	defer cancel()
+	c.address = c.opts.Addresses[c.random.IntN(len(c.opts.Addresses))]
+	config, err := c.config()
+	if err != nil {
+		return err
+	}
+	conn, err := pgx.ConnectConfig(ctx, config)
+	if err != nil {
+		return err
+	}
+	c.conn = conn
+	return nil
+}
+
+func (c *caller) config() (*pgx.ConnConfig, error) {
+	host, portText, err := net.SplitHostPort(c.address)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, err
+	}
+	config, err := pgx.ParseConfig("sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	config.Host, config.Port = host, uint16(port)
+	config.User, config.Password, config.Database = c.opts.User, c.opts.Password, c.opts.Database
+	config.Fallbacks = nil
+	config.RuntimeParams = map[string]string{"application_name": sessionApplication}
+	if c.statusPage {
+		config.RuntimeParams["application_name"] = StatusPageClass
+	} else if c.useToken {
+		config.RuntimeParams[tokenParameter] = c.token
+	}
+	return config, nil
+}
+
+func (c *caller) disconnect() {
+	if c.conn == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), reconnectPause)
+	defer cancel()
+	_ = c.conn.Close(ctx)
+	c.conn = nil
+}
+
+// write inserts a row, alone or in an explicit transaction, and records the outcome.
+func (c *caller) write(ctx context.Context) {
+	c.seq++
+	w := Write{ID: fmt.Sprintf("%s-%d", c.name, c.seq), Transaction: c.random.IntN(2) == 0}
+	started := time.Now()
+	var err error
+	if w.Transaction {
+		w.Outcome, err = c.writeInTransaction(ctx, w.ID)
+	} else {
+		_, err = c.conn.Exec(ctx, insertSQL, w.ID, c.name, c.seq)
+		w.Outcome = outcomeOf(err)
+	}
+	w.Done = time.Now()
+	if err != nil {
+		w.Err = err.Error()
+	}
+	if w.Outcome == Acknowledged {
+		c.acked = append(c.acked, c.seq)
+	}
+	c.record.write(w, w.Done.Sub(started))
+	c.takeToken()
+}
+
+// writeInTransaction returns Aborted for a failure before COMMIT was sent,
+// unless the proxy refused the transaction.
+func (c *caller) writeInTransaction(ctx context.Context, id string) (Outcome, error) {
+	tx, err := c.conn.Begin(ctx)
+	if err != nil {
+		return beforeCommit(err), err
+	}
+	if _, err := tx.Exec(ctx, insertSQL, id, c.name, c.seq); err != nil {
+		_ = tx.Rollback(ctx)
+		return beforeCommit(err), err
+	}
+	err = tx.Commit(ctx)
+	return outcomeOf(err), err
+}
+
+func beforeCommit(err error) Outcome {
+	if outcomeOf(err) == Refused {
+		return Refused
+	}
+	return Aborted
+}
+
+// outcomeOf tells what an error says of the statement that it ended.
+func outcomeOf(err error) Outcome {
+	var answer *pgconn.PgError
+	switch {
+	case err == nil:
+		return Acknowledged
+	case errors.Is(err, pgx.ErrTxCommitRollback):
+		return Aborted
+	case errors.As(err, &answer):
+		return outcomeOfAnswer(answer)
+	case pgconn.SafeToRetry(err):
+		return Aborted
+	default:
+		return Unknown
+	}
+}
+
+// outcomeOfAnswer takes a fatal error as an unknown outcome, since it may
+// have come while the statement was on its way.
+func outcomeOfAnswer(answer *pgconn.PgError) Outcome {
+	switch {
+	case answer.Code == codeNotRun:
+		return Refused
+	case answer.Code == codeUnknownOutcome, answer.SeverityUnlocalized == "FATAL":
+		return Unknown
+	default:
+		return Aborted
+	}
+}
+
+// takeToken keeps the session token that the proxy reported.
+func (c *caller) takeToken() {
+	if c.conn == nil {
+		return
+	}
+	if token := c.conn.PgConn().ParameterStatus(tokenParameter); token != "" {
+		c.token = token
+	}
+}
+
+// readOwn reads the session's latest writes and checks that it finds those acknowledged.
+func (c *caller) readOwn(ctx context.Context) {
+	first := max(1, c.seq-readWindow)
+	started := time.Now()
+	found, err := c.readSequence(ctx, first)
+	if err != nil {
+		c.readFailed(err)
+		return
+	}
+	c.record.read(false, time.Since(started))
+	if missing := c.missing(found, first); len(missing) > 0 {
+		c.record.missedRead(MissedRead{
+			Session: c.name, Token: c.useToken, Address: c.address, Missing: missing, Done: time.Now(),
+		})
+	}
+}
+
+// readSequence reads in one of the ways in which a caller may read.
+func (c *caller) readSequence(ctx context.Context, first int) ([]int, error) {
+	switch c.random.IntN(3) {
+	case 0:
+		return c.readInTransaction(ctx, first)
+	case 1:
+		if c.opts.ReadClass != "" {
+			return collect(c.conn.Query(ctx, fmt.Sprintf("/*class='%s'*/ %s", c.opts.ReadClass, ownSQL), c.name, first))
+		}
+	}
+	return collect(c.conn.Query(ctx, ownSQL, c.name, first))
+}
+
+func collect(rows pgx.Rows, err error) ([]int, error) {
+	if err != nil {
+		return nil, err
+	}
+	return pgx.CollectRows(rows, pgx.RowTo[int])
+}
+
+func (c *caller) readInTransaction(ctx context.Context, first int) ([]int, error) {
+	tx, err := c.conn.BeginTx(ctx, pgx.TxOptions{AccessMode: pgx.ReadOnly})
+	if err != nil {
+		return nil, err
+	}
+	found, err := collect(tx.Query(ctx, ownSQL, c.name, first))
+	if err != nil {
+		_ = tx.Rollback(ctx)
+		return nil, err
+	}
+	return found, tx.Commit(ctx)
+}
+
+// missing returns the acknowledged sequence numbers from first on that were not found.
+func (c *caller) missing(found []int, first int) []int {
+	present := map[int]bool{}
+	for _, seq := range found {
+		present[seq] = true
+	}
+	for len(c.acked) > 0 && c.acked[0] < first {
+		c.acked = c.acked[1:]
+	}
+	var missing []int
+	for _, seq := range c.acked {
+		if !present[seq] {
+			missing = append(missing, seq)
+		}
+	}
+	return missing
+}
+
+func (c *caller) readStatusPage(ctx context.Context) {
+	session := fmt.Sprintf("%s-%d", c.opts.Run, c.random.IntN(c.opts.Sessions))
+	started := time.Now()
+	var n int
+	if err := c.conn.QueryRow(ctx, statusSQL, session).Scan(&n); err != nil {
+		c.readFailed(err)
+		return
+	}
+	c.record.read(true, time.Since(started))
+}
+
+func (c *caller) readFailed(err error) {
+	refused := outcomeOf(err) == Refused
+	c.record.count(func(n *Counts) {
+		if refused {
+			n.ReadsRefused++
+		} else {
+			n.ReadsFailed++
+		}
+	})
+	if c.opts.Logger != nil {
+		c.opts.Logger.WithError(err).WithField("session", c.name).Warn("read_failed")
+	}
+}
--- /dev/null
+++ b/standin/load/check.go
@@ -0,0 +1,129 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
+)
+
+// Report is the verdict on a load.
+type Report struct {
+	Counts
+	// Lost counts acknowledged writes that are absent.
+	Lost int
+	// Twice counts writes that are present more than once.
+	Twice int
+	// RefusedPresent and AbortedPresent count writes that are present although
+	// the caller was told that they did not run.
+	RefusedPresent int
+	AbortedPresent int
+	// UnknownPresent counts writes of unknown outcome that are present, which is no fault.
+	UnknownPresent int
+	// MissedReads counts session reads without a write acknowledged to the session.
+	MissedReads int
+	// LongestGap is the longest time without an accepted write.
+	LongestGap time.Duration
+	// Writes and Reads are the times of answered operations.
+	WriteLatency, ReadLatency Latency
+	// Examples names some of the ids at fault.
+	Examples []string
+}
+
+const maxExamples = 10
+
+// Faults returns the number of broken promises.
+func (r Report) Faults() int {
+	return r.Lost + r.Twice + r.RefusedPresent + r.AbortedPresent + r.MissedReads
+}
+
+// Check reads the table of the load from the primary at the address, as the
+// user, and compares it with the record. It fails if the table cannot be read.
+func Check(ctx context.Context, record *Record, primary, database, user string) (Report, error) {
+	present, err := readTable(ctx, primary, database, user)
+	if err != nil {
+		return Report{}, fmt.Errorf("load: check: %w", err)
+	}
+	return compare(record, present), nil
+}
+
+func readTable(ctx context.Context, primary, database, user string) (map[string]int, error) {
+	config, err := pgx.ParseConfig(fmt.Sprintf("postgres://%s@%s/%s?sslmode=disable", user, primary, database))
+	if err != nil {
+		return nil, err
+	}
+	conn, err := pgx.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close(ctx)
+	rows, err := conn.Query(ctx, "SELECT write_id FROM gypsumgap_load")
+	if err != nil {
+		return nil, err
+	}
+	present := map[string]int{}
+	var id string
+	_, err = pgx.ForEachRow(rows, []any{&id}, func() error {
+		present[id]++
+		return nil
+	})
+	return present, err
+}
+
+func compare(record *Record, present map[string]int) Report {
+	r := Report{Counts: record.Counts(), MissedReads: len(record.MissedReads()), LongestGap: record.LongestGap()}
+	r.WriteLatency, r.ReadLatency = record.Latencies()
+	for _, w := range record.Writes() {
+		times := present[w.ID]
+		if times > 1 {
+			r.Twice++
+			r.example("twice", w)
+		}
+		switch {
+		case w.Outcome == Acknowledged && times == 0:
+			r.Lost++
+			r.example("lost", w)
+		case w.Outcome == Refused && times > 0:
+			r.RefusedPresent++
+			r.example("refused but present", w)
+		case w.Outcome == Aborted && times > 0:
+			r.AbortedPresent++
+			r.example("aborted but present", w)
+		case w.Outcome == Unknown && times > 0:
+			r.UnknownPresent++
+		}
+	}
+	for _, m := range record.MissedReads() {
+		if len(r.Examples) < maxExamples {
+			r.Examples = append(r.Examples, fmt.Sprintf("session %s missed writes %v at %s", m.Session, m.Missing, m.Address))
+		}
+	}
+	return r
+}
+
+func (r *Report) example(what string, w Write) {
+	if len(r.Examples) < maxExamples {
+		r.Examples = append(r.Examples, fmt.Sprintf("%s: write %s %s", what, w.ID, w.Err))
+	}
+}
+
+// FindPrimary asks the slots for their status and returns the primary of the
+// highest term. It fails if none of them answers as a primary.
+func FindPrimary(ctx context.Context, client *pgcontrol.Client, slots []group.Slot) (group.Slot, error) {
+	var best group.Slot
+	var term group.Term
+	for _, slot := range slots {
+		status, err := client.Status(ctx, slot)
+		if err == nil && status.Role == group.Primary && status.Accepted > term {
+			best, term = slot, status.Accepted
+		}
+	}
+	if term == 0 {
+		return best, fmt.Errorf("load: no primary among %d slots", len(slots))
+	}
+	return best, nil
+}
