List caller connections on control connections of the stand-in

An owner that reclaims connection shares of a dead host must see that the host's labelled connections are gone. The command tag of a portal run in parts now counts the rows of its last part, as PostgreSQL has it.

--- a/core/group/pgcontrol/pgcontrol.go
+++ b/core/group/pgcontrol/pgcontrol.go
@@ -111,25 +111,55 @@
 // Running reports whether the backend process with this id still runs a
 // statement. It fails as the methods of group.Client do.
 func (c *Client) Running(ctx context.Context, slot group.Slot, pid uint32) (bool, error) {
-	row, err := c.request(ctx, slot, "activity", fmt.Sprintf("SELECT gypsumgap_activity(%d)", pid), true)
+	rows, err := c.request(ctx, slot, "activity", fmt.Sprintf("SELECT gypsumgap_activity(%d)", pid), true)
 	if err != nil {
 		return false, err
 	}
+	row := single(rows)
 	return row.boolean(activityColumn), row.failure(slot, "activity")
 }
 
+// Connection is a caller connection of a backend server.
+type Connection struct {
+	// PID is the id of its backend process.
+	PID uint32
+	// Application is its application_name.
+	Application string
+}
+
+// Connections lists the caller connections of a backend server, control
+// connections left out. It fails as the methods of group.Client do.
+func (c *Client) Connections(ctx context.Context, slot group.Slot) ([]Connection, error) {
+	const what = "connections"
+	rows, err := c.request(ctx, slot, what, "SELECT pid, application_name FROM pg_stat_activity", true)
+	if err != nil {
+		return nil, err
+	}
+	var connections []Connection
+	for _, row := range rows {
+		connections = append(connections, Connection{
+			PID: uint32(row.number(pidColumn)), Application: row.text(applicationColumn),
+		})
+		if err := row.failure(slot, what); err != nil {
+			return nil, err
+		}
+	}
+	return connections, nil
+}
+
 func (c *Client) status(ctx context.Context, slot group.Slot, what, sql string, repeatable bool) (group.Status, error) {
-	row, err := c.request(ctx, slot, what, sql, repeatable)
+	rows, err := c.request(ctx, slot, what, sql, repeatable)
 	if err != nil {
 		return group.Status{}, err
 	}
+	row := single(rows)
 	status := row.status()
 	return status, row.failure(slot, what)
 }
 
-// request sends sql and returns the row of its answer. A request that may be
+// request sends sql and returns the rows of its answer. A request that may be
 // repeated is repeated once if a kept connection turns out to be broken.
-func (c *Client) request(ctx context.Context, slot group.Slot, what, sql string, repeatable bool) (*row, error) {
+func (c *Client) request(ctx context.Context, slot group.Slot, what, sql string, repeatable bool) ([]*row, error) {
 	l, err := c.link(slot.Address)
 	if err == nil {
 		err = l.take(ctx)
@@ -180,7 +210,7 @@
 func (l *link) give() { l.turn <- struct{}{} }
 
 // attempt sends sql once, on the kept connection if there is one that is not broken.
-func (c *Client) attempt(ctx context.Context, l *link, sql string) (answer *row, kept bool, err error) {
+func (c *Client) attempt(ctx context.Context, l *link, sql string) (answer []*row, kept bool, err error) {
 	if l.conn != nil && (l.conn.IsClosed() || broken(l.conn.Conn())) {
 		l.discard()
 	}
@@ -194,7 +224,7 @@
 	if err != nil {
 		return nil, kept, l.classify(err)
 	}
-	answer, err = newRow(results)
+	answer, err = newRows(results)
 	if err != nil {
 		return nil, kept, fmt.Errorf("%w: %w", group.ErrNoAnswer, err)
 	}
--- a/core/group/pgcontrol/row.go
+++ b/core/group/pgcontrol/row.go
@@ -24,24 +24,38 @@
 	upstreamColumn        = "upstream"
 	receivingAgeColumn    = "receiving_age_us"
 	activityColumn        = "gypsumgap_activity"
+	pidColumn             = "pid"
+	applicationColumn     = "application_name"
 )
 
-// row is an answer of one row in text form. The first column that is missing
-// or malformed is kept as its error.
+// row is a row of an answer in text form. The first column that is missing or
+// malformed is kept as its error.
 type row struct {
 	values map[string]string
 	err    error
 }
 
-func newRow(results []*pgconn.Result) (*row, error) {
-	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return nil, fmt.Errorf("%w: expected one row", errBadAnswer)
+func newRows(results []*pgconn.Result) ([]*row, error) {
+	if len(results) != 1 {
+		return nil, fmt.Errorf("%w: %d results", errBadAnswer, len(results))
 	}
-	r := &row{values: map[string]string{}}
-	for i, field := range results[0].FieldDescriptions {
-		r.values[field.Name] = string(results[0].Rows[0][i])
+	var rows []*row
+	for _, values := range results[0].Rows {
+		r := &row{values: map[string]string{}}
+		for i, field := range results[0].FieldDescriptions {
+			r.values[field.Name] = string(values[i])
+		}
+		rows = append(rows, r)
 	}
-	return r, nil
+	return rows, nil
+}
+
+// single returns the only row of an answer, or one that holds an error.
+func single(rows []*row) *row {
+	if len(rows) != 1 {
+		return &row{err: fmt.Errorf("%w: %d rows, want one", errBadAnswer, len(rows))}
+	}
+	return rows[0]
 }
 
 func (r *row) text(name string) string {
--- a/standin/dbgroup/control.go
+++ b/standin/dbgroup/control.go
@@ -19,6 +19,7 @@
 	fenceOrder    = regexp.MustCompile(`^SELECT gypsumgap_fence\((\d+)\);?$`)
 	promoteOrder  = regexp.MustCompile(`^SELECT gypsumgap_promote\((\d+)\);?$`)
 	followOrder   = regexp.MustCompile(`^SELECT gypsumgap_follow\((\d+), '([^']*)'\);?$`)
+	sessionsOrder = regexp.MustCompile(`^SELECT pid, application_name FROM pg_stat_activity;?$`)
 	activityOrder = regexp.MustCompile(`^SELECT gypsumgap_activity\((\d+)\);?$`)
 )
 
@@ -71,6 +72,9 @@
 		return true, c.order(followOrder, sql, c.slot.Follow)
 	case activityOrder.MatchString(sql):
 		return true, c.activity(activityOrder.FindStringSubmatch(sql)[1])
+	case sessionsOrder.MatchString(sql):
+		c.listSessions()
+		return true, nil
 	}
 	return false, nil
 }
@@ -113,9 +117,26 @@
 	return nil
 }
 
+// listSessions lists the ordinary connections.
+func (c *session) listSessions() {
+	c.send(describeRow([]column{{"pid", pgtype.Int8OID}, {"application_name", pgtype.TextOID}}, nil))
+	c.slot.mu.Lock()
+	defer c.slot.mu.Unlock()
+	count := int64(0)
+	for pid, other := range c.slot.sessions {
+		if !other.counted {
+			continue
+		}
+		row := [][]byte{strconv.AppendUint(nil, uint64(pid), 10), []byte(*other.application.Load())}
+		c.send(&pgproto3.DataRow{Values: row})
+		count++
+	}
+	c.complete("SELECT " + strconv.FormatInt(count, 10))
+}
+
 // answerRow sends a result of one row in text form.
 func (c *session) answerRow(columns []column, row [][]byte) {
 	c.send(describeRow(columns, nil))
 	c.send(&pgproto3.DataRow{Values: row})
-	c.send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")})
+	c.complete("SELECT 1")
 }
--- a/standin/dbgroup/driver_test.go
+++ b/standin/dbgroup/driver_test.go
@@ -4,11 +4,13 @@
 	"bytes"
 	"errors"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
 )
@@ -195,8 +197,7 @@
 	}
 }
 
-// Guards against a large result that is cut short, or rows fetched in parts
-// that repeat or skip.
+// Guards against a large result that is cut short.
 func TestLargeResult(t *testing.T) {
 	c := connect(t, startGroup(t, nil).Slot(0))
 	series := "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i+1 FROM n WHERE i < 50000) SELECT i FROM n"
@@ -207,6 +208,44 @@
 	}
 }
 
+// Guards against rows fetched in parts that repeat or skip.
+func TestPortalInParts(t *testing.T) {
+	hijacked, err := connect(t, startGroup(t, nil).Slot(0)).PgConn().Hijack()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer hijacked.Conn.Close()
+	frontend := hijacked.Frontend
+	frontend.SendParse(&pgproto3.Parse{Query: "VALUES (1), (2), (3)"})
+	frontend.SendBind(&pgproto3.Bind{})
+	frontend.SendExecute(&pgproto3.Execute{MaxRows: 2})
+	frontend.SendExecute(&pgproto3.Execute{MaxRows: 2})
+	frontend.SendSync(&pgproto3.Sync{})
+	if err := frontend.Flush(); err != nil {
+		t.Fatal(err)
+	}
+	var got string
+	for !strings.HasSuffix(got, "Z") {
+		msg, err := frontend.Receive()
+		if err != nil {
+			t.Fatal(err)
+		}
+		switch msg := msg.(type) {
+		case *pgproto3.DataRow:
+			got += string(msg.Values[0])
+		case *pgproto3.PortalSuspended:
+			got += "s"
+		case *pgproto3.CommandComplete:
+			got += string(msg.CommandTag)
+		case *pgproto3.ReadyForQuery:
+			got += "Z"
+		}
+	}
+	if got != "12s3SELECT 1Z" {
+		t.Fatalf("got %s", got)
+	}
+}
+
 // Guards against a cancel request that is ignored, or that fails the next statement.
 func TestCancel(t *testing.T) {
 	s := startGroup(t, nil).Slot(0)
--- a/standin/dbgroup/faults_test.go
+++ b/standin/dbgroup/faults_test.go
@@ -50,6 +50,11 @@
 	if err != nil || status.Connections != 1 || status.ConnectionLimit != 1 {
 		t.Fatalf("got %+v, %v", status, err)
 	}
+	exec(t, first, "SET application_name = 'e1/7'")
+	connections, err := client.Connections(background, g.GroupSlots()[0])
+	if err != nil || len(connections) != 1 || connections[0] != (pgcontrol.Connection{PID: first.PgConn().PID(), Application: "e1/7"}) {
+		t.Fatalf("got %+v, %v", connections, err)
+	}
 	_ = first.Close(background)
 	await(t, "the connection is counted out", func() bool { return s.Status().Connections == 0 })
 	connect(t, s)
--- a/standin/dbgroup/query.go
+++ b/standin/dbgroup/query.go
@@ -408,6 +408,7 @@
 func (c *session) set(name, value string) {
 	c.settings[name] = value
 	if name == "application_name" {
+		c.nameApplication(value)
 		c.send(&pgproto3.ParameterStatus{Name: name, Value: value})
 	}
 }
@@ -462,6 +463,8 @@
 
 // executeSQL runs a statement in the embedded database.
 func (c *session) executeSQL(target *portal, maxRows int64) (suspended bool, err error) {
+	// A command tag counts the rows of one Execute message.
+	target.rows = 0
 	if target.done {
 		c.complete(target.tag(0))
 		return false, nil
--- a/standin/dbgroup/session.go
+++ b/standin/dbgroup/session.go
@@ -50,6 +50,8 @@
 	cancelled atomic.Bool
 	cancelCh  chan struct{}
 	db        atomic.Pointer[sqlite.DB]
+	// application is the application_name, set before the session is counted.
+	application atomic.Pointer[string]
 
 	// counted is guarded by the slot's mutex.
 	counted bool
@@ -279,6 +281,7 @@
 		c.settings[name] = value
 	}
 	c.user = parameters["user"]
+	c.nameApplication(parameters["application_name"])
 	c.isControl = c.user == ControlUser
 	c.pause(c.slot.settings.Load().connectTime)
 	if err := c.checkAdmission(parameters["database"]); err != nil {
@@ -294,6 +297,8 @@
 	return c.ready()
 }
 
+func (c *session) nameApplication(name string) { c.application.Store(&name) }
+
 func (c *session) checkAdmission(database string) *sqlError {
 	if c.isControl {
 		return nil
--- a/standin/latency/conn.go
+++ b/standin/latency/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -53,10 +54,10 @@
 
 func (c *Conn) pumpIn() {
 	defer close(c.in)
+	buffer := make([]byte, chunkSize)
 	for {
-		data := make([]byte, chunkSize)
-		n, err := c.Conn.Read(data)
-		got := chunk{due: time.Now().Add(c.delay), data: data[:n], err: err}
+		n, err := c.Conn.Read(buffer)
+		got := chunk{due: time.Now().Add(c.delay), data: slices.Clone(buffer[:n]), err: err}
 		select {
 		case c.in <- got:
 		case <-c.done:
@@ -122,7 +123,7 @@
 
 // Write queues a copy of p. It fails with net.ErrClosed after Close.
 func (c *Conn) Write(p []byte) (int, error) {
-	data := append([]byte(nil), p...)
+	data := slices.Clone(p)
 	select {
 	case <-c.done:
 		return 0, net.ErrClosed
