--- /dev/null
+++ b/core/config/decode.go
@@ -0,0 +1,314 @@
+package config
+
+import (
+	"encoding/base64"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/finding"
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// Defaults for keys that a service leaves out.
+const (
+	DefaultCommitTimeout = Duration(5 * time.Second)
+	DefaultReplicaWait   = Duration(20 * time.Millisecond)
+	DefaultProbeIdle     = Duration(time.Second)
+	DefaultProbeSuspect  = Duration(250 * time.Millisecond)
+	DefaultMisses        = 3
+	DefaultDeadline      = Duration(5 * time.Second)
+	DefaultQueueLimit    = 100
+)
+
+// Bounds of values.
+const (
+	// OwnerHosts is the number of hosts that share a database's connections;
+	// each of them needs at least one.
+	OwnerHosts = 2
+	// MaxPriority is the number of the lowest priority.
+	MaxPriority = 9
+
+	maxQueueLimit    = 1_000_000
+	maxCommitTimeout = Duration(time.Minute)
+	// maxReplicaWait keeps a read's wait below the age of a whole probe interval.
+	maxReplicaWait  = Duration(time.Second)
+	minProbeIdle    = Duration(100 * time.Millisecond)
+	maxProbeIdle    = Duration(5 * time.Second)
+	minProbeSuspect = Duration(50 * time.Millisecond)
+	minMisses       = 2
+	maxMisses       = 10
+)
+
+// decoder turns the merged tree into services and checks rules over several values.
+type decoder struct {
+	findings  *finding.List
+	databases map[string]finding.Place
+	slots     map[string]finding.Place
+	addresses map[string]finding.Place
+}
+
+func newDecoder(l *finding.List) *decoder {
+	return &decoder{
+		findings:  l,
+		databases: map[string]finding.Place{},
+		slots:     map[string]finding.Place{},
+		addresses: map[string]finding.Place{},
+	}
+}
+
+func (d *decoder) services(root *node) []Service {
+	services := root.fields[keyServices]
+	if services == nil {
+		return nil
+	}
+	var out []Service
+	for _, name := range services.keys {
+		out = append(out, d.service(name, services.fields[name]))
+	}
+	return out
+}
+
+func (d *decoder) service(name string, n *node) Service {
+	d.required(n, "service "+name)
+	s := Service{
+		Name:          name,
+		CommitTimeout: get(n, keyCommitTimeout, DefaultCommitTimeout),
+		ReplicaWait:   get(n, keyReplicaWait, DefaultReplicaWait),
+		Failover:      d.failover(n.fields[keyFailover]),
+		Objectives:    objectives(n.fields[keyObjectives]),
+	}
+	d.between(n, keyCommitTimeout, s.CommitTimeout, Duration(time.Millisecond), maxCommitTimeout)
+	d.between(n, keyReplicaWait, s.ReplicaWait, 0, maxReplicaWait)
+	d.notEmpty(n.fields[keyCallers], "who may log in to the service")
+	d.notEmpty(n.fields[keyDatabases], "the databases of the service")
+	for _, it := range items(n, keyCallers) {
+		s.Callers = append(s.Callers, d.caller(it))
+	}
+	for _, it := range items(n, keyDatabases) {
+		s.Databases = append(s.Databases, d.database(it))
+	}
+	for _, it := range items(n, keyClasses) {
+		s.Classes = append(s.Classes, d.class(it, s.Failover))
+	}
+	s.sort()
+	return s
+}
+
+func (d *decoder) failover(n *node) FailoverPolicy {
+	p := FailoverPolicy{ProbeIdle: DefaultProbeIdle, ProbeSuspect: DefaultProbeSuspect, Misses: DefaultMisses}
+	if n == nil {
+		return p
+	}
+	p.ProbeIdle = get(n, keyProbeIdle, p.ProbeIdle)
+	p.ProbeSuspect = get(n, keyProbeSuspect, min(p.ProbeSuspect, p.ProbeIdle))
+	p.Misses = get(n, keyMisses, p.Misses)
+	d.between(n, keyProbeIdle, p.ProbeIdle, minProbeIdle, maxProbeIdle)
+	d.between(n, keyProbeSuspect, p.ProbeSuspect, minProbeSuspect, p.ProbeIdle)
+	d.integerBetween(n, keyMisses, p.Misses, minMisses, maxMisses)
+	return p
+}
+
+func objectives(n *node) Objectives {
+	if n == nil {
+		return Objectives{}
+	}
+	return Objectives{
+		AnsweredWithin:   get(n, keyAnsweredWithin, Duration(0)),
+		AnsweredShare:    get(n, keyAnsweredShare, 0.0),
+		WritableShare:    get(n, keyWritableShare, 0.0),
+		ReplicaReadShare: get(n, keyReplicaReadShare, 0.0),
+	}
+}
+
+func (d *decoder) caller(n *node) Caller {
+	d.required(n, "caller "+n.text(keyUser))
+	c := Caller{User: n.text(keyUser), Verifier: n.text(keyVerifier)}
+	if v := n.fields[keyVerifier]; v != nil && v.value != nil && !validVerifier(c.Verifier) {
+		d.findings.Errorf(v.place, "SCRAM-SHA-256$ITERATIONS:SALT$STORED_KEY:SERVER_KEY",
+			"the verifier of caller %q is not a SCRAM-SHA-256 verifier", c.User)
+	}
+	return c
+}
+
+// validVerifier reports whether v has the form in which PostgreSQL stores a
+// SCRAM-SHA-256 verifier.
+func validVerifier(v string) bool {
+	parts := strings.Split(v, "$")
+	if len(parts) != 3 || parts[0] != "SCRAM-SHA-256" {
+		return false
+	}
+	iterations, salt, ok := strings.Cut(parts[1], ":")
+	stored, server, ok2 := strings.Cut(parts[2], ":")
+	if !ok || !ok2 {
+		return false
+	}
+	if n, err := strconv.Atoi(iterations); err != nil || n < 1 {
+		return false
+	}
+	const keyBytes = 32
+	return decodedLength(salt) > 0 && decodedLength(stored) == keyBytes && decodedLength(server) == keyBytes
+}
+
+func decodedLength(s string) int {
+	b, err := base64.StdEncoding.DecodeString(s)
+	if err != nil {
+		return -1
+	}
+	return len(b)
+}
+
+func (d *decoder) database(n *node) Database {
+	db := Database{
+		Name:            n.text(keyName),
+		ConnectionLimit: get(n, keyConnectionLimit, OwnerHosts),
+	}
+	d.required(n, "database "+db.Name)
+	d.unique(d.databases, n.fields[keyName], "database name")
+	if limit := n.fields[keyConnectionLimit]; limit != nil && db.ConnectionLimit < OwnerHosts {
+		d.findings.Errorf(limit.place, fmt.Sprintf("at least %d, one for each owner host", OwnerHosts),
+			"connection_limit %d of database %q is below the number of owner hosts", db.ConnectionLimit, db.Name)
+	}
+	for _, it := range items(n, keySlots) {
+		db.Slots = append(db.Slots, d.slot(it))
+	}
+	d.slotCount(n.fields[keySlots], db.Name)
+	return db
+}
+
+func (d *decoder) slotCount(slots *node, database string) {
+	d.notEmpty(slots, "the slots of the database")
+	if slots == nil {
+		return
+	}
+	if count := len(slots.items); count > 0 && count%2 == 0 {
+		d.findings.Warnf(slots.place, "an odd number of slots",
+			"database %q has %d slots, which withstand no more failures than %d", database, count, count-1)
+	}
+}
+
+func (d *decoder) slot(n *node) group.Slot {
+	s := group.Slot{
+		ID:      group.SlotID(n.text(keyID)),
+		Address: n.text(keyAddress),
+		Zone:    n.text(keyZone),
+		Region:  n.text(keyRegion),
+	}
+	d.required(n, "slot "+string(s.ID))
+	d.unique(d.slots, n.fields[keyID], "slot id")
+	d.unique(d.addresses, n.fields[keyAddress], "slot address")
+	if a := n.fields[keyAddress]; a != nil && a.value != nil {
+		if ap, err := netip.ParseAddrPort(s.Address); err != nil || ap.Port() == 0 {
+			d.findings.Errorf(a.place, "host:port with an IP number, such as 10.0.0.1:5432", "address %q of slot %q is not usable", s.Address, s.ID)
+		}
+	}
+	return s
+}
+
+func (d *decoder) class(n *node, failover FailoverPolicy) Class {
+	c := Class{
+		Name:       n.text(keyName),
+		Priority:   get(n, keyPriority, 0),
+		Deadline:   get(n, keyDeadline, DefaultDeadline),
+		Read:       get(n, keyRead, false),
+		MaxAge:     get(n, keyMaxAge, Duration(0)),
+		QueueLimit: get(n, keyQueueLimit, DefaultQueueLimit),
+	}
+	c.Repeatable = get(n, keyRepeatable, c.Read)
+	d.required(n, "class "+c.Name)
+	d.integerBetween(n, keyPriority, c.Priority, 0, MaxPriority)
+	d.integerBetween(n, keyQueueLimit, c.QueueLimit, 0, maxQueueLimit)
+	if c.Deadline <= 0 {
+		d.findings.Errorf(n.fields[keyDeadline].place, "a positive duration", "deadline of class %q is 0", c.Name)
+	}
+	if c.Read && !c.Repeatable {
+		d.findings.Errorf(n.fields[keyRepeatable].place, "repeatable: true, or read: false",
+			"read class %q is declared not repeatable, but a read changes nothing", c.Name)
+	}
+	d.maxAge(n.fields[keyMaxAge], c, failover)
+	return c
+}
+
+// maxAge checks the age of data that a class accepts. An idle replica's
+// position is refreshed once per idle probe, so no smaller age can be met.
+func (d *decoder) maxAge(n *node, c Class, failover FailoverPolicy) {
+	switch {
+	case c.MaxAge == 0:
+	case !c.Read:
+		d.findings.Errorf(n.place, "read: true, or no max_age", "class %q has a max_age but is not a read class", c.Name)
+	case c.MaxAge < failover.ProbeIdle:
+		d.findings.Errorf(n.place, fmt.Sprintf("at least %s, or 0 for current data, or a shorter failover.probe_idle", failover.ProbeIdle),
+			"no replica can meet max_age %s of class %q: an idle replica is refreshed every %s", c.MaxAge, c.Name, failover.ProbeIdle)
+	}
+}
+
+// required reports the keys that the merge of all files left out.
+func (d *decoder) required(n *node, what string) {
+	for _, f := range n.schema.fields {
+		if !f.required || n.fields[f.name] != nil {
+			continue
+		}
+		if f.name == keyZone {
+			d.findings.Errorf(n.place, "zone: the availability zone of the backend server", "%s has no availability zone", what)
+			continue
+		}
+		d.findings.Errorf(n.place, f.name+": "+f.schema.kind.expected(), "%s has no %s", what, f.name)
+	}
+}
+
+func (d *decoder) notEmpty(n *node, expected string) {
+	if n != nil && len(n.items) == 0 && !n.invalid {
+		d.findings.Errorf(n.place, expected, "the list is empty")
+	}
+}
+
+func (d *decoder) unique(seen map[string]finding.Place, n *node, what string) {
+	if n == nil || n.value == nil {
+		return
+	}
+	name, _ := n.value.(string)
+	if first, ok := seen[name]; ok {
+		d.findings.Errorf(n.place, "a "+what+" that is unique among all services", "%s %q is already used at %s", what, name, first)
+		return
+	}
+	seen[name] = n.place
+}
+
+// between checks the bounds of a duration that is set.
+func (d *decoder) between(n *node, key string, v, low, high Duration) {
+	if v < low || v > high {
+		d.outOfBounds(n, key, v, low, high)
+	}
+}
+
+func (d *decoder) integerBetween(n *node, key string, v, low, high int) {
+	if v < low || v > high {
+		d.outOfBounds(n, key, v, low, high)
+	}
+}
+
+func (d *decoder) outOfBounds(n *node, key string, v, low, high any) {
+	if f := n.fields[key]; f != nil && f.value != nil {
+		d.findings.Errorf(f.place, fmt.Sprintf("%v to %v", low, high), "%s %v is out of bounds", key, v)
+	}
+}
+
+// get returns a scalar of a mapping, or the default if it is missing.
+func get[T any](n *node, key string, defaultValue T) T {
+	if f := n.fields[key]; f != nil {
+		if v, ok := f.value.(T); ok {
+			return v
+		}
+	}
+	return defaultValue
+}
+
+func items(n *node, key string) []*node {
+	if f := n.fields[key]; f != nil {
+		return slices.Clone(f.items)
+	}
+	return nil
+}
--- /dev/null
+++ b/core/config/diff.go
@@ -0,0 +1,199 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+)
+
+// Action says what happened to a part of the configuration.
+type Action string
+
+// The actions.
+const (
+	Added   Action = "added"
+	Removed Action = "removed"
+	Changed Action = "changed"
+)
+
+// Change is one difference between two snapshots.
+type Change struct {
+	Action Action `json:"action"`
+	// Service is the name of the service.
+	Service string `json:"service"`
+	// Part names what differs within the service, for example
+	// "databases werkplaats-1-a connection_limit"; empty for the whole service.
+	Part string `json:"part,omitempty"`
+	// From and To are the values before and after, as JSON. They are left out
+	// for whole services, databases, classes and callers, and for secrets.
+	From string `json:"from,omitempty"`
+	To   string `json:"to,omitempty"`
+}
+
+// String formats the change on one line.
+func (c Change) String() string {
+	s := fmt.Sprintf("%s service %s", c.Action, c.Service)
+	if c.Part != "" {
+		s = fmt.Sprintf("%s %s: %s", c.Action, c.Service, c.Part)
+	}
+	if c.From != "" || c.To != "" {
+		s += fmt.Sprintf(": %s -> %s", c.From, c.To)
+	}
+	return s
+}
+
+// Diff returns the changes from one snapshot to another, ordered by service
+// and part.
+func Diff(from, to *Snapshot) []Change {
+	var out []Change
+	names := slices.Concat(from.Names(), to.Names())
+	slices.Sort(names)
+	for _, name := range slices.Compact(names) {
+		out = append(out, diffService(name, from.services[name], to.services[name])...)
+	}
+	return out
+}
+
+func diffService(name string, from, to *Service) []Change {
+	switch {
+	case from == to:
+		return nil
+	case from == nil:
+		return []Change{{Action: Added, Service: name}}
+	case to == nil:
+		return []Change{{Action: Removed, Service: name}}
+	}
+	a, b := mustEncode(from), mustEncode(to)
+	if bytes.Equal(a, b) {
+		return nil
+	}
+	d := differ{service: name}
+	d.diff("", mustDecode(a), mustDecode(b))
+	return d.changes
+}
+
+// mustEncode encodes a service; the model's types can't fail to encode.
+func mustEncode(s *Service) []byte {
+	b, err := EncodeService(s)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
+
+func mustDecode(b []byte) any {
+	var v any
+	if err := json.Unmarshal(b, &v); err != nil {
+		panic(err)
+	}
+	return v
+}
+
+// differ compares the JSON forms of one service.
+type differ struct {
+	service string
+	changes []Change
+}
+
+func (d *differ) diff(part string, from, to any) {
+	switch f := from.(type) {
+	case map[string]any:
+		if t, ok := to.(map[string]any); ok {
+			d.diffMaps(part, f, t)
+			return
+		}
+	case []any:
+		if t, ok := to.([]any); ok {
+			d.diffMaps(part, byName(f), byName(t))
+			return
+		}
+	}
+	if a, b := compact(from), compact(to); a != b {
+		d.add(Changed, part, a, b)
+	}
+}
+
+func (d *differ) diffMaps(part string, from, to map[string]any) {
+	keys := slices.Concat(slices.Collect(maps.Keys(from)), slices.Collect(maps.Keys(to)))
+	slices.Sort(keys)
+	for _, key := range slices.Compact(keys) {
+		f, before := from[key]
+		t, after := to[key]
+		switch {
+		case !before:
+			d.present(Added, join(part, key), t)
+		case !after:
+			d.present(Removed, join(part, key), f)
+		default:
+			d.diff(join(part, key), f, t)
+		}
+	}
+}
+
+// present records a part that exists on one side only. A list is named by its items.
+func (d *differ) present(a Action, part string, v any) {
+	list, ok := v.([]any)
+	if !ok {
+		d.add(a, part, "", "")
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(byName(list))) {
+		d.add(a, join(part, name), "", "")
+	}
+}
+
+func (d *differ) add(a Action, part, from, to string) {
+	if isSecret(part) {
+		from, to = "", ""
+	}
+	d.changes = append(d.changes, Change{Action: a, Service: d.service, Part: part, From: from, To: to})
+}
+
+// isSecret reports whether the values of a part must not be shown.
+func isSecret(part string) bool { return lastWord(part) == keyVerifier }
+
+func lastWord(part string) string {
+	for i := len(part) - 1; i >= 0; i-- {
+		if part[i] == ' ' {
+			return part[i+1:]
+		}
+	}
+	return part
+}
+
+// byName turns a list of named things into a map.
+func byName(list []any) map[string]any {
+	out := make(map[string]any, len(list))
+	for i, v := range list {
+		out[itemName(i, v)] = v
+	}
+	return out
+}
+
+func itemName(i int, v any) string {
+	if m, ok := v.(map[string]any); ok {
+		for _, key := range []string{keyName, keyUser, "ID"} {
+			if s, ok := m[key].(string); ok {
+				return s
+			}
+		}
+	}
+	return fmt.Sprint(i)
+}
+
+func compact(v any) string {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return string(b)
+}
+
+func join(part, key string) string {
+	if part == "" {
+		return key
+	}
+	return part + " " + key
+}
--- /dev/null
+++ b/core/config/merge.go
@@ -0,0 +1,102 @@
+package config
+
+import (
+	"reflect"
+
+	"github.com/gypsumgap/gypsumgap/core/finding"
+)
+
+// merger merges the trees of files in the order of their names.
+type merger struct {
+	findings *finding.List
+}
+
+// merge puts the values of a later file over those of an earlier one and
+// returns the result. It warns about every value that is overridden.
+func (m *merger) merge(earlier, later *node, key string) *node {
+	switch {
+	case earlier == nil:
+		return later
+	case later == nil:
+		return earlier
+	}
+	switch later.schema.kind {
+	case kindMapping, kindNames:
+		return m.mergeMapping(earlier, later)
+	case kindNamedList:
+		return m.mergeNamedList(earlier, later)
+	default:
+		return m.override(earlier, later, key)
+	}
+}
+
+func (m *merger) mergeMapping(earlier, later *node) *node {
+	out := &node{place: later.place, schema: later.schema}
+	for _, key := range earlier.keys {
+		out.set(key, earlier.fields[key])
+	}
+	for _, key := range later.keys {
+		out.set(key, m.merge(out.fields[key], later.fields[key], key))
+	}
+	return out
+}
+
+func (m *merger) mergeNamedList(earlier, later *node) *node {
+	out := &node{place: later.place, schema: later.schema}
+	out.items = append(out.items, earlier.items...)
+	for _, item := range later.items {
+		name := item.text(later.schema.nameKey)
+		m.mergeItem(out, item, name)
+	}
+	return out
+}
+
+func (m *merger) mergeItem(list, item *node, name string) {
+	for i, it := range list.items {
+		if it.text(list.schema.nameKey) == name {
+			list.items[i] = m.merge(it, item, name)
+			return
+		}
+	}
+	list.items = append(list.items, item)
+}
+
+// override replaces a scalar or a plain list.
+func (m *merger) override(earlier, later *node, key string) *node {
+	if later.invalid {
+		return earlier
+	}
+	if earlier.invalid {
+		return later
+	}
+	if reflect.DeepEqual(earlier.plain(), later.plain()) {
+		return later
+	}
+	if key == keyRepeatable {
+		m.findings.Errorf(later.place, "the same value in all files",
+			"the class is both repeatable and not repeatable: %s is %v here and %v at %s", key, later.value, earlier.value, earlier.place)
+		return later
+	}
+	m.findings.Warnf(later.place, "each value in one file", "%s overrides the value set at %s", key, earlier.place)
+	return later
+}
+
+// plain returns the value without places.
+func (n *node) plain() any {
+	switch {
+	case n.value != nil:
+		return n.value
+	case n.fields != nil:
+		out := map[string]any{}
+		for key, f := range n.fields {
+			out[key] = f.plain()
+		}
+		return out
+	default:
+		out := make([]any, len(n.items))
+		for i, it := range n.items {
+			out[i] = it.plain()
+		}
+		return out
+	}
+}
--- /dev/null
+++ b/core/config/schema.go
@@ -0,0 +1,213 @@
+package config
+
+import (
+	"slices"
+	"strings"
+)
+
+// kind is the type of a value in a configuration file.
+type kind int
+
+const (
+	kindText kind = iota
+	kindInteger
+	kindDuration
+	kindBool
+	// kindShare is a number from 0 to 1.
+	kindShare
+	// kindMapping has a fixed set of keys.
+	kindMapping
+	// kindNames is a mapping whose keys are names chosen by the operator.
+	kindNames
+	// kindList is a list that a later file replaces as a whole.
+	kindList
+	// kindNamedList is a list whose items are merged by their name.
+	kindNamedList
+)
+
+// expected says what a value of the kind looks like.
+func (k kind) expected() string {
+	switch k {
+	case kindText:
+		return "text"
+	case kindInteger:
+		return "a whole number, such as 45"
+	case kindDuration:
+		return `a duration with a unit, such as "250ms" or "5s"`
+	case kindBool:
+		return "true or false"
+	case kindShare:
+		return "a number from 0 to 1, such as 0.999"
+	case kindMapping, kindNames:
+		return "a mapping of keys to values"
+	default:
+		return "a list"
+	}
+}
+
+// schema describes a value.
+type schema struct {
+	kind kind
+	// fields are the keys of a kindMapping.
+	fields []field
+	// item describes the items of a list or the values of a kindNames.
+	item *schema
+	// nameKey is the key that names an item of a kindNamedList.
+	nameKey string
+	// what names an item or value in messages, for example "database".
+	what string
+}
+
+// field is a key of a mapping.
+type field struct {
+	name   string
+	schema *schema
+	// required says that the key must be present after the merge.
+	required bool
+}
+
+func (s *schema) field(name string) (field, bool) {
+	i := slices.IndexFunc(s.fields, func(f field) bool { return f.name == name })
+	if i < 0 {
+		return field{}, false
+	}
+	return s.fields[i], true
+}
+
+var (
+	text     = &schema{kind: kindText}
+	integer  = &schema{kind: kindInteger}
+	duration = &schema{kind: kindDuration}
+	boolean  = &schema{kind: kindBool}
+	share    = &schema{kind: kindShare}
+)
+
+var slotSchema = &schema{kind: kindMapping, what: "slot", fields: []field{
+	{name: keyID, schema: text, required: true},
+	{name: keyAddress, schema: text, required: true},
+	{name: keyZone, schema: text, required: true},
+	{name: keyRegion, schema: text, required: true},
+}}
+
+var databaseSchema = &schema{kind: kindMapping, what: "database", fields: []field{
+	{name: keyName, schema: text, required: true},
+	{name: keyConnectionLimit, schema: integer, required: true},
+	{name: keySlots, schema: &schema{kind: kindList, item: slotSchema}, required: true},
+}}
+
+var classSchema = &schema{kind: kindMapping, what: "class", fields: []field{
+	{name: keyName, schema: text, required: true},
+	{name: keyPriority, schema: integer, required: true},
+	{name: keyDeadline, schema: duration},
+	{name: keyRepeatable, schema: boolean},
+	{name: keyRead, schema: boolean},
+	{name: keyMaxAge, schema: duration},
+	{name: keyQueueLimit, schema: integer},
+}}
+
+var callerSchema = &schema{kind: kindMapping, what: "caller", fields: []field{
+	{name: keyUser, schema: text, required: true},
+	{name: keyVerifier, schema: text, required: true},
+}}
+
+var failoverSchema = &schema{kind: kindMapping, fields: []field{
+	{name: keyProbeIdle, schema: duration},
+	{name: keyProbeSuspect, schema: duration},
+	{name: keyMisses, schema: integer},
+}}
+
+var objectivesSchema = &schema{kind: kindMapping, fields: []field{
+	{name: keyAnsweredWithin, schema: duration},
+	{name: keyAnsweredShare, schema: share},
+	{name: keyWritableShare, schema: share},
+	{name: keyReplicaReadShare, schema: share},
+}}
+
+var serviceSchema = &schema{kind: kindMapping, what: "service", fields: []field{
+	{name: keyCommitTimeout, schema: duration},
+	{name: keyReplicaWait, schema: duration},
+	{name: keyFailover, schema: failoverSchema},
+	{name: keyObjectives, schema: objectivesSchema},
+	{name: keyCallers, schema: &schema{kind: kindNamedList, item: callerSchema, nameKey: keyUser}, required: true},
+	{name: keyDatabases, schema: &schema{kind: kindNamedList, item: databaseSchema, nameKey: keyName}, required: true},
+	{name: keyClasses, schema: &schema{kind: kindNamedList, item: classSchema, nameKey: keyName}},
+}}
+
+var fileSchema = &schema{kind: kindMapping, fields: []field{
+	{name: keyServices, schema: &schema{kind: kindNames, item: serviceSchema, what: "service"}, required: true},
+}}
+
+// The keys of the folder's files.
+const (
+	keyServices         = "services"
+	keyName             = "name"
+	keyCommitTimeout    = "commit_timeout"
+	keyReplicaWait      = "replica_wait"
+	keyFailover         = "failover"
+	keyProbeIdle        = "probe_idle"
+	keyProbeSuspect     = "probe_suspect"
+	keyMisses           = "misses"
+	keyObjectives       = "objectives"
+	keyAnsweredWithin   = "answered_within"
+	keyAnsweredShare    = "answered_share"
+	keyWritableShare    = "writable_share"
+	keyReplicaReadShare = "replica_read_share"
+	keyCallers          = "callers"
+	keyUser             = "user"
+	keyVerifier         = "verifier"
+	keyDatabases        = "databases"
+	keyConnectionLimit  = "connection_limit"
+	keySlots            = "slots"
+	keyID               = "id"
+	keyAddress          = "address"
+	keyZone             = "zone"
+	keyRegion           = "region"
+	keyClasses          = "classes"
+	keyPriority         = "priority"
+	keyDeadline         = "deadline"
+	keyRepeatable       = "repeatable"
+	keyRead             = "read"
+	keyMaxAge           = "max_age"
+	keyQueueLimit       = "queue_limit"
+)
+
+// nearest returns the key of s that is most like name, or "" if none is near.
+func (s *schema) nearest(name string) string {
+	best, bestDistance := "", len(name)/2+1
+	for _, f := range s.fields {
+		if d := editDistance(strings.ToLower(name), f.name); d < bestDistance {
+			best, bestDistance = f.name, d
+		}
+	}
+	return best
+}
+
+// keyList names the keys of s for a message.
+func (s *schema) keyList() string {
+	names := make([]string, len(s.fields))
+	for i, f := range s.fields {
+		names[i] = f.name
+	}
+	return strings.Join(names, ", ")
+}
+
+// editDistance is the Levenshtein distance of a and b in bytes.
+func editDistance(a, b string) int {
+	row := make([]int, len(b)+1)
+	for j := range row {
+		row[j] = j
+	}
+	for i := range len(a) {
+		diagonal := row[0]
+		row[0] = i + 1
+		for j := range len(b) {
+			substitute := diagonal
+			if a[i] != b[j] {
+				substitute++
+			}
+			diagonal = row[j+1]
+			row[j+1] = min(substitute, row[j]+1, row[j+1]+1)
+		}
+	}
+	return row[len(b)]
+}
--- /dev/null
+++ b/core/config/snapshot.go
@@ -0,0 +1,158 @@
+package config
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"maps"
+	"slices"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// Snapshot is one version of the whole configuration. It is immutable: the
+// services that it returns must not be changed. Snapshots share unchanged
+// services.
+type Snapshot struct {
+	version   uint64
+	services  map[string]*Service
+	databases map[string]DatabaseRef
+	callers   map[string][]*Service
+}
+
+// DatabaseRef is a database and the service that it belongs to.
+type DatabaseRef struct {
+	Service  *Service
+	Database *Database
+}
+
+// NewSnapshot makes a snapshot that owns the given services. Version 0 stands
+// for no configuration.
+func NewSnapshot(version uint64, services []Service) *Snapshot {
+	byName := make(map[string]*Service, len(services))
+	for i := range services {
+		byName[services[i].Name] = &services[i]
+	}
+	return index(version, byName)
+}
+
+// With returns a snapshot of another version in which the changed services
+// replace those of the same name and the removed ones are missing. It owns
+// the changed services.
+func (s *Snapshot) With(version uint64, changed []*Service, removed []string) *Snapshot {
+	byName := maps.Clone(s.services)
+	if byName == nil {
+		byName = map[string]*Service{}
+	}
+	for _, name := range removed {
+		delete(byName, name)
+	}
+	for _, service := range changed {
+		byName[service.Name] = service
+	}
+	return index(version, byName)
+}
+
+func index(version uint64, services map[string]*Service) *Snapshot {
+	s := &Snapshot{
+		version:   version,
+		services:  services,
+		databases: map[string]DatabaseRef{},
+		callers:   map[string][]*Service{},
+	}
+	for _, name := range s.Names() {
+		service := services[name]
+		for i := range service.Databases {
+			db := &service.Databases[i]
+			s.databases[db.Name] = DatabaseRef{Service: service, Database: db}
+		}
+		for _, c := range service.Callers {
+			s.callers[c.User] = append(s.callers[c.User], service)
+		}
+	}
+	return s
+}
+
+// Version is the version of the snapshot.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Names returns the names of the services in order.
+func (s *Snapshot) Names() []string { return slices.Sorted(maps.Keys(s.services)) }
+
+// Len is the number of services.
+func (s *Snapshot) Len() int { return len(s.services) }
+
+// Databases is the number of databases.
+func (s *Snapshot) Databases() int { return len(s.databases) }
+
+// Service returns a service by its name, or nil.
+func (s *Snapshot) Service(name string) *Service { return s.services[name] }
+
+// Database returns a database by its name.
+func (s *Snapshot) Database(name string) (DatabaseRef, bool) {
+	ref, ok := s.databases[name]
+	return ref, ok
+}
+
+// EachDatabase calls f with every database, in no fixed order, until f returns false.
+func (s *Snapshot) EachDatabase(f func(DatabaseRef) bool) {
+	for _, ref := range s.databases {
+		if !f(ref) {
+			return
+		}
+	}
+}
+
+// CallerServices returns the services that a user may use, ordered by name.
+func (s *Snapshot) CallerServices(user string) []*Service { return s.callers[user] }
+
+// Caller returns the account with which a user logs in to a database.
+func (s *Snapshot) Caller(database, user string) (Caller, bool) {
+	ref, ok := s.databases[database]
+	if !ok {
+		return Caller{}, false
+	}
+	i := slices.IndexFunc(ref.Service.Callers, func(c Caller) bool { return c.User == user })
+	if i < 0 {
+		return Caller{}, false
+	}
+	return ref.Service.Callers[i], true
+}
+
+// Class returns a class of the service by its name.
+func (s *Service) Class(name string) (Class, bool) {
+	i := slices.IndexFunc(s.Classes, func(c Class) bool { return c.Name == name })
+	if i < 0 {
+		return Class{}, false
+	}
+	return s.Classes[i], true
+}
+
+// sort orders the parts by name, because their order has no meaning.
+func (s *Service) sort() {
+	slices.SortFunc(s.Callers, func(a, b Caller) int { return cmp.Compare(a.User, b.User) })
+	slices.SortFunc(s.Databases, func(a, b Database) int { return cmp.Compare(a.Name, b.Name) })
+	slices.SortFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Name, b.Name) })
+	for _, db := range s.Databases {
+		slices.SortFunc(db.Slots, func(a, b group.Slot) int { return cmp.Compare(a.ID, b.ID) })
+	}
+}
+
+// EncodeService returns the canonical JSON of a service: equal services have
+// equal bytes.
+func EncodeService(s *Service) ([]byte, error) {
+	b, err := json.Marshal(s)
+	if err != nil {
+		return nil, fmt.Errorf("encode service %s: %w", s.Name, err)
+	}
+	return b, nil
+}
+
+// DecodeService reads the JSON of a service.
+func DecodeService(b []byte) (*Service, error) {
+	var s Service
+	if err := json.Unmarshal(b, &s); err != nil {
+		return nil, fmt.Errorf("decode service: %w", err)
+	}
+	return &s, nil
+}
--- /dev/null
+++ b/core/config/tree.go
@@ -0,0 +1,349 @@
+package config
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+	"github.com/goccy/go-yaml/token"
+
+	"github.com/gypsumgap/gypsumgap/core/finding"
+)
+
+// node is a checked value and its place.
+type node struct {
+	place  finding.Place
+	schema *schema
+	// value holds a scalar: string, int, Duration, bool or float64.
+	value any
+	// keys orders the entries of a mapping, fields holds them.
+	keys   []string
+	fields map[string]*node
+	// items holds the entries of a list.
+	items []*node
+	// invalid marks a value that had a finding; only its key is known.
+	invalid bool
+}
+
+func (n *node) set(key string, value *node) {
+	if n.fields == nil {
+		n.fields = map[string]*node{}
+	}
+	if _, ok := n.fields[key]; !ok {
+		n.keys = append(n.keys, key)
+	}
+	n.fields[key] = value
+}
+
+// text returns a text entry of a mapping, or "" if it is missing.
+func (n *node) text(key string) string {
+	if f := n.fields[key]; f != nil {
+		s, _ := f.value.(string)
+		return s
+	}
+	return ""
+}
+
+// fileReader turns one file into a tree.
+type fileReader struct {
+	name     string
+	findings *finding.List
+}
+
+// read parses a file and checks it against the schema. It returns nil if the
+// file has no usable content.
+func (r *fileReader) read(data []byte) *node {
+	file, err := parser.ParseBytes(data, 0, parser.AllowDuplicateMapKey())
+	if err != nil {
+		r.syntaxError(err)
+		return nil
+	}
+	var bodies []ast.Node
+	for _, doc := range file.Docs {
+		if doc.Body != nil && doc.Body.Type() != ast.CommentType {
+			bodies = append(bodies, doc.Body)
+		}
+	}
+	if len(bodies) == 0 {
+		r.findings.Warnf(finding.Place{File: r.name}, `a mapping with the key "services"`, "the file has no content")
+		return nil
+	}
+	if len(bodies) > 1 {
+		r.findings.Errorf(r.place(bodies[1]), "one document per file", "the file holds more than one YAML document")
+	}
+	return r.value(bodies[0], fileSchema)
+}
+
+func (r *fileReader) syntaxError(err error) {
+	place := finding.Place{File: r.name}
+	message := err.Error()
+	var yamlErr yaml.Error
+	if errors.As(err, &yamlErr) {
+		message = yamlErr.GetMessage()
+		place = r.tokenPlace(yamlErr.GetToken())
+	}
+	message, _, _ = strings.Cut(message, "\n")
+	r.findings.Errorf(place, "a YAML mapping", "the file is not valid YAML: %s", message)
+}
+
+func (r *fileReader) place(n ast.Node) finding.Place {
+	if m, ok := n.(*ast.MappingNode); ok && !m.IsFlowStyle && len(m.Values) > 0 {
+		return r.tokenPlace(m.Values[0].Key.GetToken())
+	}
+	if m, ok := n.(*ast.MappingValueNode); ok {
+		return r.tokenPlace(m.Key.GetToken())
+	}
+	return r.tokenPlace(n.GetToken())
+}
+
+func (r *fileReader) tokenPlace(t *token.Token) finding.Place {
+	if t == nil || t.Position == nil {
+		return finding.Place{File: r.name}
+	}
+	return finding.Place{File: r.name, Line: t.Position.Line, Column: t.Position.Column}
+}
+
+// value checks one value; it returns nil if the value can't be used.
+func (r *fileReader) value(n ast.Node, s *schema) *node {
+	switch n.(type) {
+	case *ast.AnchorNode, *ast.AliasNode, *ast.TagNode:
+		r.findings.Errorf(r.place(n), s.kind.expected(), "YAML anchors, aliases and tags are not supported")
+		return nil
+	}
+	switch s.kind {
+	case kindMapping, kindNames:
+		return r.mapping(n, s)
+	case kindList, kindNamedList:
+		return r.list(n, s)
+	default:
+		return r.scalar(n, s)
+	}
+}
+
+func (r *fileReader) mapping(n ast.Node, s *schema) *node {
+	var values []*ast.MappingValueNode
+	switch m := n.(type) {
+	case *ast.MappingNode:
+		values = m.Values
+	case *ast.MappingValueNode:
+		values = []*ast.MappingValueNode{m}
+	default:
+		r.wrongType(n, s)
+		return nil
+	}
+	out := &node{place: r.place(n), schema: s}
+	seen := map[string]finding.Place{}
+	for _, v := range values {
+		r.entry(out, v, seen)
+	}
+	return out
+}
+
+// entry checks one key of a mapping and its value.
+func (r *fileReader) entry(out *node, v *ast.MappingValueNode, seen map[string]finding.Place) {
+	key := v.Key.GetToken().Value
+	place := r.tokenPlace(v.Key.GetToken())
+	if first, ok := seen[key]; ok {
+		what := "key"
+		if out.schema.kind == kindNames {
+			what = out.schema.what
+		}
+		r.findings.Errorf(place, "each name once in a file", "%s %q is already set at %s", what, key, first)
+		return
+	}
+	seen[key] = place
+	valueSchema := out.schema.item
+	if out.schema.kind == kindMapping {
+		f, ok := out.schema.field(key)
+		if !ok {
+			r.unknownKey(place, key, out.schema)
+			return
+		}
+		valueSchema = f.schema
+	} else {
+		r.checkName(place, out.schema.what, key)
+	}
+	child := r.value(v.Value, valueSchema)
+	if child == nil {
+		// The key stays known, so that its absence is not reported as well.
+		child = &node{schema: valueSchema, invalid: true}
+	}
+	// A mapping or list is reported at its key, a scalar at its value.
+	if child.value == nil {
+		child.place = place
+	}
+	out.set(key, child)
+}
+
+func (r *fileReader) unknownKey(place finding.Place, key string, s *schema) {
+	expected := "one of " + s.keyList()
+	if near := s.nearest(key); near != "" {
+		expected = near
+	}
+	r.findings.Errorf(place, expected, "unknown key %q", key)
+}
+
+func (r *fileReader) list(n ast.Node, s *schema) *node {
+	seq, ok := n.(*ast.SequenceNode)
+	if !ok {
+		r.wrongType(n, s)
+		return nil
+	}
+	out := &node{place: r.place(n), schema: s}
+	seen := map[string]finding.Place{}
+	for _, v := range seq.Values {
+		item := r.value(v, s.item)
+		if item == nil {
+			continue
+		}
+		if s.kind == kindNamedList && !r.named(item, s, seen) {
+			continue
+		}
+		out.items = append(out.items, item)
+	}
+	return out
+}
+
+// named checks the name of an item of a named list.
+func (r *fileReader) named(item *node, s *schema, seen map[string]finding.Place) bool {
+	nameNode := item.fields[s.nameKey]
+	if nameNode == nil {
+		r.findings.Errorf(item.place, s.nameKey+": a name", "%s without %s", s.item.what, s.nameKey)
+		return false
+	}
+	name, ok := nameNode.value.(string)
+	if !ok {
+		return false
+	}
+	r.checkName(nameNode.place, s.item.what, name)
+	if first, ok := seen[name]; ok {
+		r.findings.Errorf(nameNode.place, "each name once in a file", "%s %q is already set at %s", s.item.what, name, first)
+		return false
+	}
+	seen[name] = nameNode.place
+	return true
+}
+
+// checkName refuses names that could not be told apart in logs, tokens and paths.
+func (r *fileReader) checkName(place finding.Place, what, name string) {
+	bad := func(c rune) bool {
+		return c <= ' ' || c == 0x7f || strings.ContainsRune(`/\:='"`, c)
+	}
+	if name == "" || strings.ContainsFunc(name, bad) {
+		r.findings.Errorf(place, `a name without spaces, quotes and / \ : =`, "name %q of a %s has characters that are not allowed", name, what)
+	}
+}
+
+func (r *fileReader) scalar(n ast.Node, s *schema) *node {
+	out := &node{place: r.place(n), schema: s}
+	switch s.kind {
+	case kindText:
+		out.value = textValue(n)
+	case kindInteger:
+		out.value = integerValue(n)
+	case kindBool:
+		if b, ok := n.(*ast.BoolNode); ok {
+			out.value = b.Value
+		}
+	case kindShare:
+		out.value = shareValue(n)
+	case kindDuration:
+		return r.duration(n, out)
+	}
+	if out.value == nil {
+		r.wrongType(n, s)
+		return nil
+	}
+	return out
+}
+
+func textValue(n ast.Node) any {
+	switch t := n.(type) {
+	case *ast.StringNode:
+		return t.Value
+	case *ast.LiteralNode:
+		return t.Value.Value
+	default:
+		return nil
+	}
+}
+
+func integerValue(n ast.Node) any {
+	i, ok := n.(*ast.IntegerNode)
+	if !ok {
+		return nil
+	}
+	const limit = 1 << 31
+	switch v := i.Value.(type) {
+	case uint64:
+		if v < limit {
+			return int(v)
+		}
+	case int64:
+		if v > -limit && v < limit {
+			return int(v)
+		}
+	}
+	return nil
+}
+
+func shareValue(n ast.Node) any {
+	var v float64
+	switch t := n.(type) {
+	case *ast.FloatNode:
+		v = t.Value
+	case *ast.IntegerNode:
+		i, ok := integerValue(n).(int)
+		if !ok {
+			return nil
+		}
+		v = float64(i)
+	default:
+		return nil
+	}
+	if !(v >= 0 && v <= 1) {
+		return nil
+	}
+	return v
+}
+
+func (r *fileReader) duration(n ast.Node, out *node) *node {
+	written, ok := textValue(n).(string)
+	if !ok {
+		if _, number := integerValue(n).(int); number {
+			r.findings.Errorf(out.place, out.schema.kind.expected(), "duration %s has no unit", n.GetToken().Value)
+			return nil
+		}
+		r.wrongType(n, out.schema)
+		return nil
+	}
+	d, err := time.ParseDuration(written)
+	if err != nil || d < 0 {
+		r.findings.Errorf(out.place, out.schema.kind.expected(), "%q is not a duration", written)
+		return nil
+	}
+	out.value = Duration(d)
+	return out
+}
+
+func (r *fileReader) wrongType(n ast.Node, s *schema) {
+	r.findings.Errorf(r.place(n), s.kind.expected(), "wrong type: %s", describe(n))
+}
+
+// describe names a YAML value for a message.
+func describe(n ast.Node) string {
+	switch n.(type) {
+	case *ast.MappingNode, *ast.MappingValueNode:
+		return "a mapping"
+	case *ast.SequenceNode:
+		return "a list"
+	case *ast.NullNode:
+		return "no value"
+	default:
+		return fmt.Sprintf("%s %q", strings.ToLower(n.Type().String()), n.GetToken().Value)
+	}
+}
--- /dev/null
+++ b/core/confstore/confstore_test.go
@@ -0,0 +1,388 @@
+package confstore_test
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/base64"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/confstore"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/core/platform/platformtest"
+)
+
+// service makes a service with the given number of databases of five slots.
+// Its addresses and verifiers are as hard to compress as real ones.
+func service(name string, databases int) config.Service {
+	random := rand.New(rand.NewChaCha8(sha256.Sum256([]byte(name))))
+	s := config.Service{
+		Name:          name,
+		CommitTimeout: config.DefaultCommitTimeout,
+		ReplicaWait:   config.DefaultReplicaWait,
+		Callers:       []config.Caller{{User: "crew", Verifier: verifier(random)}},
+		Classes:       []config.Class{{Name: "pay-claim", Deadline: config.DefaultDeadline, QueueLimit: 100}},
+	}
+	for d := range databases {
+		db := config.Database{Name: fmt.Sprintf("%s-%d", name, d), ConnectionLimit: 45}
+		for i := range 5 {
+			db.Slots = append(db.Slots, group.Slot{
+				ID:      group.SlotID(fmt.Sprintf("%s/%d", db.Name, i)),
+				Address: fmt.Sprintf("10.%d.%d.%d:5432", random.IntN(256), random.IntN(256), random.IntN(256)),
+				Zone:    fmt.Sprintf("zone-%d", i),
+				Region:  "region",
+			})
+		}
+		s.Databases = append(s.Databases, db)
+	}
+	return s
+}
+
+func verifier(random *rand.Rand) string {
+	key := func(n int) string {
+		b := make([]byte, n)
+		for i := range b {
+			b[i] = byte(random.Uint32())
+		}
+		return base64.StdEncoding.EncodeToString(b)
+	}
+	return "SCRAM-SHA-256$4096:" + key(16) + "$" + key(32) + ":" + key(32)
+}
+
+func services(names ...string) *config.Snapshot {
+	var out []config.Service
+	for _, name := range names {
+		out = append(out, service(name, 1))
+	}
+	return config.NewSnapshot(0, out)
+}
+
+func load(t *testing.T, s platform.Store) *confstore.State {
+	t.Helper()
+	state, err := confstore.Load(context.Background(), s, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return state
+}
+
+// apply applies a snapshot to the current configuration, which must succeed.
+func apply(t *testing.T, s platform.Store, next *config.Snapshot) confstore.Result {
+	t.Helper()
+	result, err := confstore.Apply(context.Background(), s, load(t, s), next)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return result
+}
+
+func wantCurrent(t *testing.T, s platform.Store, version uint64, want *config.Snapshot) {
+	t.Helper()
+	got := load(t, s).Snapshot
+	if got.Version() != version {
+		t.Errorf("version %d is current, want %d", got.Version(), version)
+	}
+	if changes := config.Diff(want, got); len(changes) > 0 {
+		t.Errorf("the current configuration differs: %v", changes)
+	}
+}
+
+// Guards against an apply that loses a service, keeps a removed one, or writes
+// although nothing changed.
+func TestApplyAndLoad(t *testing.T) {
+	s := platformtest.New(platformtest.Options{})
+	apply(t, s, services("a", "b", "c"))
+	wantCurrent(t, s, 1, services("a", "b", "c"))
+	apply(t, s, services("b", "c", "d"))
+	wantCurrent(t, s, 2, services("b", "c", "d"))
+
+	writes := s.Counts().Writes()
+	if result := apply(t, s, services("d", "c", "b")); len(result.Changes) != 0 || result.Version != 2 {
+		t.Errorf("an apply without a change gave %+v", result)
+	}
+	if got := s.Counts().Writes(); got != writes {
+		t.Errorf("an apply without a change made %d writes", got-writes)
+	}
+}
+
+// Guards against two operators of whom the later overwrites the earlier's
+// change without noticing, and against a conflict that doesn't say what changed.
+func TestOneOfTwoAppliesConflicts(t *testing.T) {
+	s := platformtest.New(platformtest.Options{})
+	apply(t, s, services("a"))
+	base := load(t, s)
+	apply(t, s, services("a", "b"))
+
+	_, err := confstore.Apply(t.Context(), s, base, services("a", "c"))
+	var conflict *confstore.ConflictError
+	if !errors.As(err, &conflict) {
+		t.Fatalf("got error %v, want a conflict", err)
+	}
+	if conflict.Base != 1 || conflict.Current != 2 || len(conflict.Changes) != 1 || conflict.Changes[0].Service != "b" {
+		t.Errorf("got %+v", conflict)
+	}
+	if !strings.Contains(err.Error(), "added service b") {
+		t.Errorf("the message doesn't name the change: %v", err)
+	}
+	wantCurrent(t, s, 2, services("a", "b"))
+}
+
+// Guards against an apply that reports a failure although it took effect, or
+// that takes effect twice, when answers are lost.
+func TestLostAnswersAreSettled(t *testing.T) {
+	for _, lost := range []int{1, 2, 3} {
+		synctest.Test(t, func(t *testing.T) {
+			s := platformtest.New(platformtest.Options{})
+			apply(t, s, services("a"))
+			s.SetFaults(platformtest.Faults{LoseAnswers: lost})
+			if result := apply(t, s, services("a", "b")); result.Version != 2 {
+				t.Errorf("%d lost answers: applied version %d", lost, result.Version)
+			}
+			wantCurrent(t, s, 2, services("a", "b"))
+		})
+	}
+}
+
+// rootLoser loses the answers of root updates and runs a function after each.
+type rootLoser struct {
+	platform.Store
+	after func()
+	// drop makes the update not take effect.
+	drop bool
+	puts int
+}
+
+func (l *rootLoser) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+	if key != confstore.RootKey {
+		return l.Store.Put(ctx, key, value, expected)
+	}
+	l.puts++
+	if l.puts > 1 {
+		return l.Store.Put(ctx, key, value, expected)
+	}
+	if !l.drop {
+		if _, err := l.Store.Put(ctx, key, value, expected); err != nil {
+			return 0, err
+		}
+	}
+	l.after()
+	return 0, platform.ErrUnknown
+}
+
+// Guards against a wrong verdict on an apply with a lost answer that another
+// apply followed or preceded.
+func TestLostAnswerAndAnotherApply(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platformtest.New(platformtest.Options{})
+		apply(t, s, services("a"))
+		base := load(t, s)
+		l := &rootLoser{Store: s, after: func() { apply(t, s, services("a", "b", "c")) }}
+		result, err := confstore.Apply(t.Context(), l, base, services("a", "b"))
+		if err != nil || !result.Superseded || result.Version != 2 {
+			t.Errorf("superseded apply: got %+v, %v", result, err)
+		}
+		wantCurrent(t, s, 3, services("a", "b", "c"))
+
+		base = load(t, s)
+		l = &rootLoser{Store: s, drop: true, after: func() { apply(t, s, services("d")) }}
+		_, err = confstore.Apply(t.Context(), l, base, services("e"))
+		var conflict *confstore.ConflictError
+		if !errors.As(err, &conflict) {
+			t.Errorf("an apply that did not take effect: got error %v, want a conflict", err)
+		}
+		wantCurrent(t, s, 4, services("d"))
+
+		l = &rootLoser{Store: s, drop: true, after: func() {}}
+		if _, err := confstore.Apply(t.Context(), l, load(t, s), services("e")); err != nil {
+			t.Errorf("an update that was dropped was not repeated: %v", err)
+		}
+		wantCurrent(t, s, 5, services("e"))
+	})
+}
+
+// Guards against an apply that claims to know the outcome although the store
+// went away with the answer.
+func TestOutcomeStaysUnknownInAnOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platformtest.New(platformtest.Options{})
+		apply(t, s, services("a"))
+		base := load(t, s)
+		l := &rootLoser{Store: s, after: func() { s.SetFaults(platformtest.Faults{Down: true}) }}
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		_, err := confstore.Apply(ctx, l, base, services("b"))
+		var unknown *confstore.OutcomeUnknownError
+		if !errors.As(err, &unknown) || unknown.Version != 2 {
+			t.Errorf("got error %v, want an unknown outcome of version 2", err)
+		}
+	})
+}
+
+// Guards against an apply in an outage that changes something or is not typed.
+func TestApplyInAnOutageChangesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, f := range []platformtest.Faults{{Down: true}, {Refuse: true}} {
+			s := platformtest.New(platformtest.Options{})
+			apply(t, s, services("a"))
+			base := load(t, s)
+			s.SetFaults(f)
+			_, err := confstore.Apply(t.Context(), s, base, services("b"))
+			if !errors.Is(err, platform.ErrUnavailable) && !errors.Is(err, platform.ErrRateLimited) {
+				t.Errorf("%+v: got error %v", f, err)
+			}
+			s.SetFaults(platformtest.Faults{})
+			wantCurrent(t, s, 1, services("a"))
+		}
+	})
+}
+
+// Guards against old chunks that pile up, and against the removal of chunks
+// that a recent version still names.
+func TestOldChunksAreRemoved(t *testing.T) {
+	s := platformtest.New(platformtest.Options{})
+	apply(t, s, services("a"))
+	if _, err := s.Put(t.Context(), "config/chunks/2/00-orphan-0", nil, 0); err != nil {
+		t.Fatal(err)
+	}
+	const rounds = 30
+	for i := range rounds {
+		next := services("a")
+		next.Service("a").Classes[0].QueueLimit = i
+		apply(t, s, next)
+	}
+	objects, err := s.List(t.Context(), "config/chunks/")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(objects) != 9 {
+		t.Errorf("%d chunks are left, want those of the current and 8 earlier versions", len(objects))
+	}
+}
+
+// Guards against a refresh that fetches unchanged chunks, which would cost a
+// watching host a read for each bucket on each change.
+func TestLoadFetchesOnlyChangedChunks(t *testing.T) {
+	s := platformtest.New(platformtest.Options{})
+	names := []string{"a", "b", "c", "d", "e", "f"}
+	apply(t, s, services(names...))
+	have := load(t, s).Snapshot
+	apply(t, s, services(names[1:]...))
+	next := services(names[1:]...)
+	next.Service("c").Classes[0].QueueLimit = 7
+	apply(t, s, next)
+
+	before := s.Counts().Gets
+	state, err := confstore.Load(t.Context(), s, have)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := s.Counts().Gets - before; got != 2 {
+		t.Errorf("made %d reads, want the root and one chunk", got)
+	}
+	if changes := config.Diff(next, state.Snapshot); len(changes) > 0 {
+		t.Errorf("the refreshed configuration differs: %v", changes)
+	}
+}
+
+// Guards against values above the platform's limit at the target size, and
+// against a change of one service that rewrites more than its bucket.
+func TestValueLimitAt19000Databases(t *testing.T) {
+	const databases = 19_000
+	var many []config.Service
+	for i := range databases / 3 {
+		many = append(many, service(fmt.Sprintf("service-%d", i), 3))
+	}
+	many = append(many, service("service-last", databases%3))
+	for name, all := range map[string][]config.Service{
+		"services of three databases": many,
+		"one service":                 {service("service", databases)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := platformtest.New(platformtest.Options{})
+			next := config.NewSnapshot(0, all)
+			result := apply(t, s, next)
+			wantCurrent(t, s, 1, next)
+			largest, total := sizes(t, s)
+			t.Logf("%d chunk objects, largest object %d bytes, all %d bytes", result.Written, largest, total)
+
+			if len(all) == 1 {
+				return
+			}
+			changed := *next.Service(all[0].Name)
+			changed.CommitTimeout++
+			result = apply(t, s, next.With(0, []*config.Service{&changed}, nil))
+			if result.Written != 1 {
+				t.Errorf("a change of one service wrote %d chunks", result.Written)
+			}
+		})
+	}
+}
+
+// sizes returns the size of the largest object and of all objects.
+func sizes(t *testing.T, s platform.Store) (largest, total int) {
+	t.Helper()
+	objects, err := s.List(t.Context(), "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, o := range objects {
+		obj, err := s.Get(t.Context(), o.Key)
+		if err != nil {
+			t.Fatal(err)
+		}
+		largest = max(largest, len(obj.Value))
+		total += len(obj.Value)
+	}
+	return largest, total
+}
+
+// Guards against a watcher that misses a version, stops in an outage, or
+// calls the store more often than once per wait while nothing changes.
+func TestWatcherFollowsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := platformtest.New(platformtest.Options{})
+		ctx, cancel := context.WithCancel(t.Context())
+		var have atomic.Pointer[config.Snapshot]
+		var confirmed atomic.Uint64
+		w := &confstore.Watcher{
+			Store:     s,
+			Have:      have.Load,
+			Changed:   have.Store,
+			Confirmed: confirmed.Store,
+		}
+		done := make(chan struct{})
+		go func() {
+			w.Run(ctx)
+			close(done)
+		}()
+		apply(t, s, services("a"))
+		synctest.Wait()
+		if v := have.Load(); v == nil || v.Version() != 1 || confirmed.Load() != 1 {
+			t.Fatalf("after the first apply: have %v, confirmed %d", v, confirmed.Load())
+		}
+		before := s.Counts().Total()
+		time.Sleep(10 * time.Minute)
+		if got := s.Counts().Total() - before; got > 11 {
+			t.Errorf("made %d calls in 10 idle minutes, want one a minute", got)
+		}
+		s.SetFaults(platformtest.Faults{Down: true})
+		time.Sleep(5 * time.Minute)
+		s.SetFaults(platformtest.Faults{})
+		apply(t, s, services("a", "b"))
+		time.Sleep(3 * time.Second)
+		synctest.Wait()
+		if v := have.Load(); v.Version() != 2 || v.Service("b") == nil {
+			t.Errorf("version %d is held 3 s after the end of an outage, want 2", v.Version())
+		}
+		cancel()
+		<-done
+	})
+}
--- /dev/null
+++ b/core/confstore/load.go
@@ -0,0 +1,160 @@
+package confstore
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+)
+
+const (
+	// parallelCalls bounds the calls that one load or apply has in flight.
+	parallelCalls = 8
+	// loadAttempts bounds how often a load starts over because the chunks of
+	// the root it read were removed meanwhile.
+	loadAttempts = 4
+)
+
+// Version reads the current version with one call; 0 if the store has no
+// configuration. It fails with the errors of platform.Store or ErrDamaged.
+func Version(ctx context.Context, store platform.Store) (uint64, error) {
+	r, _, err := readRoot(ctx, store)
+	return r.Version, err
+}
+
+// Load reads the current configuration. Chunks that have not changed since
+// the snapshot have are not fetched; nil fetches all. A store without a
+// configuration gives a state of version 0. Load fails with the errors of
+// platform.Store or ErrDamaged.
+func Load(ctx context.Context, store platform.Store, have *config.Snapshot) (*State, error) {
+	for attempt := 1; ; attempt++ {
+		r, object, err := readRoot(ctx, store)
+		if err != nil {
+			return nil, err
+		}
+		state, err := complete(ctx, store, r, object, have)
+		if errors.Is(err, platform.ErrNotFound) {
+			if attempt < loadAttempts {
+				continue
+			}
+			return nil, fmt.Errorf("%w: %w", ErrDamaged, err)
+		}
+		return state, err
+	}
+}
+
+func readRoot(ctx context.Context, store platform.Store) (root, platform.Version, error) {
+	obj, err := store.Get(ctx, RootKey)
+	if errors.Is(err, platform.ErrNotFound) {
+		return root{}, 0, nil
+	}
+	if err != nil {
+		return root{}, 0, fmt.Errorf("read configuration: %w", err)
+	}
+	r, err := decodeRoot(obj)
+	return r, obj.Version, err
+}
+
+// complete fetches the chunks of a root that have lacks.
+func complete(ctx context.Context, store platform.Store, r root, object platform.Version, have *config.Snapshot) (*State, error) {
+	if have == nil || have.Version() > r.Version {
+		have = config.NewSnapshot(0, nil)
+	}
+	state := &State{root: r, object: object}
+	if have.Version() == r.Version {
+		state.Snapshot = have
+		return state, nil
+	}
+	changed, err := fetch(ctx, store, r, have.Version())
+	if err != nil {
+		return nil, err
+	}
+	state.Snapshot = have.With(r.Version, changed, removed(have, r, changed))
+	return state, nil
+}
+
+// fetch reads the services of the chunks written after version since.
+func fetch(ctx context.Context, store platform.Store, r root, since uint64) ([]*config.Service, error) {
+	var mu sync.Mutex
+	var out []*config.Service
+	var jobs []func(context.Context) error
+	for b, c := range r.Chunks {
+		if c.Version <= since {
+			continue
+		}
+		jobs = append(jobs, func(ctx context.Context) error {
+			services, err := fetchChunk(ctx, store, b, c)
+			mu.Lock()
+			defer mu.Unlock()
+			out = append(out, services...)
+			return err
+		})
+	}
+	if err := inParallel(ctx, jobs); err != nil {
+		return nil, err
+	}
+	return out, nil
+}
+
+func fetchChunk(ctx context.Context, store platform.Store, bucket int, c chunk) ([]*config.Service, error) {
+	var buf bytes.Buffer
+	for p := range c.Parts {
+		obj, err := store.Get(ctx, c.key(bucket, p))
+		if err != nil {
+			return nil, fmt.Errorf("read configuration: %w", err)
+		}
+		buf.Write(obj.Value)
+	}
+	if hashOf(buf.Bytes()) != c.Hash {
+		return nil, fmt.Errorf("chunk %s: %w: content differs from its hash", c.key(bucket, 0), ErrDamaged)
+	}
+	return decodeBucket(buf.Bytes())
+}
+
+// removed names the services of have that are missing in the buckets that
+// were fetched or are empty now.
+func removed(have *config.Snapshot, r root, fetched []*config.Service) []string {
+	present := make(map[string]bool, len(fetched))
+	for _, s := range fetched {
+		present[s.Name] = true
+	}
+	var out []string
+	for _, name := range have.Names() {
+		c, ok := r.Chunks[bucketOf(name)]
+		unchanged := ok && c.Version <= have.Version()
+		if !unchanged && !present[name] {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// inParallel runs jobs, a few at a time, and returns the first error.
+func inParallel(ctx context.Context, jobs []func(context.Context) error) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	queue := make(chan func(context.Context) error)
+	var wg sync.WaitGroup
+	for range min(parallelCalls, len(jobs)) {
+		wg.Go(func() {
+			for job := range queue {
+				if err := job(ctx); err != nil {
+					cancel(err)
+				}
+			}
+		})
+	}
+	for _, job := range jobs {
+		if ctx.Err() != nil {
+			break
+		}
+		queue <- job
+	}
+	close(queue)
+	wg.Wait()
+	return context.Cause(ctx)
+}
--- /dev/null
+++ b/core/confstore/watch.go
@@ -0,0 +1,108 @@
+package confstore
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+)
+
+// watchWait is the time that one watch call waits. Each call counts against
+// the store's rate, so the time is long.
+const watchWait = time.Minute
+
+// Watcher follows the current configuration in the store.
+type Watcher struct {
+	Store platform.Store
+	// Have returns the newest snapshot that the host holds, or nil. Chunks
+	// that it covers are not fetched.
+	Have func() *config.Snapshot
+	// Changed receives every version newer than the one that Have returned.
+	Changed func(*config.Snapshot)
+	// Confirmed receives each version that the store named as current; it may be nil.
+	Confirmed func(version uint64)
+	// Failed receives each failure of the store; it may be nil.
+	Failed func(error)
+}
+
+// Run watches until ctx ends. After a failure it waits for an exponential
+// delay before the next call.
+func (w *Watcher) Run(ctx context.Context) {
+	var known platform.Version
+	failures := 0
+	for ctx.Err() == nil {
+		object, err := w.next(ctx, known)
+		if err == nil {
+			known = object
+			failures = 0
+			continue
+		}
+		if ctx.Err() == nil && w.Failed != nil {
+			w.Failed(err)
+		}
+		failures++
+		_ = waitBackoff(ctx, failures)
+	}
+}
+
+// next waits for one change of the root, or for the end of the wait.
+func (w *Watcher) next(ctx context.Context, known platform.Version) (platform.Version, error) {
+	wait := watchWait
+	if known == 0 {
+		// The first call only reads the current version.
+		wait = 0
+	}
+	obj, err := w.Store.Watch(ctx, RootKey, known, wait)
+	if err != nil {
+		return 0, fmt.Errorf("watch configuration: %w", err)
+	}
+	if obj.Version == 0 {
+		return 0, w.empty(ctx, known)
+	}
+	if obj.Version == known {
+		return known, nil
+	}
+	return obj.Version, w.take(ctx, obj)
+}
+
+// empty handles a store without a configuration: it waits for the first one.
+func (w *Watcher) empty(ctx context.Context, known platform.Version) error {
+	if known == 0 {
+		w.confirm(0)
+	}
+	_, err := w.Store.Watch(ctx, RootKey, 0, watchWait)
+	if err != nil {
+		return fmt.Errorf("watch configuration: %w", err)
+	}
+	return nil
+}
+
+// take fetches what a new root names and reports it.
+func (w *Watcher) take(ctx context.Context, obj platform.Object) error {
+	r, err := decodeRoot(obj)
+	if err != nil {
+		return err
+	}
+	have := w.Have()
+	if have == nil || have.Version() < r.Version {
+		state, err := complete(ctx, w.Store, r, obj.Version, have)
+		if errors.Is(err, platform.ErrNotFound) {
+			state, err = Load(ctx, w.Store, have)
+		}
+		if err != nil {
+			return err
+		}
+		w.Changed(state.Snapshot)
+	}
+	w.confirm(r.Version)
+	return nil
+}
+
+func (w *Watcher) confirm(version uint64) {
+	if w.Confirmed != nil {
+		w.Confirmed(version)
+	}
+}
--- /dev/null
+++ b/core/platform/platformtest/store.go
@@ -0,0 +1,404 @@
+// Package platformtest is an in-memory platform.Store with faults that can be
+// set while it runs. It keeps time with the time package only, so it works
+// under testing/synctest.
+//
+// Versions come from one counter for the whole store, so an object that was
+// deleted and created again never repeats a version. A slow call takes effect
+// after half of its delay and answers after the other half, so a caller that
+// gives up in between can't tell whether its change took effect.
+package platformtest
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/platform"
+)
+
+// Options sets the store's fixed properties.
+type Options struct {
+	// HostLag is the time after which a change of the host list is visible.
+	HostLag time.Duration
+	// ValueLimit is the largest value in bytes; 0 means platform.MaxValueBytes.
+	ValueLimit int
+	// ReadRate and WriteRate are the calls accepted in each second of a kind; 0 means no limit.
+	// Reads are Get, List, Watch and Hosts.
+	ReadRate  int
+	WriteRate int
+	// Hosts is the host list that is visible from the start.
+	Hosts []platform.Host
+}
+
+// Faults are the faults in force. The zero value means none.
+type Faults struct {
+	// Down makes every call fail with platform.ErrUnavailable, waiting watches included.
+	Down bool
+	// Slow is the time that every call takes; a watch takes it before it waits.
+	Slow time.Duration
+	// LoseAnswers is the number of coming changes that take effect but fail with
+	// platform.ErrUnknown; a negative number means all.
+	LoseAnswers int
+	// Refuse makes every call fail with platform.ErrRateLimited.
+	Refuse bool
+}
+
+// Counts are the calls received since the store was made. A watch counts once,
+// however long it waits.
+type Counts struct {
+	Gets    int `json:"gets"`
+	Puts    int `json:"puts"`
+	Deletes int `json:"deletes"`
+	Lists   int `json:"lists"`
+	Watches int `json:"watches"`
+	Hosts   int `json:"hosts"`
+	// Failed counts the calls that were not executed because of a fault or the rate limit.
+	Failed int `json:"failed"`
+}
+
+// Reads is the number of calls that change nothing.
+func (c Counts) Reads() int { return c.Gets + c.Lists + c.Watches + c.Hosts }
+
+// Writes is the number of calls that ask for a change.
+func (c Counts) Writes() int { return c.Puts + c.Deletes }
+
+// Total is the number of calls.
+func (c Counts) Total() int { return c.Reads() + c.Writes() }
+
+// Store is an in-memory platform.Store. Its methods may be called concurrently.
+type Store struct {
+	options Options
+
+	mu      sync.Mutex
+	objects map[string]platform.Object
+	last    platform.Version
+	faults  Faults
+	counts  Counts
+	reads   window
+	writes  window
+	hosts   []hostList
+	// changed is closed and replaced on every change of an object or of the faults.
+	changed chan struct{}
+}
+
+// hostList is a host list and the time from which it is visible.
+type hostList struct {
+	hosts []platform.Host
+	from  time.Time
+}
+
+var _ platform.Store = (*Store)(nil)
+
+// New makes an empty store.
+func New(o Options) *Store {
+	if o.ValueLimit == 0 {
+		o.ValueLimit = platform.MaxValueBytes
+	}
+	return &Store{
+		options: o,
+		objects: map[string]platform.Object{},
+		hosts:   []hostList{{hosts: slices.Clone(o.Hosts)}},
+		changed: make(chan struct{}),
+	}
+}
+
+// SetFaults replaces the faults in force.
+func (s *Store) SetFaults(f Faults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.faults = f
+	s.wake()
+}
+
+// Faults returns the faults in force.
+func (s *Store) Faults() Faults {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.faults
+}
+
+// SetHosts replaces the host list; calls see it after the host lag.
+func (s *Store) SetHosts(hosts []platform.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := time.Now().Add(s.options.HostLag)
+	s.hosts = append(s.hosts, hostList{hosts: slices.Clone(hosts), from: from})
+}
+
+// Counts returns the number of calls so far.
+func (s *Store) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+// Get implements platform.Store.
+func (s *Store) Get(ctx context.Context, key string) (platform.Object, error) {
+	if err := s.beginRead(ctx, &s.counts.Gets); err != nil {
+		return platform.Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	obj, ok := s.read(key)
+	if err := s.finishRead(ctx); err != nil {
+		return platform.Object{}, fmt.Errorf("get %s: %w", key, err)
+	}
+	if !ok {
+		return platform.Object{}, fmt.Errorf("get %s: %w", key, platform.ErrNotFound)
+	}
+	return obj, nil
+}
+
+// Put implements platform.Store.
+func (s *Store) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+	var version platform.Version
+	err := s.change(ctx, &s.counts.Puts, func() error {
+		if len(value) > s.options.ValueLimit {
+			return platform.ErrTooLarge
+		}
+		if s.objects[key].Version != expected {
+			return platform.ErrConflict
+		}
+		s.last++
+		version = s.last
+		s.objects[key] = platform.Object{Key: key, Value: bytes.Clone(value), Version: version}
+		return nil
+	})
+	if err != nil {
+		return 0, fmt.Errorf("put %s: %w", key, err)
+	}
+	return version, nil
+}
+
+// Delete implements platform.Store. It fails with platform.ErrNotFound if the
+// object does not exist and expected is 0.
+func (s *Store) Delete(ctx context.Context, key string, expected platform.Version) error {
+	err := s.change(ctx, &s.counts.Deletes, func() error {
+		obj, ok := s.objects[key]
+		if obj.Version != expected {
+			return platform.ErrConflict
+		}
+		if !ok {
+			return platform.ErrNotFound
+		}
+		delete(s.objects, key)
+		return nil
+	})
+	if err != nil {
+		return fmt.Errorf("delete %s: %w", key, err)
+	}
+	return nil
+}
+
+// List implements platform.Store.
+func (s *Store) List(ctx context.Context, prefix string) ([]platform.Object, error) {
+	if err := s.beginRead(ctx, &s.counts.Lists); err != nil {
+		return nil, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	out := s.keys(prefix)
+	if err := s.finishRead(ctx); err != nil {
+		return nil, fmt.Errorf("list %s: %w", prefix, err)
+	}
+	return out, nil
+}
+
+// Watch implements platform.Store. An object that does not exist when the wait
+// ends is returned with version 0 and no error.
+func (s *Store) Watch(ctx context.Context, key string, known platform.Version, wait time.Duration) (platform.Object, error) {
+	if err := s.beginRead(ctx, &s.counts.Watches); err != nil {
+		return platform.Object{}, fmt.Errorf("watch %s: %w", key, err)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		obj, changed, err := s.observe(key)
+		if err != nil {
+			return platform.Object{}, fmt.Errorf("watch %s: %w", key, err)
+		}
+		if obj.Version != known {
+			return obj, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return obj, nil
+		case <-ctx.Done():
+			return platform.Object{}, fmt.Errorf("watch %s: %w: %w", key, platform.ErrUnavailable, ctx.Err())
+		}
+	}
+}
+
+// Hosts implements platform.Store.
+func (s *Store) Hosts(ctx context.Context) ([]platform.Host, error) {
+	if err := s.beginRead(ctx, &s.counts.Hosts); err != nil {
+		return nil, fmt.Errorf("hosts: %w", err)
+	}
+	hosts := s.visibleHosts()
+	if err := s.finishRead(ctx); err != nil {
+		return nil, fmt.Errorf("hosts: %w", err)
+	}
+	return hosts, nil
+}
+
+// change runs a conditional change with the faults in force.
+func (s *Store) change(ctx context.Context, count *int, apply func() error) error {
+	if err := s.begin(count, &s.writes, s.options.WriteRate); err != nil {
+		return err
+	}
+	if err := s.delay(ctx); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, err)
+	}
+	lost, err := s.execute(apply)
+	if derr := s.delay(ctx); derr != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnknown, derr)
+	}
+	if err == nil && lost {
+		return platform.ErrUnknown
+	}
+	return err
+}
+
+// execute applies a change under the lock and tells whether its answer gets lost.
+func (s *Store) execute(apply func() error) (lost bool, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err := apply(); err != nil {
+		return false, err
+	}
+	s.wake()
+	if s.faults.LoseAnswers == 0 {
+		return false, nil
+	}
+	if s.faults.LoseAnswers > 0 {
+		s.faults.LoseAnswers--
+	}
+	return true, nil
+}
+
+// begin counts a call and refuses it if a fault or the rate asks for that.
+func (s *Store) begin(count *int, w *window, rate int) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	*count++
+	err := s.refusal(w, rate)
+	if err != nil {
+		s.counts.Failed++
+	}
+	return err
+}
+
+func (s *Store) refusal(w *window, rate int) error {
+	switch {
+	case s.faults.Down:
+		return platform.ErrUnavailable
+	case s.faults.Refuse:
+		return platform.ErrRateLimited
+	case rate > 0 && !w.take(time.Now(), rate):
+		return platform.ErrRateLimited
+	default:
+		return nil
+	}
+}
+
+func (s *Store) beginRead(ctx context.Context, count *int) error {
+	if err := s.begin(count, &s.reads, s.options.ReadRate); err != nil {
+		return err
+	}
+	return s.finishRead(ctx)
+}
+
+func (s *Store) finishRead(ctx context.Context) error {
+	if err := s.delay(ctx); err != nil {
+		return fmt.Errorf("%w: %w", platform.ErrUnavailable, err)
+	}
+	return nil
+}
+
+// delay waits for half of the time that a slow call takes.
+func (s *Store) delay(ctx context.Context) error {
+	d := s.Faults().Slow / 2
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (s *Store) read(key string) (platform.Object, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	obj, ok := s.objects[key]
+	obj.Value = bytes.Clone(obj.Value)
+	return obj, ok
+}
+
+// observe returns the object and a channel that is closed on the next change.
+func (s *Store) observe(key string) (platform.Object, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.faults.Down {
+		return platform.Object{}, nil, platform.ErrUnavailable
+	}
+	obj := s.objects[key]
+	obj.Key = key
+	obj.Value = bytes.Clone(obj.Value)
+	return obj, s.changed, nil
+}
+
+func (s *Store) keys(prefix string) []platform.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []platform.Object
+	for key, obj := range s.objects {
+		if strings.HasPrefix(key, prefix) {
+			out = append(out, platform.Object{Key: key, Version: obj.Version})
+		}
+	}
+	slices.SortFunc(out, func(a, b platform.Object) int { return strings.Compare(a.Key, b.Key) })
+	return out
+}
+
+func (s *Store) visibleHosts() []platform.Host {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	visible := 0
+	for i, list := range s.hosts {
+		if !list.from.After(now) {
+			visible = i
+		}
+	}
+	s.hosts = s.hosts[visible:]
+	return slices.Clone(s.hosts[0].hosts)
+}
+
+// wake lets waiting watches look again. The caller holds the lock.
+func (s *Store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// window counts calls in steps of one second.
+type window struct {
+	start time.Time
+	used  int
+}
+
+func (w *window) take(now time.Time, limit int) bool {
+	if now.Sub(w.start) >= time.Second {
+		*w = window{start: now}
+	}
+	if w.used >= limit {
+		return false
+	}
+	w.used++
+	return true
+}
--- /dev/null
+++ b/ctl/internal/cli/cli.go
@@ -0,0 +1,124 @@
+// Package cli implements the commands of gypsumctl.
+//
+// A command returns a report, which is printed as text or JSON, and an error,
+// whose type decides the exit status.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/core/platform/httpstore"
+)
+
+// Environment is what the commands use of the process.
+type Environment struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	// OpenStore connects to the platform at an address.
+	OpenStore func(address string) (platform.Store, error)
+}
+
+// System returns the environment of the running process.
+func System() Environment {
+	return Environment{Stdout: os.Stdout, Stderr: os.Stderr, OpenStore: openStore}
+}
+
+func openStore(address string) (platform.Store, error) {
+	return httpstore.New(httpstore.Options{URL: address})
+}
+
+// arguments is the command line.
+type arguments struct {
+	Check *checkCommand `arg:"subcommand:check" help:"check a configuration folder without contacting the platform"`
+	Diff  *diffCommand  `arg:"subcommand:diff" help:"show what applying a folder would change"`
+	Apply *applyCommand `arg:"subcommand:apply" help:"make a folder the current configuration"`
+
+	Output   outputFormat  `arg:"--output" default:"text" placeholder:"FORMAT" help:"text or json"`
+	Platform string        `arg:"--platform,env:GYPSUMGAP_PLATFORM" placeholder:"URL" help:"address of the platform, http://host:port"`
+	Timeout  time.Duration `arg:"--timeout" default:"30s" help:"bound of the whole command"`
+}
+
+// Description is the first line of the help.
+func (arguments) Description() string { return "gypsumctl checks, applies and observes gypsumgap." }
+
+// command is one subcommand.
+type command interface {
+	// run does the work. The report may be there in addition to an error.
+	run(ctx context.Context, c *call) (report, error)
+	// example is a command line for the help.
+	example() string
+}
+
+// call is one run of a command.
+type call struct {
+	env  Environment
+	args *arguments
+}
+
+// report is a command's result. Its JSON form is that of encoding/json.
+type report interface {
+	writeText(w io.Writer)
+}
+
+// Run parses the command line (without the program's name), runs the command
+// and returns the exit status.
+func Run(ctx context.Context, argv []string, env Environment) Status {
+	args := &arguments{}
+	parser, err := arg.NewParser(arg.Config{Program: "gypsumctl", Out: env.Stderr}, args)
+	if err != nil {
+		fmt.Fprintln(env.Stderr, "gypsumctl:", err)
+		return Usage
+	}
+	err = parser.Parse(argv)
+	cmd, _ := parser.Subcommand().(command)
+	switch {
+	case errors.Is(err, arg.ErrHelp):
+		writeHelp(env.Stdout, parser, cmd)
+		return Done
+	case err != nil:
+		return usageError(env, parser, err.Error())
+	case cmd == nil:
+		return usageError(env, parser, "a command is missing")
+	}
+	ctx, cancel := context.WithTimeout(ctx, args.Timeout)
+	defer cancel()
+	rep, err := cmd.run(ctx, &call{env: env, args: args})
+	status := statusOf(err)
+	write(env, args.Output, rep, status, err)
+	return status
+}
+
+func usageError(env Environment, parser *arg.Parser, message string) Status {
+	_ = parser.WriteUsageForSubcommand(env.Stderr, parser.SubcommandNames()...)
+	fmt.Fprintln(env.Stderr, "gypsumctl:", message)
+	return Usage
+}
+
+func writeHelp(w io.Writer, parser *arg.Parser, cmd command) {
+	_ = parser.WriteHelpForSubcommand(w, parser.SubcommandNames()...)
+	if cmd != nil {
+		fmt.Fprintf(w, "\nExample:\n  %s\n", strings.ReplaceAll(cmd.example(), "\n", "\n  "))
+	}
+	fmt.Fprintf(w, "\n%s\n", statusHelp)
+}
+
+// store connects to the platform.
+func (c *call) store() (platform.Store, error) {
+	if c.args.Platform == "" {
+		return nil, &usage{"--platform is missing"}
+	}
+	store, err := c.env.OpenStore(c.args.Platform)
+	if err != nil {
+		return nil, &usage{err.Error()}
+	}
+	return store, nil
+}
--- /dev/null
+++ b/ctl/internal/cli/cli_test.go
@@ -0,0 +1,151 @@
+package cli_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/sebdah/goldie/v2"
+
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/core/platform/platformtest"
+	"github.com/gypsumgap/gypsumgap/ctl/internal/cli"
+)
+
+// session runs commands and records their output.
+type session struct {
+	store platform.Store
+	out   bytes.Buffer
+}
+
+// run runs a command line and records its output and exit status.
+func (s *session) run(argv ...string) cli.Status {
+	var stdout, stderr bytes.Buffer
+	env := cli.Environment{
+		Stdout:    &stdout,
+		Stderr:    &stderr,
+		OpenStore: func(string) (platform.Store, error) { return s.store, nil },
+	}
+	status := cli.Run(context.Background(), argv, env)
+	fmt.Fprintf(&s.out, "$ gypsumctl %s\n%s", strings.Join(argv, " "), stdout.String())
+	for line := range strings.Lines(stderr.String()) {
+		fmt.Fprintf(&s.out, "stderr: %s", line)
+	}
+	fmt.Fprintf(&s.out, "exit status %d\n\n", status)
+	return status
+}
+
+func (s *session) assert(t *testing.T, name string) {
+	t.Helper()
+	goldie.New(t).Assert(t, name, s.out.Bytes())
+}
+
+func wantStatus(t *testing.T, got, want cli.Status) {
+	t.Helper()
+	if got != want {
+		t.Errorf("got exit status %d, want %d", got, want)
+	}
+}
+
+// Guards against output or exit statuses that differ from what scripts of
+// operators rely on.
+func TestCheckDiffApply(t *testing.T) {
+	store := platformtest.New(platformtest.Options{})
+	s := &session{store: store}
+	const at = "--platform=http://platform"
+	wantStatus(t, s.run("check", "testdata/first"), cli.Done)
+	wantStatus(t, s.run("check", "testdata/bad"), cli.Refused)
+	wantStatus(t, s.run("check", "testdata/bad", "--output=json"), cli.Refused)
+	wantStatus(t, s.run("diff", "testdata/first", at), cli.Done)
+	wantStatus(t, s.run("apply", "testdata/bad", at), cli.Refused)
+	wantStatus(t, s.run("apply", "testdata/first", at), cli.Done)
+	writes := store.Counts().Writes()
+	wantStatus(t, s.run("apply", "testdata/first", at), cli.Done)
+	if got := store.Counts().Writes(); got != writes {
+		t.Errorf("a repeated apply made %d writes", got-writes)
+	}
+	wantStatus(t, s.run("diff", "testdata/second", at, "--output=json"), cli.Done)
+	wantStatus(t, s.run("apply", "testdata/second", at, "--base=7"), cli.Refused)
+	wantStatus(t, s.run("apply", "testdata/second", at, "--base=1", "--output=json"), cli.Done)
+	s.assert(t, "session")
+}
+
+// Guards against an outage that looks like a conflict, and against a lost
+// answer that is reported as a failure.
+func TestApplyWithFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := platformtest.New(platformtest.Options{})
+		s := &session{store: store}
+		const at = "--platform=http://platform"
+		wantStatus(t, s.run("apply", "testdata/first", at), cli.Done)
+		store.SetFaults(platformtest.Faults{Down: true})
+		wantStatus(t, s.run("apply", "testdata/second", at), cli.Unreachable)
+		store.SetFaults(platformtest.Faults{LoseAnswers: 2})
+		wantStatus(t, s.run("apply", "testdata/second", at), cli.Done)
+		s.store = &downAfterRoot{Store: store}
+		wantStatus(t, s.run("apply", "testdata/first", at), cli.Unknown)
+		s.assert(t, "faults")
+	})
+}
+
+// downAfterRoot loses the answer of a root update and goes down with it.
+type downAfterRoot struct {
+	*platformtest.Store
+}
+
+func (d *downAfterRoot) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+	v, err := d.Store.Put(ctx, key, value, expected)
+	if key != "config/root" {
+		return v, err
+	}
+	d.SetFaults(platformtest.Faults{Down: true})
+	return 0, platform.ErrUnknown
+}
+
+// interloper applies another folder just before the root of this one is written.
+type interloper struct {
+	*platformtest.Store
+	done bool
+}
+
+func (i *interloper) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+	if key == "config/root" && !i.done {
+		i.done = true
+		other := &session{store: i.Store}
+		if status := other.run("apply", "testdata/third", "--platform=http://platform"); status != cli.Done {
+			return 0, fmt.Errorf("the other apply failed: %s", other.out.String())
+		}
+	}
+	return i.Store.Put(ctx, key, value, expected)
+}
+
+// Guards against a conflict that doesn't tell the operator what the other one
+// changed.
+func TestConflictNamesTheOtherChange(t *testing.T) {
+	store := platformtest.New(platformtest.Options{})
+	s := &session{store: store}
+	const at = "--platform=http://platform"
+	wantStatus(t, s.run("apply", "testdata/first", at), cli.Done)
+	s.store = &interloper{Store: store}
+	wantStatus(t, s.run("apply", "testdata/second", at), cli.Refused)
+	s.assert(t, "conflict")
+}
+
+// Guards against a command without help, example or usage error.
+func TestHelpAndUsage(t *testing.T) {
+	s := &session{}
+	wantStatus(t, s.run(), cli.Usage)
+	wantStatus(t, s.run("--help"), cli.Done)
+	for _, name := range []string{"check", "diff", "apply"} {
+		wantStatus(t, s.run(name, "--help"), cli.Done)
+	}
+	wantStatus(t, s.run("unknown"), cli.Usage)
+	wantStatus(t, s.run("apply"), cli.Usage)
+	wantStatus(t, s.run("apply", "testdata/first"), cli.Usage)
+	wantStatus(t, s.run("check", "testdata/first", "--output=xml"), cli.Usage)
+	wantStatus(t, s.run("check", "testdata/missing"), cli.Usage)
+	s.assert(t, "help")
+}
