--- /dev/null
+++ b/core/shares/shares_test.go
@@ -0,0 +1,102 @@
+package shares
+
+import (
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	_ "github.com/gypsumgap/gypsumgap/core/testseed"
+)
+
+// host is a process that opens connections within the count it has read.
+type host struct {
+	id   Holder
+	rank int
+	// seen is the allocation as last read, with its version.
+	seen    Allocation
+	version int
+	open    int
+	dead    bool
+}
+
+// Guards against a sum of connections above the limit while hosts come, go,
+// restart and disagree about who owns the database.
+func TestConnectionsStayWithinLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limit := rapid.IntRange(1, 150).Draw(t, "limit")
+		stored, version := Allocation{}, 0
+		var hosts []*host
+		gone := func(h Holder) bool {
+			for _, o := range hosts {
+				if o.id.Is(h) {
+					return o.dead && o.open == 0
+				}
+			}
+			return false
+		}
+		pick := func(t *rapid.T) *host {
+			if len(hosts) == 0 {
+				t.Skip("no hosts")
+			}
+			return rapid.SampledFrom(hosts).Draw(t, "host")
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"join": func(t *rapid.T) {
+				id := Holder{Host: fmt.Sprintf("e%d", len(hosts)%5), Incarnation: uint64(len(hosts))}
+				hosts = append(hosts, &host{id: id, rank: rapid.IntRange(-1, 1).Draw(t, "rank")})
+			},
+			"rank": func(t *rapid.T) { pick(t).rank = rapid.IntRange(-1, 1).Draw(t, "rank") },
+			"read": func(t *rapid.T) {
+				h := pick(t)
+				h.seen, h.version = stored, version
+			},
+			"write": func(t *rapid.T) {
+				h := pick(t)
+				if h.dead {
+					return
+				}
+				next := Plan(h.seen, limit, h.id, h.rank, h.open, gone)
+				if h.version == version {
+					stored, version = next, version+1
+					h.seen, h.version = stored, version
+				}
+			},
+			"open": func(t *rapid.T) {
+				h := pick(t)
+				if !h.dead && h.open < h.seen.Count(h.id) {
+					h.open++
+				}
+			},
+			"close": func(t *rapid.T) {
+				if h := pick(t); h.open > 0 {
+					h.open--
+				}
+			},
+			"die": func(t *rapid.T) { pick(t).dead = true },
+			"": func(t *rapid.T) {
+				open := 0
+				for _, h := range hosts {
+					open += h.open
+				}
+				if open > limit || stored.Sum() > limit {
+					t.Fatalf("limit %d: %d open, %d given out", limit, open, stored.Sum())
+				}
+			},
+		})
+	})
+}
+
+// Guards against owners that divide the connections badly: both must have some.
+func TestBothOwnersGetConnections(t *testing.T) {
+	none := func(Holder) bool { return false }
+	for _, limit := range []int{3, 45, 140} {
+		first := Holder{Host: "e1", Incarnation: 1}
+		second := Holder{Host: "e2", Incarnation: 1}
+		a := Plan(Allocation{}, limit, first, 0, 0, none)
+		a = Plan(a, limit, second, 1, 0, none)
+		if a.Count(first) < a.Count(second) || a.Count(second) == 0 || a.Sum() > limit {
+			t.Errorf("limit %d: first owner has %d, second %d", limit, a.Count(first), a.Count(second))
+		}
+	}
+}
--- /dev/null
+++ b/daemon/cmd/gypsumgap/main.go
@@ -0,0 +1,91 @@
+// Command gypsumgap is the database proxy that runs on every entry host.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alexflint/go-arg"
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/host"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/settings"
+)
+
+type arguments struct {
+	Settings         string `arg:"--settings,required" help:"settings file in YAML" placeholder:"FILE"`
+	Check            bool   `arg:"--check" help:"check the settings and exit"`
+	Host             string `arg:"--host" help:"override the setting host"`
+	AvailabilityZone string `arg:"--availability-zone" help:"override the setting availability_zone"`
+	Platform         string `arg:"--platform" help:"override the setting platform"`
+	LogLevel         string `arg:"--log-level" default:"info" help:"debug, info, warning or error"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "gypsumgap is a database proxy with session consistency.\n"
+}
+
+// Epilogue is shown by --help.
+func (arguments) Epilogue() string {
+	return "Example: gypsumgap --settings /etc/gypsumgap/settings.yaml\n\n" +
+		"Environment variables GYPSUMGAP_<KEY> override the settings file, flags override both.\n" +
+		"TERM and INT start a graceful shutdown."
+}
+
+func (a arguments) overrides() map[string]string {
+	out := map[string]string{}
+	for key, value := range map[string]string{"host": a.Host, "availability_zone": a.AvailabilityZone, "platform": a.Platform} {
+		if value != "" {
+			out[key] = value
+		}
+	}
+	return out
+}
+
+// Exit statuses.
+const (
+	exitFindings = 1
+	exitFailed   = 3
+)
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	os.Exit(run(args))
+}
+
+func run(args arguments) int {
+	s, err := settings.Load(args.Settings, os.LookupEnv, args.overrides())
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFindings
+	}
+	level, err := logrus.ParseLevel(args.LogLevel)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFindings
+	}
+	if args.Check {
+		fmt.Println("settings are good")
+		return 0
+	}
+	logger := logrus.New()
+	logger.SetLevel(level)
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	h, err := host.New(s, logger.WithField("host", s.Host))
+	if err == nil {
+		err = h.Run(ctx)
+	}
+	if err != nil {
+		logger.WithField("event", "stopped").WithError(err).Error("host stopped after a failure")
+		return exitFailed
+	}
+	logger.WithField("event", "stopped").Info("host stopped")
+	return 0
+}
--- /dev/null
+++ b/daemon/internal/control/control.go
@@ -0,0 +1,199 @@
+// Package control runs a host's controllers. One goroutine owns the control
+// state: the membership table, the failover machines of the owned databases
+// and what follows from the configuration. It takes events from an inbox,
+// publishes views on the board and leaves all I/O to worker goroutines, which
+// post their results as events.
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
+	"github.com/gypsumgap/gypsumgap/core/membership"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/board"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+)
+
+const (
+	// tickInterval is how often deadlines of the membership table are looked at.
+	tickInterval = 100 * time.Millisecond
+	// hostsInterval is how often a host reads the platform's host list. The
+	// list only names new hosts; probes tell which of them live.
+	hostsInterval = 10 * time.Second
+)
+
+// Options configure a Controller.
+type Options struct {
+	Self  membership.Member
+	Peers []string
+	// LocalIP is the source address of control connections.
+	LocalIP netip.Addr
+	Store   platform.Store
+	// DialSlot opens connections to backend servers for traffic.
+	DialSlot route.DialFunc
+	Recorder route.Recorder
+	Members  membership.Options
+	// Drain is called when an operator asks for a graceful shutdown.
+	Drain func(timeout time.Duration)
+	Log   *logrus.Entry
+}
+
+// event is an input of the control goroutine.
+type event interface {
+	apply(c *Controller, now time.Time)
+}
+
+// Controller owns the control state of a host.
+type Controller struct {
+	opts  Options
+	board *board.Board
+	peers *peer.Client
+	slots *pgcontrol.Client
+	log   *logrus.Entry
+
+	// The rest is used by the control goroutine only.
+	ctx         context.Context
+	table       *membership.Table
+	config      *config.Snapshot
+	configReady bool
+	draining    bool
+	groups      map[string]*ownedGroup
+	policies    map[string]*route.Policy
+	// placed is the table's change count for which ownership was computed.
+	placed uint64
+	// stale says that ownership or the view must be computed again.
+	stale bool
+
+	workers sync.WaitGroup
+	mu      sync.Mutex
+	inbox   []event
+	wake    chan struct{}
+}
+
+// New returns a controller that has published a first view without
+// configuration.
+func New(o Options) *Controller {
+	now := time.Now()
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	c := &Controller{
+		opts:     o,
+		peers:    peer.NewClient(o.LocalIP),
+		slots:    pgcontrol.New(pgcontrol.Options{LocalIP: o.LocalIP, ApplicationName: "gypsumgap/" + o.Self.Name}),
+		log:      o.Log,
+		table:    membership.NewTable(o.Self, o.Members, rng, now),
+		config:   config.NewSnapshot(0, nil),
+		groups:   map[string]*ownedGroup{},
+		policies: map[string]*route.Policy{},
+		wake:     make(chan struct{}, 1),
+	}
+	c.board = board.New(&board.View{Self: o.Self, Config: c.config})
+	return c
+}
+
+// Board returns the board that the controller publishes on.
+func (c *Controller) Board() *board.Board { return c.board }
+
+// Run owns the control state until ctx ends, then stops the owned groups.
+func (c *Controller) Run(ctx context.Context) {
+	c.ctx = ctx
+	c.workers.Go(func() { c.watchConfig(ctx) })
+	c.workers.Go(func() { c.listHosts(ctx) })
+	c.bootstrap()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for ctx.Err() == nil {
+		c.step(time.Now())
+		timer.Reset(c.untilDeadline(time.Now()))
+		select {
+		case <-ctx.Done():
+		case <-c.wake:
+		case <-timer.C:
+		case <-ticker.C:
+		}
+	}
+	for _, g := range c.groups {
+		g.stop()
+	}
+	c.workers.Wait()
+	c.slots.Close()
+	c.peers.Close()
+}
+
+// post hands an event to the control goroutine. It does not block.
+func (c *Controller) post(e event) {
+	c.mu.Lock()
+	c.inbox = append(c.inbox, e)
+	c.mu.Unlock()
+	select {
+	case c.wake <- struct{}{}:
+	default:
+	}
+}
+
+func (c *Controller) take() []event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	inbox := c.inbox
+	c.inbox = nil
+	return inbox
+}
+
+func (c *Controller) step(now time.Time) {
+	for _, e := range c.take() {
+		e.apply(c, now)
+	}
+	c.sendProbes(c.table.Tick(now))
+	c.stepGroups(now)
+	if c.stale || c.placed != c.table.Changes() {
+		c.stale = false
+		c.placed = c.table.Changes()
+		c.placeGroups()
+		c.publish()
+	}
+}
+
+// publish puts the current state on the board.
+func (c *Controller) publish() {
+	v := &board.View{
+		Self:        c.table.Self(),
+		Config:      c.config,
+		Members:     c.table.Members(),
+		Policies:    c.policies,
+		Groups:      make(map[string]*board.Group, len(c.groups)),
+		ConfigReady: c.configReady,
+		Draining:    c.draining,
+	}
+	for name, g := range c.groups {
+		// A copy, because the control goroutine goes on changing its own.
+		published := g.Group
+		v.Groups[name] = &published
+	}
+	c.board.Publish(v)
+}
+
+// Leave tells the other hosts that this one is about to stop and gives up its
+// databases.
+func (c *Controller) Leave() { c.post(leaveRequested{}) }
+
+type leaveRequested struct{}
+
+func (leaveRequested) apply(c *Controller, now time.Time) {
+	if c.draining {
+		return
+	}
+	c.draining = true
+	c.table.Leave(now)
+	c.log.WithField("event", "leave").Info("host is leaving")
+	c.stale = true
+}
--- /dev/null
+++ b/daemon/internal/control/groups.go
@@ -0,0 +1,244 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/failover"
+	"github.com/gypsumgap/gypsumgap/core/membership"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/replication"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/board"
+)
+
+// farDeadline stands for no deadline.
+const farDeadline = time.Hour
+
+// retireDelay lets transactions that still run on a database that the host has
+// given up reach their commit gate.
+const retireDelay = 10 * time.Second
+
+// ownedGroup is a database that this host owns, with its goroutines.
+type ownedGroup struct {
+	board.Group
+	database string
+	share    atomic.Int64
+	// kick asks the share keeper to look at the allocation again.
+	kick   chan struct{}
+	cancel context.CancelFunc
+	done   sync.WaitGroup
+}
+
+// place is a host's part in a database.
+type place struct {
+	ref    config.DatabaseRef
+	rank   int
+	owners []membership.Member
+}
+
+// placeGroups starts and stops groups so that they match the ownership that
+// follows from members and configuration.
+func (c *Controller) placeGroups() {
+	places := c.ownPlaces()
+	for name, g := range c.groups {
+		if _, ok := places[name]; !ok {
+			c.retire(name, g)
+		}
+	}
+	for name, p := range places {
+		g, ok := c.groups[name]
+		if ok && !sameSlots(g.Ref.Database, p.ref.Database) {
+			c.retire(name, g)
+			ok = false
+		}
+		if !ok {
+			g = c.startGroup(p.ref)
+			c.groups[name] = g
+		}
+		c.update(g, p)
+	}
+}
+
+func (c *Controller) ownPlaces() map[string]place {
+	places := map[string]place{}
+	if c.draining {
+		return places
+	}
+	members := c.table.Members()
+	c.config.EachDatabase(func(ref config.DatabaseRef) bool {
+		owners := membership.Owners(ref.Database.Name, board.HomeRegion(ref.Database), members)
+		for rank, o := range owners {
+			if o.Name == c.opts.Self.Name {
+				places[ref.Database.Name] = place{ref: ref, rank: rank, owners: owners}
+			}
+		}
+		return true
+	})
+	return places
+}
+
+func sameSlots(a, b *config.Database) bool {
+	if len(a.Slots) != len(b.Slots) {
+		return false
+	}
+	for i := range a.Slots {
+		if a.Slots[i] != b.Slots[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Controller) update(g *ownedGroup, p place) {
+	rankChanged := g.Rank != p.rank
+	g.Group.Ref = p.ref
+	g.Group.Rank = p.rank
+	g.Router.SetPolicy(c.policies[p.ref.Service.Name])
+	g.Driver.Step(c.ctx, time.Now(), failover.Owner{Rank: p.rank, Peer: len(p.owners) > 1})
+	if rankChanged {
+		c.logGroup(g).WithField("event", "own_database").WithField("rank", p.rank).Info("host owns the database")
+	}
+	g.wakeShares()
+}
+
+func (c *Controller) logGroup(g *ownedGroup) *logrus.Entry {
+	return c.log.WithField("database", g.database)
+}
+
+func (c *Controller) startGroup(ref config.DatabaseRef) *ownedGroup {
+	ctx, cancel := context.WithCancel(c.ctx)
+	g := &ownedGroup{database: ref.Database.Name, kick: make(chan struct{}, 1), cancel: cancel}
+	g.Ref = ref
+	g.Rank = failover.NotOwner
+	g.Group.Share = func() int { return int(g.share.Load()) }
+	g.Tracker = replication.NewRunner(replication.Options{
+		Client:          c.slots,
+		Slots:           ref.Database.Slots,
+		RefreshInterval: ref.Service.Failover.ProbeIdle.Std(),
+		Observe:         func(o replication.Observation) { g.Driver.Observe(o) },
+	})
+	g.Router = c.newOwnerRouter(g)
+	g.Driver = c.newDriver(g)
+	g.done.Go(func() { _ = g.Tracker.Run(ctx) })
+	g.done.Go(func() { c.keepShare(ctx, g) })
+	return g
+}
+
+func (c *Controller) newDriver(g *ownedGroup) *failover.Driver {
+	policy := g.Ref.Service.Failover
+	return failover.NewDriver(failover.DriverOptions{
+		Machine: failover.Config{
+			Slots:        g.Ref.Database.Slots,
+			ProbeIdle:    policy.ProbeIdle.Std(),
+			ProbeSuspect: policy.ProbeSuspect.Std(),
+			Misses:       policy.Misses,
+			Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		},
+		Client: c.slots,
+		Post:   func(ev failover.Event) { c.post(groupEvent{g, ev}) },
+		Hooks: failover.Hooks{
+			AskPeer:    func(ctx context.Context) (failover.PeerView, error) { return c.askOtherOwner(ctx, g.database) },
+			Hold:       func(ctx context.Context) { g.Router.HoldPrimary(ctx) },
+			Release:    func() { g.Router.ReleasePrimary() },
+			Refresh:    func() { g.Tracker.Refresh() },
+			Record:     func(r failover.Record) { c.logRecord(g, r) },
+			LastAnswer: func(slot int) time.Time { return g.Tracker.LastAnswer(slot) },
+		},
+	})
+}
+
+func (c *Controller) logRecord(g *ownedGroup, r failover.Record) {
+	c.logGroup(g).WithFields(logrus.Fields{
+		"event":  "failover_" + string(r.Action),
+		"reason": r.Reason,
+		"slot":   r.Slot,
+		"term":   r.Term,
+	}).Info("automation acted on the database")
+}
+
+// groupEvent is an event for the failover machine of a group.
+type groupEvent struct {
+	group *ownedGroup
+	event failover.Event
+}
+
+func (e groupEvent) apply(c *Controller, now time.Time) {
+	if c.groups[e.group.database] == e.group {
+		e.group.Driver.Step(c.ctx, now, e.event)
+	}
+}
+
+// stepGroups lets the deadlines of the failover machines pass.
+func (c *Controller) stepGroups(now time.Time) {
+	for _, g := range c.groups {
+		if next := g.Driver.NextDeadline(); !next.IsZero() && !now.Before(next) {
+			g.Driver.Step(c.ctx, now, failover.Tick{})
+		}
+	}
+}
+
+func (c *Controller) untilDeadline(now time.Time) time.Duration {
+	until := farDeadline
+	for _, g := range c.groups {
+		if next := g.Driver.NextDeadline(); !next.IsZero() {
+			until = min(until, max(next.Sub(now), 0))
+		}
+	}
+	return until
+}
+
+// askOtherOwner asks the other owner of a database how it sees the primary.
+func (c *Controller) askOtherOwner(ctx context.Context, database string) (failover.PeerView, error) {
+	v := c.board.View()
+	for _, o := range v.Owners(database) {
+		if o.Name == v.Self.Name {
+			continue
+		}
+		resp, err := c.peers.Peer(o.PeerAddress).Observe(ctx, &peerapi.ObserveRequest{Database: database})
+		if err != nil {
+			return failover.PeerView{}, fmt.Errorf("ask owner %s: %w", o.Name, err)
+		}
+		return failover.PeerView{OK: resp.GetWatching(), Reachable: resp.GetPrimaryReachable(), Term: groupTerm(resp)}, nil
+	}
+	return failover.PeerView{}, nil
+}
+
+// retire gives a database up. Its transactions may end in the meantime.
+func (c *Controller) retire(name string, g *ownedGroup) {
+	delete(c.groups, name)
+	g.Driver.Step(c.ctx, time.Now(), failover.Owner{Rank: failover.NotOwner})
+	c.logGroup(g).WithField("event", "give_up_database").Info("host no longer owns the database")
+	c.workers.Go(func() {
+		g.Router.Close()
+		select {
+		case <-c.ctx.Done():
+		case <-time.After(retireDelay):
+		}
+		g.finish()
+	})
+}
+
+func (g *ownedGroup) stop() {
+	g.Router.Close()
+	g.finish()
+}
+
+func (g *ownedGroup) finish() {
+	g.cancel()
+	g.done.Wait()
+	g.Driver.Wait()
+}
+
+func (g *ownedGroup) wakeShares() {
+	select {
+	case g.kick <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/daemon/internal/control/hosts.go
@@ -0,0 +1,121 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/membership"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
+)
+
+// listHosts reads the platform's host list from time to time.
+func (c *Controller) listHosts(ctx context.Context) {
+	for {
+		hosts, err := c.opts.Store.Hosts(ctx)
+		if err != nil && ctx.Err() == nil {
+			c.log.WithField("event", "host_list_failed").WithError(err).Warn("can't read the platform's host list")
+		}
+		if err == nil {
+			c.post(hostsListed(hosts))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(hostsInterval):
+		}
+	}
+}
+
+type hostsListed []platform.Host
+
+func (hosts hostsListed) apply(c *Controller, now time.Time) { c.table.MergePlatform(now, hosts) }
+
+// bootstrap probes the configured peers, so that a host learns the others
+// while the platform is down.
+func (c *Controller) bootstrap() {
+	for _, address := range c.opts.Peers {
+		target := membership.Member{PeerAddress: address}
+		c.sendProbes([]membership.Command{{
+			Kind:    membership.SendProbe,
+			Target:  target,
+			Message: membership.Message{From: c.opts.Self.Name, Updates: []membership.Member{c.table.Self()}},
+		}})
+	}
+}
+
+func (c *Controller) sendProbes(cmds []membership.Command) {
+	for _, cmd := range cmds {
+		switch cmd.Kind {
+		case membership.SendProbe:
+			c.workers.Go(func() { c.probe(cmd) })
+		case membership.SendIndirectProbe:
+			c.workers.Go(func() { c.probeIndirectly(cmd) })
+		}
+	}
+}
+
+func (c *Controller) probe(cmd membership.Command) {
+	ctx, cancel := context.WithTimeout(c.ctx, c.opts.Members.ProbeTimeout)
+	defer cancel()
+	resp, err := c.peers.Probe(ctx, cmd.Target.PeerAddress, &peerapi.ProbeRequest{
+		From:          cmd.Message.From,
+		Updates:       peer.ToMembers(cmd.Message.Updates),
+		ConfigVersion: c.board.View().Config.Version(),
+		MembersDigest: cmd.Message.Digest,
+	})
+	if err != nil {
+		c.post(probeFailed{target: cmd.Target.Name})
+		return
+	}
+	c.post(probeAnswered{
+		target:  cmd.Target.Name,
+		message: membership.Message{Updates: peer.FromMembers(resp.GetUpdates()), Digest: resp.GetMembersDigest()},
+	})
+}
+
+type probeFailed struct{ target string }
+
+func (e probeFailed) apply(c *Controller, now time.Time) {
+	c.sendProbes(c.table.ProbeFailed(now, e.target))
+}
+
+type probeAnswered struct {
+	target  string
+	message membership.Message
+}
+
+func (e probeAnswered) apply(c *Controller, now time.Time) {
+	c.table.ProbeAnswered(now, e.target, e.message)
+}
+
+func (c *Controller) probeIndirectly(cmd membership.Command) {
+	// The asked host waits for its own probe, so the deadline is twice that.
+	ctx, cancel := context.WithTimeout(c.ctx, 2*c.opts.Members.ProbeTimeout)
+	defer cancel()
+	resp, err := c.peers.Peer(cmd.Via.PeerAddress).IndirectProbe(ctx, &peerapi.IndirectProbeRequest{
+		From:   c.opts.Self.Name,
+		Target: cmd.Target.PeerAddress,
+	})
+	c.post(indirectAnswered{target: cmd.Target.Name, reached: err == nil && resp.GetReached()})
+}
+
+type indirectAnswered struct {
+	target  string
+	reached bool
+}
+
+func (e indirectAnswered) apply(c *Controller, now time.Time) {
+	c.table.IndirectAnswered(now, e.target, e.reached)
+}
+
+// probeReceived is another host's probe; the answer goes to reply.
+type probeReceived struct {
+	message membership.Message
+	reply   chan membership.Message
+}
+
+func (e probeReceived) apply(c *Controller, now time.Time) {
+	e.reply <- c.table.Receive(now, e.message)
+}
--- /dev/null
+++ b/daemon/internal/control/peerserver.go
@@ -0,0 +1,141 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/membership"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
+)
+
+// PeerServer answers the other hosts and operators.
+type PeerServer struct {
+	c *Controller
+}
+
+var (
+	_ peerapi.Peer     = PeerServer{}
+	_ peerapi.Operator = PeerServer{}
+)
+
+// Server returns the controller's service for other hosts and operators.
+func (c *Controller) Server() PeerServer { return PeerServer{c} }
+
+// Probe implements peerapi.Peer.
+func (s PeerServer) Probe(ctx context.Context, r *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error) {
+	reply := make(chan membership.Message, 1)
+	s.c.post(probeReceived{
+		message: membership.Message{From: r.GetFrom(), Updates: peer.FromMembers(r.GetUpdates()), Digest: r.GetMembersDigest()},
+		reply:   reply,
+	})
+	select {
+	case m := <-reply:
+		return &peerapi.ProbeResponse{
+			Updates:       peer.ToMembers(m.Updates),
+			ConfigVersion: s.c.board.View().Config.Version(),
+			MembersDigest: m.Digest,
+		}, nil
+	case <-ctx.Done():
+		return nil, twirp.InternalErrorWith(context.Cause(ctx))
+	}
+}
+
+// IndirectProbe implements peerapi.Peer.
+func (s PeerServer) IndirectProbe(ctx context.Context, r *peerapi.IndirectProbeRequest) (*peerapi.IndirectProbeResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.c.opts.Members.ProbeTimeout)
+	defer cancel()
+	_, err := s.c.peers.Probe(ctx, r.GetTarget(), &peerapi.ProbeRequest{
+		From:    s.c.opts.Self.Name,
+		Updates: peer.ToMembers([]membership.Member{s.c.board.View().Self}),
+	})
+	return &peerapi.IndirectProbeResponse{Reached: err == nil}, nil
+}
+
+// Observe implements peerapi.Peer.
+func (s PeerServer) Observe(ctx context.Context, r *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error) {
+	g, ok := s.c.board.View().Groups[r.GetDatabase()]
+	if !ok {
+		return &peerapi.ObserveResponse{}, nil
+	}
+	seen := g.Driver.SeePrimary(ctx)
+	st := g.Driver.State()
+	resp := &peerapi.ObserveResponse{Watching: seen.OK, PrimaryReachable: seen.Reachable, Term: uint64(seen.Term)}
+	if st.Primary >= 0 {
+		resp.PrimarySlot = string(g.Ref.Database.Slots[st.Primary].ID)
+		resp.LastAnswerMs = uint64(time.Since(st.LastAnswer).Milliseconds())
+	}
+	return resp, nil
+}
+
+func groupTerm(r *peerapi.ObserveResponse) group.Term { return group.Term(r.GetTerm()) }
+
+// Status implements peerapi.Operator.
+func (s PeerServer) Status(_ context.Context, r *peerapi.StatusRequest) (*peerapi.StatusResponse, error) {
+	v := s.c.board.View()
+	state := "ready"
+	switch {
+	case v.Draining:
+		state = "draining"
+	case !v.ConfigReady:
+		state = "no confirmed configuration"
+	}
+	resp := &peerapi.StatusResponse{
+		Host:          v.Self.Name,
+		Zone:          v.Self.Zone,
+		State:         state,
+		ConfigVersion: v.Config.Version(),
+		Members:       peer.ToMembers(v.Members),
+	}
+	for _, g := range v.Groups {
+		if r.GetService() == "" || r.GetService() == g.Ref.Service.Name {
+			resp.Databases = append(resp.Databases, databaseStatus(g))
+		}
+	}
+	return resp, nil
+}
+
+// FetchConfig implements peerapi.Peer.
+func (s PeerServer) FetchConfig(context.Context, *peerapi.FetchConfigRequest) (*peerapi.FetchConfigResponse, error) {
+	return nil, twirp.Unimplemented.Error("configuration is read from the platform store")
+}
+
+// Switchover implements peerapi.Operator.
+func (s PeerServer) Switchover(ctx context.Context, r *peerapi.SwitchoverRequest) (*peerapi.SwitchoverResponse, error) {
+	g, ok := s.c.board.View().Groups[r.GetDatabase()]
+	if !ok {
+		return nil, twirp.FailedPrecondition.Errorf("host %s does not own database %q", s.c.opts.Self.Name, r.GetDatabase())
+	}
+	f, err := g.Driver.Switchover(ctx, group.SlotID(r.GetToSlot()))
+	if err != nil {
+		return nil, twirp.FailedPrecondition.Errorf("switchover of %s: %w", r.GetDatabase(), err)
+	}
+	return &peerapi.SwitchoverResponse{
+		Term:        uint64(f.Term),
+		PrimarySlot: string(f.Slot),
+		PausedMs:    uint64(f.Paused.Milliseconds()),
+	}, nil
+}
+
+// Drain implements peerapi.Operator.
+func (s PeerServer) Drain(_ context.Context, r *peerapi.DrainRequest) (*peerapi.DrainResponse, error) {
+	if s.c.opts.Drain == nil {
+		return nil, twirp.InternalErrorWith(errors.New("host can't be drained by an operator"))
+	}
+	running := s.c.running()
+	s.c.opts.Drain(time.Duration(r.GetTimeoutSeconds()) * time.Second)
+	return &peerapi.DrainResponse{Running: uint32(running)}, nil
+}
+
+// running counts the connections that are in use or kept for reuse.
+func (c *Controller) running() int {
+	n := 0
+	for _, g := range c.board.View().Groups {
+		n += g.Router.Open()
+	}
+	return n
+}
--- /dev/null
+++ b/daemon/internal/host/host.go
@@ -0,0 +1,303 @@
+// Package host assembles one gypsumgap process from its settings: the
+// listeners for callers, other hosts and operators, the routers and the
+// controllers.
+package host
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"golang.org/x/sync/errgroup"
+
+	"github.com/gypsumgap/gypsumgap/core/membership"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/platform/httpstore"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/control"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/metrics"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/session"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/settings"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+)
+
+const (
+	maintainInterval = time.Second
+	headerTimeout    = 5 * time.Second
+	// leaveDelay lets the other hosts learn that this one leaves before it
+	// stops taking statements from them.
+	leaveDelay = 2 * time.Second
+	// stopTimeout bounds the stop of the HTTP servers.
+	stopTimeout = time.Second
+)
+
+// Host is one gypsumgap process.
+type Host struct {
+	settings *settings.Settings
+	log      *logrus.Entry
+	metrics  *metrics.Metrics
+	control  *control.Controller
+	entry    *route.EntryRouter
+	callers  *session.Server
+	forwards *session.Server
+	drain    chan time.Duration
+	store    *httpstore.Client
+}
+
+// New assembles a host; it starts nothing.
+func New(s *settings.Settings, log *logrus.Entry) (*Host, error) {
+	store, err := httpstore.New(httpstore.Options{URL: s.Platform, LocalIP: s.Listen.Addr()})
+	if err != nil {
+		return nil, err
+	}
+	certificates, err := loadTLS(s)
+	if err != nil {
+		return nil, err
+	}
+	h := &Host{
+		settings: s,
+		log:      log,
+		metrics:  metrics.New(s.Host, s.AvailabilityZone),
+		drain:    make(chan time.Duration, 1),
+		store:    store,
+	}
+	incarnation := uint64(time.Now().UnixMicro())
+	h.control = control.New(control.Options{
+		Self: membership.Member{
+			Name:           s.Host,
+			PeerAddress:    s.PeerListen.String(),
+			ForwardAddress: s.ForwardListen.String(),
+			Zone:           s.AvailabilityZone,
+			Region:         s.Region,
+			Incarnation:    incarnation,
+		},
+		Peers:    s.Peers,
+		LocalIP:  s.Listen.Addr(),
+		Store:    store,
+		DialSlot: h.dialer(strconv.FormatUint(incarnation, 10)),
+		Recorder: h.metrics,
+		Members:  membership.DefaultOptions(),
+		Drain:    h.requestDrain,
+		Log:      log,
+	})
+	directory := control.Directory{Board: h.control.Board()}
+	h.entry = route.NewEntryRouter(route.EntryConfig{
+		Owners:   directory,
+		Local:    directory.Local,
+		Policy:   directory.Policy,
+		Dial:     h.dialer(strconv.FormatUint(incarnation, 10)),
+		Recorder: h.metrics,
+	})
+	options := session.Options{
+		Router:    h.entry,
+		Verifiers: directory,
+		TLS:       certificates,
+		Deadline:  directory.Deadline,
+		Log:       log,
+	}
+	h.callers = session.NewServer(options)
+	options.Verifiers, options.TLS, options.Forwarded = nil, nil, true
+	h.forwards = session.NewServer(options)
+	return h, nil
+}
+
+func loadTLS(s *settings.Settings) (*tls.Config, error) {
+	if s.TLSCertificate == "" {
+		return nil, nil
+	}
+	if _, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey); err != nil {
+		return nil, fmt.Errorf("TLS certificate: %w", err)
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS12,
+		// Read for each handshake, so that a renewed certificate needs no restart.
+		GetCertificate: func(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+			cert, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
+			if err != nil {
+				return nil, fmt.Errorf("TLS certificate: %w", err)
+			}
+			return &cert, nil
+		},
+	}, nil
+}
+
+// dialer opens connections to backend servers and owner hosts. They trust the
+// address of the host, as nothing else runs there.
+func (h *Host) dialer(incarnation string) route.DialFunc {
+	local := net.IP(h.settings.Listen.Addr().AsSlice())
+	return func(ctx context.Context, t route.Target) (route.Conn, error) {
+		conn, err := upstream.Dial(ctx, upstream.Options{
+			Address:     t.Address,
+			LocalIP:     local,
+			User:        t.User,
+			Database:    t.Database,
+			Parameters:  upstream.DefaultParameters(),
+			Host:        h.settings.Host,
+			Incarnation: incarnation,
+		})
+		if err != nil {
+			return nil, err
+		}
+		return conn, nil
+	}
+}
+
+func (h *Host) requestDrain(timeout time.Duration) {
+	if timeout <= 0 {
+		timeout = h.settings.DrainTimeout
+	}
+	select {
+	case h.drain <- timeout:
+	default:
+	}
+}
+
+// Ready tells whether the host may be given callers.
+func (h *Host) Ready() error {
+	v := h.control.Board().View()
+	switch {
+	case v.Draining:
+		return fmt.Errorf("%w: host is draining", metrics.ErrNotReady)
+	case !v.ConfigReady:
+		return fmt.Errorf("%w: configuration is not confirmed", metrics.ErrNotReady)
+	default:
+		return nil
+	}
+}
+
+// Run serves until ctx ends or an operator asks for a drain, then shuts down
+// gracefully.
+func (h *Host) Run(ctx context.Context) error {
+	listeners, err := h.listen()
+	if err != nil {
+		return err
+	}
+	// The controllers go on during the drain, since running transactions need them.
+	controlCtx, stopControl := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopControl()
+	var running errgroup.Group
+	running.Go(func() error { h.control.Run(controlCtx); return nil })
+	running.Go(func() error { h.maintain(controlCtx); return nil })
+	running.Go(func() error { return served(h.callers.Serve(listeners.callers)) })
+	running.Go(func() error { return served(h.forwards.Serve(listeners.forwards)) })
+	peers := h.serveHTTP(&running, listeners.peers, h.peerHandler())
+	admin := h.serveHTTP(&running, listeners.admin, h.metrics.Handler(h.Ready))
+	h.log.WithField("event", "started").
+		WithField("listen", h.settings.Listen).
+		WithField("availability_zone", h.settings.AvailabilityZone).
+		Info("host serves callers")
+
+	timeout := h.settings.DrainTimeout
+	select {
+	case <-ctx.Done():
+	case timeout = <-h.drain:
+	}
+	h.shutdown(timeout)
+	h.entry.Close()
+	stopControl()
+	stopHTTP(peers, admin)
+	err = running.Wait()
+	h.store.Close()
+	return errors.Join(err, h.metrics.Close())
+}
+
+// shutdown ends sessions between transactions, bounded by the timeout.
+func (h *Host) shutdown(timeout time.Duration) {
+	h.log.WithField("event", "drain_started").WithField("timeout", timeout).Info("host is draining")
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	h.control.Leave()
+	var sessions errgroup.Group
+	sessions.Go(func() error { return h.callers.Shutdown(ctx) })
+	sessions.Go(func() error {
+		select {
+		case <-time.After(min(leaveDelay, timeout/2)):
+		case <-ctx.Done():
+		}
+		return h.forwards.Shutdown(ctx)
+	})
+	if err := sessions.Wait(); err != nil {
+		h.log.WithField("event", "drain_incomplete").WithError(err).Warn("transactions were cut at the end of the drain")
+		return
+	}
+	h.log.WithField("event", "drained").Info("every session has ended between transactions")
+}
+
+func (h *Host) maintain(ctx context.Context) {
+	ticker := time.NewTicker(maintainInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			h.entry.Maintain()
+		}
+	}
+}
+
+type listeners struct {
+	callers, forwards, peers, admin net.Listener
+}
+
+func (h *Host) listen() (*listeners, error) {
+	l := &listeners{}
+	for _, at := range []struct {
+		to      *net.Listener
+		address netip.AddrPort
+		name    string
+	}{
+		{&l.callers, h.settings.Listen, "callers"},
+		{&l.forwards, h.settings.ForwardListen, "statements from other hosts"},
+		{&l.peers, h.settings.PeerListen, "control messages"},
+		{&l.admin, h.settings.AdminListen, "metrics"},
+	} {
+		ln, err := net.Listen("tcp", at.address.String())
+		if err != nil {
+			return nil, fmt.Errorf("listen for %s: %w", at.name, err)
+		}
+		*at.to = ln
+	}
+	return l, nil
+}
+
+func (h *Host) peerHandler() http.Handler {
+	mux := http.NewServeMux()
+	server := h.control.Server()
+	peerServer := peerapi.NewPeerServer(server)
+	operatorServer := peerapi.NewOperatorServer(server)
+	mux.Handle(peerServer.PathPrefix(), peerServer)
+	mux.Handle(operatorServer.PathPrefix(), operatorServer)
+	return mux
+}
+
+func (h *Host) serveHTTP(running *errgroup.Group, ln net.Listener, handler http.Handler) *http.Server {
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
+	running.Go(func() error { return served(server.Serve(ln)) })
+	return server
+}
+
+func stopHTTP(servers ...*http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	for _, s := range servers {
+		if err := s.Shutdown(ctx); err != nil {
+			_ = s.Close()
+		}
+	}
+}
+
+// served drops the errors that a server returns after it was asked to stop.
+func served(err error) error {
+	if errors.Is(err, session.ErrServerClosed) || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
--- /dev/null
+++ b/daemon/internal/metrics/metrics.go
@@ -0,0 +1,166 @@
+// Package metrics counts what a host does, through tally, and serves the
+// figures in Prometheus' format together with health checks.
+package metrics
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uber-go/tally/v4"
+	tallyprom "github.com/uber-go/tally/v4/prometheus"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+)
+
+// reportInterval is how often tally hands its counts to the reporter.
+const reportInterval = time.Second
+
+// latencyBuckets cover a local read up to a request that waits for a failover.
+var latencyBuckets = tally.DurationBuckets{
+	time.Millisecond, 2 * time.Millisecond, 5 * time.Millisecond, 10 * time.Millisecond,
+	20 * time.Millisecond, 50 * time.Millisecond, 100 * time.Millisecond, 200 * time.Millisecond,
+	500 * time.Millisecond, time.Second, 2 * time.Second, 5 * time.Second, 17 * time.Second,
+}
+
+// Metrics holds a process's metrics. It implements route.Recorder.
+type Metrics struct {
+	scope    tally.Scope
+	closer   io.Closer
+	registry *prometheus.Registry
+
+	perClass sync.Map // route.Labels -> *classMetrics
+}
+
+var _ route.Recorder = (*Metrics)(nil)
+
+// New returns metrics labelled with the host and its availability zone.
+func New(host, zone string) *Metrics {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	reporter := tallyprom.NewReporter(tallyprom.Options{
+		Registerer:       registry,
+		Gatherer:         registry,
+		DefaultTimerType: tallyprom.HistogramTimerType,
+		// Two scopes may register the same metric; the first one serves both.
+		OnRegisterError: func(error) {},
+	})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "gypsumgap",
+		Tags:                   map[string]string{"host": host, "availability_zone": zone},
+		CachedReporter:         reporter,
+		Separator:              tallyprom.DefaultSeparator,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{scope: scope, closer: closer, registry: registry}
+}
+
+// Scope returns the scope for metrics of other packages.
+func (m *Metrics) Scope() tally.Scope { return m.scope }
+
+// Close reports the last figures.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// Handler serves /metrics, /healthz and /readyz. ready tells whether the host
+// may be given callers.
+func (m *Metrics) Handler(ready func() error) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "ok\n")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = io.WriteString(w, "ready\n")
+	})
+	return mux
+}
+
+// ErrNotReady is wrapped by the reasons for which a host takes no callers.
+var ErrNotReady = errors.New("not ready")
+
+type classMetrics struct {
+	began      map[route.Path]tally.Counter
+	wait       tally.Histogram
+	statements tally.Counter
+	refused    sync.Map // route.Refusal -> tally.Counter
+	unknown    tally.Counter
+	stale      tally.Counter
+	finished   tally.Counter
+	elapsed    tally.Histogram
+	scope      tally.Scope
+}
+
+var pathNames = map[route.Path]string{
+	route.PathPrimary:     "primary",
+	route.PathPrimaryRead: "primary_read",
+	route.PathReplica:     "replica",
+	route.PathForward:     "forward",
+}
+
+func (m *Metrics) class(l route.Labels) *classMetrics {
+	if c, ok := m.perClass.Load(l); ok {
+		return c.(*classMetrics)
+	}
+	name := l.Class
+	if name == "" {
+		name = "none"
+	}
+	scope := m.scope.Tagged(map[string]string{"service": l.Service, "class": name})
+	c := &classMetrics{
+		began:      map[route.Path]tally.Counter{},
+		wait:       scope.Histogram("connection_wait_seconds", latencyBuckets),
+		statements: scope.Counter("statements_total"),
+		unknown:    scope.Counter("outcome_unknown_total"),
+		stale:      scope.Counter("stale_reads_total"),
+		finished:   scope.Counter("finished_total"),
+		elapsed:    scope.Histogram("transaction_seconds", latencyBuckets),
+		scope:      scope,
+	}
+	for path, pathName := range pathNames {
+		c.began[path] = scope.Tagged(map[string]string{"path": pathName}).Counter("transactions_total")
+	}
+	stored, _ := m.perClass.LoadOrStore(l, c)
+	return stored.(*classMetrics)
+}
+
+// Began implements route.Recorder.
+func (m *Metrics) Began(l route.Labels, p route.Path, wait time.Duration) {
+	c := m.class(l)
+	c.began[p].Inc(1)
+	c.wait.RecordDuration(wait)
+}
+
+// Statements implements route.Recorder.
+func (m *Metrics) Statements(l route.Labels, n int) { m.class(l).statements.Inc(int64(n)) }
+
+// Refused implements route.Recorder.
+func (m *Metrics) Refused(l route.Labels, r route.Refusal) {
+	c := m.class(l)
+	counter, ok := c.refused.Load(r)
+	if !ok {
+		counter, _ = c.refused.LoadOrStore(r, c.scope.Tagged(map[string]string{"reason": string(r)}).Counter("refused_total"))
+	}
+	counter.(tally.Counter).Inc(1)
+}
+
+// OutcomeUnknown implements route.Recorder.
+func (m *Metrics) OutcomeUnknown(l route.Labels) { m.class(l).unknown.Inc(1) }
+
+// StaleRead implements route.Recorder.
+func (m *Metrics) StaleRead(l route.Labels) { m.class(l).stale.Inc(1) }
+
+// Finished implements route.Recorder.
+func (m *Metrics) Finished(l route.Labels, elapsed time.Duration) {
+	c := m.class(l)
+	c.finished.Inc(1)
+	c.elapsed.RecordDuration(elapsed)
+}
--- /dev/null
+++ b/daemon/internal/peer/client.go
@@ -0,0 +1,75 @@
+package peer
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+)
+
+const (
+	// idlePerHost and idleTimeout keep few connections: probes go to a random
+	// host each time, so that most connections would not be used again.
+	idlePerHost = 1
+	idleTimeout = 30 * time.Second
+)
+
+// Client sends control messages to other hosts. It is safe for concurrent use.
+type Client struct {
+	http *http.Client
+
+	mu    sync.Mutex
+	peers map[string]peerapi.Peer
+}
+
+// NewClient returns a client whose connections come from the local address.
+func NewClient(local netip.Addr) *Client {
+	dialer := net.Dialer{Timeout: time.Second}
+	if local.IsValid() {
+		dialer.LocalAddr = &net.TCPAddr{IP: local.AsSlice()}
+	}
+	return &Client{
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: idlePerHost,
+			IdleConnTimeout:     idleTimeout,
+		}},
+		peers: map[string]peerapi.Peer{},
+	}
+}
+
+// Peer returns the stub of the host with that peer address.
+func (c *Client) Peer(address string) peerapi.Peer {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	p, ok := c.peers[address]
+	if !ok {
+		p = peerapi.NewPeerProtobufClient("http://"+address, c.http)
+		c.peers[address] = p
+	}
+	return p
+}
+
+// Forget drops the stub of a host that is gone.
+func (c *Client) Forget(address string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.peers, address)
+}
+
+// Probe sends a heartbeat. It fails if the host does not answer before ctx ends.
+func (c *Client) Probe(ctx context.Context, address string, r *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error) {
+	resp, err := c.Peer(address).Probe(ctx, r)
+	if err != nil {
+		return nil, fmt.Errorf("probe %s: %w", address, err)
+	}
+	return resp, nil
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
--- /dev/null
+++ b/daemon/internal/settings/settings.go
@@ -0,0 +1,253 @@
+// Package settings reads and checks the settings of one gypsumgap process: a
+// YAML file, with environment variables and flags over it. All findings are
+// reported together before anything starts.
+package settings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+
+	"github.com/gypsumgap/gypsumgap/core/finding"
+)
+
+// DefaultDrainTimeout bounds a graceful shutdown.
+const DefaultDrainTimeout = 30 * time.Second
+
+// EnvironmentPrefix starts the names of environment variables; the rest is the
+// key in upper case.
+const EnvironmentPrefix = "GYPSUMGAP_"
+
+// Settings are those of one process.
+type Settings struct {
+	// Host is unique among hosts; a replaced host has a new name.
+	Host             string
+	AvailabilityZone string
+	Region           string
+	// Listen serves callers, ForwardListen statements from other hosts,
+	// PeerListen control messages, AdminListen metrics and health.
+	Listen        netip.AddrPort
+	ForwardListen netip.AddrPort
+	PeerListen    netip.AddrPort
+	AdminListen   netip.AddrPort
+	// Platform is the base URL of the platform's object API.
+	Platform string
+	// Peers are control addresses to start from when the platform is down.
+	Peers []string
+	// DrainTimeout bounds a graceful shutdown.
+	DrainTimeout time.Duration
+	// TLSCertificate and TLSKey are files in PEM format; empty for no TLS.
+	TLSCertificate string
+	TLSKey         string
+}
+
+// key is one known setting.
+type key struct {
+	name     string
+	required bool
+	expected string
+	set      func(*Settings, string) error
+}
+
+var keys = []key{
+	{"host", true, "a name", func(s *Settings, v string) error { s.Host = v; return nil }},
+	{"availability_zone", true, "a name such as randstad-a", func(s *Settings, v string) error { s.AvailabilityZone = v; return nil }},
+	{"region", true, "a name such as randstad", func(s *Settings, v string) error { s.Region = v; return nil }},
+	{"listen", true, expectedAddress, func(s *Settings, v string) error { return parseAddress(&s.Listen, v) }},
+	{"forward_listen", true, expectedAddress, func(s *Settings, v string) error { return parseAddress(&s.ForwardListen, v) }},
+	{"peer_listen", true, expectedAddress, func(s *Settings, v string) error { return parseAddress(&s.PeerListen, v) }},
+	{"admin_listen", true, expectedAddress, func(s *Settings, v string) error { return parseAddress(&s.AdminListen, v) }},
+	{"platform", true, "a URL such as http://10.0.0.1:5000", setPlatform},
+	{"peers", false, "a list of IP:port", setPeers},
+	{"drain_timeout", false, "a duration with a unit, such as 30s", setDrainTimeout},
+	{"tls_certificate", false, "a file name", func(s *Settings, v string) error { s.TLSCertificate = v; return nil }},
+	{"tls_key", false, "a file name", func(s *Settings, v string) error { s.TLSKey = v; return nil }},
+}
+
+const expectedAddress = "an IP number and a port, such as 10.0.1.1:6432"
+
+// listSeparator joins the entries of a list that comes from one string.
+const listSeparator = ","
+
+func parseAddress(to *netip.AddrPort, v string) error {
+	a, err := netip.ParseAddrPort(v)
+	if err != nil {
+		return fmt.Errorf("address %q: %w", v, err)
+	}
+	*to = a
+	return nil
+}
+
+func setPlatform(s *Settings, v string) error {
+	u, err := url.Parse(v)
+	if err != nil || u.Host == "" || u.Scheme != "http" && u.Scheme != "https" {
+		return fmt.Errorf("%q is no HTTP URL", v)
+	}
+	s.Platform = v
+	return nil
+}
+
+func setPeers(s *Settings, v string) error {
+	s.Peers = nil
+	for entry := range strings.SplitSeq(v, listSeparator) {
+		entry = strings.TrimSpace(entry)
+		if entry == "" {
+			continue
+		}
+		if _, err := netip.ParseAddrPort(entry); err != nil {
+			return fmt.Errorf("address %q: %w", entry, err)
+		}
+		s.Peers = append(s.Peers, entry)
+	}
+	return nil
+}
+
+func setDrainTimeout(s *Settings, v string) error {
+	d, err := time.ParseDuration(v)
+	if err != nil {
+		return fmt.Errorf("duration %q: %w", v, err)
+	}
+	if d <= 0 {
+		return fmt.Errorf("duration %q is not positive", v)
+	}
+	s.DrainTimeout = d
+	return nil
+}
+
+// Load reads the file and applies overrides from the environment (a function
+// such as os.LookupEnv) and from flags, which map keys to values and win. It
+// fails with *finding.InputError, or with the error of reading the file.
+func Load(file string, environment func(string) (string, bool), flags map[string]string) (*Settings, error) {
+	data, err := os.ReadFile(file)
+	if err != nil {
+		return nil, fmt.Errorf("read settings: %w", err)
+	}
+	r := &reader{file: file, settings: Settings{DrainTimeout: DefaultDrainTimeout}, seen: map[string]bool{}}
+	r.yaml(data)
+	for _, k := range keys {
+		name := EnvironmentPrefix + strings.ToUpper(k.name)
+		if v, ok := environment(name); ok {
+			r.apply(k, finding.Place{File: "environment variable " + name}, v)
+		}
+		if v, ok := flags[k.name]; ok {
+			r.apply(k, finding.Place{File: "flag --" + strings.ReplaceAll(k.name, "_", "-")}, v)
+		}
+	}
+	r.complete()
+	if err := r.findings.Err(); err != nil {
+		return nil, err
+	}
+	return &r.settings, nil
+}
+
+type reader struct {
+	file     string
+	settings Settings
+	seen     map[string]bool
+	findings finding.List
+}
+
+func (r *reader) yaml(data []byte) {
+	parsed, err := parser.ParseBytes(data, 0)
+	if err != nil {
+		r.findings.Errorf(finding.Place{File: r.file}, "a YAML mapping", "the file is no YAML: %v", err)
+		return
+	}
+	for _, doc := range parsed.Docs {
+		if doc.Body == nil {
+			continue
+		}
+		mapping, ok := doc.Body.(ast.MapNode)
+		if !ok {
+			r.findings.Errorf(r.place(doc.Body), "a YAML mapping", "the file holds no mapping of settings")
+			continue
+		}
+		for entries := mapping.MapRange(); entries.Next(); {
+			r.entry(entries.Key(), entries.Value())
+		}
+	}
+}
+
+func (r *reader) entry(name ast.MapKeyNode, value ast.Node) {
+	for _, k := range keys {
+		if k.name == name.String() {
+			r.apply(k, r.place(value), text(value))
+			return
+		}
+	}
+	r.findings.Errorf(r.place(name), "one of "+names(), "unknown setting %q", name.String())
+}
+
+func names() string {
+	out := make([]string, len(keys))
+	for i, k := range keys {
+		out[i] = k.name
+	}
+	return strings.Join(out, ", ")
+}
+
+// text returns a scalar as it is written, and a list with its entries joined.
+func text(n ast.Node) string {
+	switch n := n.(type) {
+	case *ast.StringNode:
+		return n.Value
+	case *ast.SequenceNode:
+		parts := make([]string, len(n.Values))
+		for i, v := range n.Values {
+			parts[i] = text(v)
+		}
+		return strings.Join(parts, listSeparator)
+	default:
+		return n.GetToken().Value
+	}
+}
+
+func (r *reader) place(n ast.Node) finding.Place {
+	at := n.GetToken().Position
+	return finding.Place{File: r.file, Line: at.Line, Column: at.Column}
+}
+
+func (r *reader) apply(k key, at finding.Place, value string) {
+	r.seen[k.name] = true
+	if value == "" && k.required {
+		r.findings.Errorf(at, k.expected, "%s is empty", k.name)
+		return
+	}
+	if err := k.set(&r.settings, value); err != nil {
+		r.findings.Errorf(at, k.expected, "%s: %v", k.name, err)
+	}
+}
+
+// complete checks rules over several settings.
+func (r *reader) complete() {
+	at := finding.Place{File: r.file}
+	for _, k := range keys {
+		if k.required && !r.seen[k.name] {
+			r.findings.Errorf(at, k.expected, "%s is missing", k.name)
+		}
+	}
+	if (r.settings.TLSCertificate == "") != (r.settings.TLSKey == "") {
+		r.findings.Errorf(at, "both or neither", "only one of tls_certificate and tls_key is set")
+	}
+	used := map[netip.AddrPort]string{}
+	for _, l := range []struct {
+		name    string
+		address netip.AddrPort
+	}{
+		{"listen", r.settings.Listen},
+		{"forward_listen", r.settings.ForwardListen},
+		{"peer_listen", r.settings.PeerListen},
+		{"admin_listen", r.settings.AdminListen},
+	} {
+		if other, ok := used[l.address]; ok && l.address.IsValid() {
+			r.findings.Errorf(at, "an address of its own for each listener", "%s and %s both use %s", other, l.name, l.address)
+		}
+		used[l.address] = l.name
+	}
+}
