--- /dev/null
+++ b/standin/demo/demo.go
@@ -0,0 +1,264 @@
+package demo
+
+import (
+	"context"
+
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
+	"github.com/gypsumgap/gypsumgap/standin/load"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	pollInterval = 50 * time.Millisecond
+	// stopTimeout covers the drain timeout of the hosts' settings.
+	stopTimeout = 8 * time.Second
+	// loadBeforeFault and loadAfterFault surround the loss of each primary.
+	loadBeforeFault = 4 * time.Second
+	loadAfterFault  = 8 * time.Second
+	// checkTimeout bounds the reading back of one database.
+	checkTimeout = 5 * time.Second
+	sessions     = 8
+	statusPages  = 4
+	callerPause  = 5 * time.Millisecond
+)
+
+// Options set a demo up.
+type Options struct {
+	// Bin is the folder of the built programs.
+	Bin string
+	// Logs receives the output of all processes.
+	Logs io.Writer
+	Seed uint64
+}
+
+// Run runs the demo and returns its summary. It stops every process that it
+// started, also when ctx ends early.
+func Run(ctx context.Context, o Options) (*Summary, error) {
+	dir, err := os.MkdirTemp("", "gypsumgap-demo-")
+	if err != nil {
+		return nil, err
+	}
+	defer os.RemoveAll(dir)
+	l, err := newLayout(dir)
+	if err != nil {
+		return nil, err
+	}
+	p := &processes{bin: o.Bin, logs: &lockedWriter{w: o.Logs}}
+	defer p.stop()
+	if err := start(ctx, p, l); err != nil {
+		return nil, err
+	}
+	runs, err := startLoads(ctx, l, o.Seed)
+	if err != nil {
+		return nil, err
+	}
+	loadErr := losePrimaries(ctx, l)
+	for _, r := range runs {
+		r.stop()
+	}
+	if loadErr != nil {
+		return nil, loadErr
+	}
+	return summarise(l, runs)
+}
+
+func start(ctx context.Context, p *processes, l *layout) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := p.start("gypsumgap-standin", l.standin, "--platform-listen", l.platform, "--hosts", l.hostList); err != nil {
+		return err
+	}
+	for _, h := range l.hosts {
+		if err := p.start("gypsumgap", "--settings", h.settings); err != nil {
+			return err
+		}
+	}
+	if err := waitHTTP(ctx, "http://"+l.platform+"/v1/hosts"); err != nil {
+		return err
+	}
+	if err := p.run(ctx, "gypsumctl", "apply", l.configuration, "--platform", "http://"+l.platform); err != nil {
+		return err
+	}
+	for _, h := range l.hosts {
+		if err := waitHTTP(ctx, "http://"+h.admin+"/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// loadRun is the load on one database.
+type loadRun struct {
+	deployment deployment
+	record     *load.Record
+	cancel     context.CancelFunc
+	wait       func()
+}
+
+func (r loadRun) stop() {
+	r.cancel()
+	r.wait()
+}
+
+func startLoads(ctx context.Context, l *layout, seed uint64) ([]loadRun, error) {
+	var addresses []string
+	for _, h := range l.hosts {
+		addresses = append(addresses, h.listen)
+	}
+	var runs []loadRun
+	for _, dep := range deployments {
+		loadCtx, cancel := context.WithCancel(ctx)
+		record, wait, err := load.Start(loadCtx, load.Options{
+			Addresses: addresses, Database: dep.database, User: dep.caller, Password: callerPassword,
+			Run: "demo", Sessions: sessions, StatusPages: statusPages, ReadClass: "own-read",
+			Pause: callerPause, Seed: seed,
+		})
+		if err != nil {
+			cancel()
+			return nil, err
+		}
+		runs = append(runs, loadRun{dep, record, cancel, wait})
+	}
+	return runs, nil
+}
+
+// losePrimaries kills the primary of each database under load, and restarts it
+// some time later.
+func losePrimaries(ctx context.Context, l *layout) error {
+	admin := dbgroup.AdminClient{URL: "http://" + l.groupsAdmin}
+	for _, dep := range deployments {
+		if err := sleep(ctx, loadBeforeFault); err != nil {
+			return err
+		}
+		if err := killPrimary(ctx, admin, dep, l); err != nil {
+			return err
+		}
+	}
+	return sleep(ctx, loadAfterFault)
+}
+
+func killPrimary(ctx context.Context, admin dbgroup.AdminClient, dep deployment, l *layout) error {
+	client := pgcontrol.New(pgcontrol.Options{})
+	defer client.Close()
+	slot, err := load.FindPrimary(ctx, client, l.slots[dep.database])
+	if err != nil {
+		return fmt.Errorf("find primary of %s: %w", dep.database, err)
+	}
+	for i, s := range l.slots[dep.database] {
+		if s.ID == slot.ID {
+			killed := true
+			if _, err := admin.Set(ctx, dep.database, i, dbgroup.Faults{Killed: &killed}); err != nil {
+				return fmt.Errorf("kill %s: %w", slot.ID, err)
+			}
+		}
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	case <-time.After(d):
+		return nil
+	}
+}
+
+func waitHTTP(ctx context.Context, url string) error {
+	for {
+		resp, err := http.Get(url)
+		if err == nil {
+			resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+			err = fmt.Errorf("status %s", resp.Status)
+		}
+		if sleep(ctx, pollInterval) != nil {
+			return fmt.Errorf("wait for %s: %w", url, err)
+		}
+	}
+}
+
+// processes are those that the demo started.
+type processes struct {
+	bin     string
+	logs    io.Writer
+	running []*exec.Cmd
+}
+
+func (p *processes) command(name string, args ...string) *exec.Cmd {
+	cmd := exec.Command(filepath.Join(p.bin, name), args...)
+	cmd.Stdout = p.logs
+	cmd.Stderr = p.logs
+	// A process group of its own keeps Ctrl-C from the process, so that the
+	// demo stops the processes in order.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	return cmd
+}
+
+func (p *processes) start(name string, args ...string) error {
+	cmd := p.command(name, args...)
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", name, err)
+	}
+	p.running = append(p.running, cmd)
+	return nil
+}
+
+func (p *processes) run(ctx context.Context, name string, args ...string) error {
+	cmd := p.command(name, args...)
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", name, err)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = cmd.Process.Kill() })
+	defer stop()
+	if err := cmd.Wait(); err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return nil
+}
+
+// stop ends the processes, the latest first, so that the hosts drain while the
+// stand-ins still run.
+func (p *processes) stop() {
+	if len(p.running) == 0 {
+		return
+	}
+	var hosts sync.WaitGroup
+	for _, cmd := range p.running[1:] {
+		hosts.Go(func() { terminate(cmd) })
+	}
+	hosts.Wait()
+	terminate(p.running[0])
+	p.running = nil
+}
+
+func terminate(cmd *exec.Cmd) {
+	_ = cmd.Process.Signal(syscall.SIGTERM)
+	timer := time.AfterFunc(stopTimeout, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
+	_ = cmd.Wait()
+}
+
+type lockedWriter struct {
+	mu sync.Mutex
+	w  io.Writer
+}
+
+func (l *lockedWriter) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.w.Write(b)
+}
--- /dev/null
+++ b/standin/demo/layout.go
@@ -0,0 +1,250 @@
+// Package demo runs the whole system on one machine: stand-ins, gypsumgap
+// processes in three availability zones, an operator's folder and callers whose
+// sessions roam, while primaries are killed. A checker reads back what the
+// callers recorded.
+package demo
+
+import (
+	"crypto/rand"
+	"encoding/base64"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/goccy/go-yaml"
+	"github.com/xdg-go/scram"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
+	"github.com/gypsumgap/gypsumgap/standin/latency"
+	"github.com/gypsumgap/gypsumgap/standin/load"
+)
+
+const (
+	callerPassword  = "demo-password"
+	scramIterations = 4096
+	hostsPerZone    = 1
+)
+
+// deployment is the part of a user's system that the demo runs.
+type deployment struct {
+	service     string
+	database    string
+	region      string
+	zones       []string
+	slots       int
+	limit       int
+	connectTime time.Duration
+	caller      string
+	writeClass  string
+}
+
+// deployments are one database each of the two services, with the zones and
+// connection figures of the users.
+var deployments = []deployment{
+	{
+		service: "werkplaats-db", database: "werkplaats-1-a", region: "randstad",
+		zones: []string{"randstad-a", "gelderland-a", "brabant-a"},
+		slots: 3, limit: 45, connectTime: 12 * time.Millisecond, caller: "mechanic", writeClass: "job-card",
+	},
+	{
+		service: "planting-ledger", database: "planting-1-a", region: "tanga",
+		zones: []string{"tanga-a", "dar-a", "kilwa-a"},
+		slots: 5, limit: 140, connectTime: 30 * time.Millisecond, caller: "crew", writeClass: "pay-claim",
+	},
+}
+
+const zoneLatency = 1500 * time.Microsecond
+
+// hostPlan is one gypsumgap process.
+type hostPlan struct {
+	name, zone, region            string
+	listen, forward, peers, admin string
+	settings                      string
+}
+
+// layout holds the addresses and files of a run.
+type layout struct {
+	dir           string
+	platform      string
+	groupsAdmin   string
+	hosts         []hostPlan
+	slots         map[string][]group.Slot
+	standin       string
+	hostList      string
+	configuration string
+}
+
+// newLayout chooses free ports and writes all files below dir.
+func newLayout(dir string) (*layout, error) {
+	l := &layout{dir: dir, slots: map[string][]group.Slot{}}
+	w := &writer{}
+	l.platform = w.address("127.0.0.1")
+	l.groupsAdmin = w.address("127.0.0.1")
+	for d, dep := range deployments {
+		for z, zone := range dep.zones {
+			for range hostsPerZone {
+				l.addHost(w, fmt.Sprintf("127.0.%d.1", zoneSubnet(d, z)), zone, dep.region)
+			}
+		}
+	}
+	l.standin = filepath.Join(dir, "standin.yaml")
+	l.hostList = filepath.Join(dir, "hosts.json")
+	l.configuration = filepath.Join(dir, "config")
+	l.writeStandin(w)
+	l.writeHosts(w)
+	l.writeConfiguration(w)
+	return l, w.err
+}
+
+// zoneSubnet numbers the availability zones; hosts and backend servers of a
+// zone have addresses 127.0.<number>.x, from which the stand-in knows their zone.
+func zoneSubnet(deployment, zone int) int { return 10*(deployment+1) + zone }
+
+func (l *layout) addHost(w *writer, ip, zone, region string) {
+	l.hosts = append(l.hosts, hostPlan{
+		name: fmt.Sprintf("e%d", len(l.hosts)), zone: zone, region: region,
+		listen: w.address(ip), forward: w.address(ip), peers: w.address(ip), admin: w.address(ip),
+		settings: filepath.Join(l.dir, fmt.Sprintf("e%d.yaml", len(l.hosts))),
+	})
+}
+
+func (l *layout) writeStandin(w *writer) {
+	s := dbgroup.Settings{
+		AdminListen: l.groupsAdmin,
+		Latency:     latency.Settings{Zones: map[string][]string{}, Within: latency.Duration(100 * time.Microsecond)},
+	}
+	for d, dep := range deployments {
+		for z, zone := range dep.zones {
+			s.Latency.Zones[zone] = []string{fmt.Sprintf("127.0.%d.0/24", zoneSubnet(d, z))}
+			for _, other := range dep.zones[:z] {
+				s.Latency.Links = append(s.Latency.Links, latency.Link{A: zone, B: other, OneWay: latency.Duration(zoneLatency)})
+			}
+		}
+		g := dbgroup.GroupSettings{
+			Name: dep.database, Schema: load.Schema,
+			ConnectionLimit: dep.limit, ConnectTime: latency.Duration(dep.connectTime), ApplyLag: latency.Duration(20 * time.Millisecond),
+		}
+		for i := range dep.slots {
+			z := i % len(dep.zones)
+			id := fmt.Sprintf("%s/%d", dep.database, i)
+			address := w.address(fmt.Sprintf("127.0.%d.%d", zoneSubnet(d, z), 100+i))
+			g.Slots = append(g.Slots, dbgroup.SlotOptions{ID: id, Address: address, Zone: dep.zones[z]})
+			l.slots[dep.database] = append(l.slots[dep.database],
+				group.Slot{ID: group.SlotID(id), Address: address, Zone: dep.zones[z], Region: dep.region})
+		}
+		s.Groups = append(s.Groups, g)
+	}
+	w.yaml(l.standin, s)
+}
+
+func (l *layout) writeHosts(w *writer) {
+	var list []platform.Host
+	for _, h := range l.hosts {
+		list = append(list, platform.Host{Name: h.name, Address: h.peers, Zone: h.zone, Region: h.region, State: platform.HostLive})
+		w.yaml(h.settings, yaml.MapSlice{
+			{Key: "host", Value: h.name},
+			{Key: "availability_zone", Value: h.zone},
+			{Key: "region", Value: h.region},
+			{Key: "listen", Value: h.listen},
+			{Key: "forward_listen", Value: h.forward},
+			{Key: "peer_listen", Value: h.peers},
+			{Key: "admin_listen", Value: h.admin},
+			{Key: "platform", Value: "http://" + l.platform},
+			{Key: "drain_timeout", Value: "5s"},
+		})
+	}
+	data, err := json.Marshal(list)
+	w.note(err)
+	w.file(l.hostList, data)
+}
+
+func (l *layout) writeConfiguration(w *writer) {
+	for i, dep := range deployments {
+		var slots []yaml.MapSlice
+		for _, s := range l.slots[dep.database] {
+			slots = append(slots, yaml.MapSlice{
+				{Key: "id", Value: string(s.ID)}, {Key: "address", Value: s.Address},
+				{Key: "zone", Value: s.Zone}, {Key: "region", Value: s.Region},
+			})
+		}
+		service := yaml.MapSlice{
+			{Key: "callers", Value: []yaml.MapSlice{{{Key: "user", Value: dep.caller}, {Key: "verifier", Value: w.verifier(callerPassword)}}}},
+			{Key: "databases", Value: []yaml.MapSlice{{
+				{Key: "name", Value: dep.database}, {Key: "connection_limit", Value: dep.limit}, {Key: "slots", Value: slots},
+			}}},
+			{Key: "classes", Value: []yaml.MapSlice{
+				{
+					{Key: "name", Value: dep.writeClass}, {Key: "priority", Value: 0}, {Key: "deadline", Value: "10s"},
+					{Key: "repeatable", Value: false}, {Key: "read", Value: false},
+				},
+				{
+					{Key: "name", Value: "own-read"}, {Key: "priority", Value: 1}, {Key: "deadline", Value: "10s"},
+					{Key: "repeatable", Value: true}, {Key: "read", Value: true},
+				},
+				{
+					{Key: "name", Value: load.StatusPageClass}, {Key: "priority", Value: 2}, {Key: "deadline", Value: "10s"},
+					{Key: "repeatable", Value: true}, {Key: "read", Value: true}, {Key: "max_age", Value: "10s"},
+				},
+			}},
+		}
+		file := filepath.Join(l.configuration, fmt.Sprintf("%02d-%s.yaml", i, dep.service))
+		w.yaml(file, yaml.MapSlice{{Key: "services", Value: yaml.MapSlice{{Key: dep.service, Value: service}}}})
+	}
+}
+
+// writer writes files and keeps the first error.
+type writer struct{ err error }
+
+func (w *writer) note(err error) {
+	if w.err == nil && err != nil {
+		w.err = err
+	}
+}
+
+// address returns a free port of the IP number. The port may be taken by
+// another process before it is used, which the start of its user then reports.
+func (w *writer) address(ip string) string {
+	ln, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		w.note(fmt.Errorf("choose a port: %w", err))
+		return ""
+	}
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func (w *writer) yaml(file string, v any) {
+	data, err := yaml.Marshal(v)
+	w.note(err)
+	w.file(file, data)
+}
+
+func (w *writer) file(name string, data []byte) {
+	w.note(os.MkdirAll(filepath.Dir(name), 0o755))
+	w.note(os.WriteFile(name, data, 0o600))
+}
+
+// verifier returns the SCRAM-SHA-256 verifier of a password as PostgreSQL stores it.
+func (w *writer) verifier(password string) string {
+	salt := make([]byte, 16)
+	_, err := rand.Read(salt)
+	w.note(err)
+	client, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		w.note(err)
+		return ""
+	}
+	stored, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: string(salt), Iters: scramIterations})
+	w.note(err)
+	return strings.Join([]string{
+		"SCRAM-SHA-256",
+		fmt.Sprintf("%d:%s", scramIterations, base64.StdEncoding.EncodeToString(salt)),
+		base64.StdEncoding.EncodeToString(stored.StoredKey) + ":" + base64.StdEncoding.EncodeToString(stored.ServerKey),
+	}, "$")
+}
--- /dev/null
+++ b/standin/demo/summary.go
@@ -0,0 +1,133 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
+	"github.com/gypsumgap/gypsumgap/standin/load"
+)
+
+// Summary is the result of a demo over all databases.
+type Summary struct {
+	// Statements counts writes and reads that were answered, Reads the reads.
+	Statements int
+	Reads      int
+	// ReplicaReads counts reads that the owners sent to replicas, and
+	// DeclaredReads all that callers declared as reads, from the hosts' metrics.
+	ReplicaReads  int
+	DeclaredReads int
+	// FailoverGap is the longest time without an accepted write on any database.
+	FailoverGap time.Duration
+	Lost        int
+	Doubled     int
+	Stale       int
+	// OtherFaults counts writes that ran although they were refused.
+	OtherFaults int
+	Unknown     int
+	Refused     int
+	Examples    []string
+}
+
+// OK reports whether every promise was kept.
+func (s *Summary) OK() bool { return s.Lost+s.Doubled+s.Stale+s.OtherFaults == 0 && s.Statements > 0 }
+
+// ReplicaReadShare is the share of declared reads that replicas served, from 0 to 1.
+func (s *Summary) ReplicaReadShare() float64 {
+	if s.DeclaredReads == 0 {
+		return 0
+	}
+	return float64(s.ReplicaReads) / float64(s.DeclaredReads)
+}
+
+// String formats the summary on one line of key=value pairs.
+func (s *Summary) String() string {
+	return fmt.Sprintf("demo ok=%t statements=%d reads=%d replica_reads=%d replica_read_share=%.3f failover_gap_ms=%d "+
+		"acknowledged_writes_lost=%d duplicated_writes=%d stale_session_reads=%d",
+		s.OK(), s.Statements, s.Reads, s.ReplicaReads, s.ReplicaReadShare(), s.FailoverGap.Milliseconds(),
+		s.Lost, s.Doubled, s.Stale)
+}
+
+// summarise checks what each load recorded against the database's primary.
+func summarise(l *layout, runs []loadRun) (*Summary, error) {
+	s := &Summary{}
+	client := pgcontrol.New(pgcontrol.Options{})
+	defer client.Close()
+	for _, r := range runs {
+		report, err := check(client, l, r)
+		if err != nil {
+			return nil, err
+		}
+		s.add(report)
+	}
+	for _, h := range l.hosts {
+		if err := s.addMetrics("http://" + h.admin + "/metrics"); err != nil {
+			return nil, err
+		}
+	}
+	return s, nil
+}
+
+func check(client *pgcontrol.Client, l *layout, r loadRun) (load.Report, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), checkTimeout)
+	defer cancel()
+	primary, err := load.FindPrimary(ctx, client, l.slots[r.deployment.database])
+	if err != nil {
+		return load.Report{}, err
+	}
+	return load.Check(ctx, r.record, primary.Address, r.deployment.database, r.deployment.caller)
+}
+
+func (s *Summary) add(r load.Report) {
+	reads := r.Reads + r.StatusPageReads
+	s.Reads += reads
+	s.Statements += reads + r.Acknowledged
+	s.FailoverGap = max(s.FailoverGap, r.LongestGap)
+	s.Lost += r.Lost
+	s.Doubled += r.Twice
+	s.Stale += r.MissedReads
+	s.OtherFaults += r.RefusedPresent + r.AbortedPresent
+	s.Unknown += r.Unknown
+	s.Refused += r.Refused
+	s.Examples = append(s.Examples, r.Examples...)
+}
+
+// addMetrics counts the transactions by the path that the owners chose.
+func (s *Summary) addMetrics(url string) error {
+	resp, err := http.Get(url)
+	if err != nil {
+		return fmt.Errorf("read metrics: %w", err)
+	}
+	defer resp.Body.Close()
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return fmt.Errorf("read metrics of %s: %w", url, err)
+	}
+	for _, m := range families["gypsumgap_transactions_total"].GetMetric() {
+		count := int(m.GetCounter().GetValue())
+		switch label(m, "path") {
+		case "replica":
+			s.ReplicaReads += count
+			s.DeclaredReads += count
+		case "primary_read":
+			s.DeclaredReads += count
+		}
+	}
+	return nil
+}
+
+func label(m *dto.Metric, name string) string {
+	for _, l := range m.GetLabel() {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
