--- a/daemon/internal/session/exchange.go
+++ b/daemon/internal/session/exchange.go
@@ -509,7 +509,7 @@
 	default:
 		s.dirty = true
 	}
-	s.sessionState = refusedState(string(word))
+	s.sessionState = refusedState(word)
 	if s.txKey != "" && len(s.tags) < maxRecordedAnswer {
 		s.tags = append(append(s.tags, tag...), '\n')
 	}
@@ -517,10 +517,10 @@
 
 // refusedState names statements whose only effect is session state, which is
 // lost at the end of the transaction.
-func refusedState(word string) string {
-	switch word {
+func refusedState(word []byte) string {
+	switch string(word) {
 	case "SET", "LISTEN", "PREPARE":
-		return word
+		return string(word)
 	default:
 		return ""
 	}
--- a/daemon/internal/session/session.go
+++ b/daemon/internal/session/session.go
@@ -526,8 +526,8 @@
 
 // begin gets a connection.
 func (s *session) begin(r route.Request, deadline time.Time) error {
-	ctx, cancel := context.WithDeadline(s.ctx, deadline)
-	defer cancel()
+	ctx := newDeadlineContext(s.ctx, deadline)
+	defer ctx.cancel()
 	tx, err := s.options().Router.Begin(ctx, r)
 	if err != nil {
 		return err
@@ -549,8 +549,8 @@
 }
 
 func (s *session) finishTx() (string, error) {
-	ctx, cancel := context.WithTimeout(s.ctx, s.options().FinishTimeout)
-	defer cancel()
+	ctx := newDeadlineContext(s.ctx, time.Now().Add(s.options().FinishTimeout))
+	defer ctx.cancel()
 	return s.tx.Finish(ctx)
 }
 
@@ -619,16 +619,11 @@
 			return s.refuse(u, beginRefusal(err, sent))
 		}
 		err := s.attempt(u, r, deadline)
-		var lost *lostError
-		var refused *refusal
-		switch {
-		case err == nil:
+		if err == nil {
 			return nil
-		case errors.As(err, &lost):
-		case errors.As(err, &refused):
-			s.releaseTx(false)
-			return s.refuse(u, refused)
-		default:
+		}
+		lost, err := s.firstFailure(u, err)
+		if lost == nil {
 			return err
 		}
 		again := s.out.sent == 0 && s.repeatable(u, r, lost)
@@ -641,6 +636,21 @@
 	}
 }
 
+// firstFailure sorts the failures of a first unit. It returns the loss of the
+// connection, or else reports a refusal and returns what ends the session.
+func (s *session) firstFailure(u *unit, err error) (*lostError, error) {
+	var lost *lostError
+	if errors.As(err, &lost) {
+		return lost, nil
+	}
+	var refused *refusal
+	if errors.As(err, &refused) {
+		s.releaseTx(false)
+		return nil, s.refuse(u, refused)
+	}
+	return nil, err
+}
+
 // repeatable reports whether the unit may be begun again after its connection
 // was lost without an answer to the caller.
 func (s *session) repeatable(u *unit, r route.Request, lost *lostError) bool {
@@ -742,11 +752,12 @@
 // continueTx runs a further unit of a transaction.
 func (s *session) continueTx(u *unit) error {
 	err := s.continueOnce(u)
+	if err == nil {
+		return nil
+	}
 	var lost *lostError
 	var refused *refusal
 	switch {
-	case err == nil:
-		return nil
 	case errors.As(err, &lost):
 		return s.lostInTx(u, lost)
 	case errors.As(err, &refused):
--- a/daemon/internal/session/settings.go
+++ b/daemon/internal/session/settings.go
@@ -43,21 +43,22 @@
 }
 
 // parseSetting recognises a SET of one of the session's own settings.
-func parseSetting(sql string) (setting, bool) {
-	if len(sql) > maxSetBytes || !hasSetPrefix(sql) {
-		return setting{}, false
+// It returns nil for any other statement.
+func parseSetting(sql string) *setting {
+	if len(sql) > maxSetBytes || !hasKeyword(sql, "SET") {
+		return nil
 	}
 	m := setPattern.FindStringSubmatch(sql)
 	if m == nil {
-		return setting{}, false
+		return nil
 	}
-	return setting{name: strings.ToLower(m[1]), value: strings.ReplaceAll(m[2], "''", "'")}, true
+	return &setting{name: strings.ToLower(m[1]), value: strings.ReplaceAll(m[2], "''", "'")}
 }
 
-// hasSetPrefix spares most statements the regular expression.
-func hasSetPrefix(sql string) bool {
+// hasKeyword spares most statements a regular expression.
+func hasKeyword(sql, keyword string) bool {
 	sql = strings.TrimLeft(sql, " \t\r\n\v\f")
-	return len(sql) > 3 && strings.EqualFold(sql[:3], "set")
+	return len(sql) >= len(keyword) && strings.EqualFold(sql[:len(keyword)], keyword)
 }
 
 // quoteLiteral writes an SQL string literal.
@@ -116,7 +117,7 @@
 // the transaction is read-only.
 func isBegin(sql string) (begin, readOnly bool) {
 	body, _ := splitComment(sql)
-	if len(body) > maxSetBytes {
+	if len(body) > maxSetBytes || !hasKeyword(body, "BEGIN") && !hasKeyword(body, "START") {
 		return false, false
 	}
 	m := beginPattern.FindStringSubmatch(body)
--- a/daemon/internal/session/unit.go
+++ b/daemon/internal/session/unit.go
@@ -184,8 +184,8 @@
 
 func (s *session) takeQuery(u *unit, m *pgproto3.Query) error {
 	u.simple = true
-	if set, ok := parseSetting(m.String); ok {
-		return u.add(item{kind: itemQuery, local: true, stmt: &statement{setting: &set}}, m)
+	if set := parseSetting(m.String); set != nil {
+		return u.add(item{kind: itemQuery, local: true, stmt: &statement{setting: set}}, m)
 	}
 	u.executed++
 	u.note(m.String)
@@ -205,8 +205,8 @@
 		return u.add(it, &pgproto3.Parse{Name: previous.Name, Query: m.Query, ParameterOIDs: m.ParameterOIDs})
 	}
 	it.stmt = &statement{}
-	if set, ok := parseSetting(m.Query); ok {
-		it.stmt.setting = &set
+	if set := parseSetting(m.Query); set != nil {
+		it.stmt.setting = set
 		it.local = true
 	} else {
 		it.stmt.Statement = upstream.NewStatement(m.Query, m.ParameterOIDs)
