Honour startup parameters, detect closed connections, fit replays to drivers

Drivers send TimeZone and search_path in the startup packet, so refusing them kept stock drivers out; they are now set per connection. A pooled connection that the server has closed is found before a request is written to it, which would have had an unknown outcome. A replayed answer leaves out ParseComplete where the repeat uses a prepared statement.

--- a/daemon/internal/session/doc.go
+++ b/daemon/internal/session/doc.go
@@ -27,16 +27,22 @@
 // back after a transaction in which a ParameterStatus changed or a statement
 // completed with another tag than those of plain reads, writes and transaction
 // control; a new connection costs 12 to 30 ms, a reset one round trip. A
-// connection whose transaction did not end cleanly is closed. A caller's SET
-// therefore lasts for its transaction only: the values of parameters that changed
-// are reported again at its end, and SET, LISTEN or PREPARE as the only statement
-// of an implicit transaction are answered with 0A000, since they would have no
-// effect. For the same reason startup parameters other than those announced are
-// refused.
+// connection whose transaction did not end cleanly is closed. State that a SELECT
+// changes, by set_config or pg_advisory_lock for example, does not show in the
+// tag and is not reset.
+//
+// A caller's SET therefore lasts for its transaction only: the values of
+// parameters that changed are reported again at its end, and SET, LISTEN or
+// PREPARE as the only statement of an implicit transaction are answered with
+// 0A000, since they would have no effect. Run-time parameters of the startup
+// packet are in force in every transaction: the session sets them on a connection
+// that has other values. pgjdbc needs assumeMinServerVersion=9.0, with which it
+// sends its parameters in the startup packet and not by SET.
 //
 // # Lost connections
 //
-// A unit whose connection fails is begun again if no byte of it was sent, if it
+// A pooled connection that the server has closed is not used. A unit whose
+// connection fails is begun again if no byte of it was sent, if it
 // has a request key, or if Tx.MayRepeat allows it, and in each case only if no
 // byte of its answer has reached the caller. Otherwise the caller gets 08007 if
 // the unit may have been committed, else 08006. A transaction block whose
@@ -47,13 +53,14 @@
 //
 // On a server connection, a unit with a request key runs in a transaction of the
 // session's own: the key is inserted into gypsumgap_request_log, the unit runs, its
-// answer (all messages before ReadyForQuery, at most 8 KiB) is recorded, and the
+// answer (the messages before ReadyForQuery, at most 8 KiB) is recorded, and the
 // transaction is committed. Up to that size the answer is held until the end. If
 // the outcome is in doubt the unit is run again under its key, until the request's
 // deadline: it then meets the row or becomes the first run. A row without an
 // answer is reported with YG003. A transaction block that begins with a key has
 // its key inserted after BEGIN and its command tags recorded before a COMMIT that
 // is a statement of its own; a repeated BEGIN with that key gets YG003, and a
-// COMMIT in doubt is settled by the key. COPY FROM STDIN, Flush and transaction
+// COMMIT in doubt is settled by the key. A key that first appears inside a
+// transaction block is refused. COPY FROM STDIN, Flush and transaction
 // control inside a unit cannot have a key.
 package session
--- a/daemon/internal/session/errors.go
+++ b/daemon/internal/session/errors.go
@@ -23,6 +23,7 @@
 	codeInvalidPassword      = "28P01"
 	codeUnknownDatabase      = "3D000"
 	codeLimitExceeded        = "54000"
+	codeQueryCanceled        = "57014"
 	codeAdminShutdown        = "57P01"
 	codeIdleSession          = "57P05"
 	codeInvalidSetting       = "22023"
@@ -32,6 +33,9 @@
 // errCaller wraps failures of the caller's connection, which end the session.
 var errCaller = errors.New("caller connection failed")
 
+// errStale says that a pooled connection had ended before it was used.
+var errStale = errors.New("pooled connection was closed by the server")
+
 // lostError says that the upstream connection failed during a unit.
 type lostError struct {
 	err error
--- a/daemon/internal/session/exchange.go
+++ b/daemon/internal/session/exchange.go
@@ -63,6 +63,14 @@
 	hint:    "Begin the transaction with a statement of its own that carries the key.",
 }
 
+// errCommittedInPart ends a keyed unit that has committed by itself. A repeat of
+// the request finds its key without an answer.
+var errCommittedInPart = &refusal{
+	code:    route.CodeUnknownOutcome,
+	message: "request was committed in part, because it contains a COMMIT besides its request key",
+	hint:    errTransactionControl.hint,
+}
+
 // build encodes the unit for the current connection into s.wire and lists the
 // answers that are due. It adds the messages that prepare missing statements.
 func (s *session) build(u *unit, prologue string) error {
@@ -426,7 +434,7 @@
 	if e.kind == hiddenSet {
 		return true
 	}
-	unanswered := s.head == 1 && s.out.sent == 0 && len(s.out.buf) == 0
+	unanswered := s.head == 1 && s.out.sent == 0 && len(s.out.answer()) == 0
 	return unanswered && endedByPeer(err)
 }
 
@@ -473,7 +481,7 @@
 	word := tagWord(m.CommandTag)
 	if s.mode.keyed && isControl(word) {
 		if string(word) == "COMMIT" {
-			return &lostError{err: errTransactionControl, sent: true}
+			return errCommittedInPart
 		}
 		return errTransactionControl
 	}
@@ -482,9 +490,7 @@
 		s.out.add(m)
 		return nil
 	}
-	if len(s.out.buf) >= s.out.limit {
-		s.out.flush()
-	}
+	s.out.makeRoom()
 	s.out.markHeld()
 	s.out.append(m)
 	return nil
--- a/daemon/internal/session/keyed.go
+++ b/daemon/internal/session/keyed.go
@@ -174,6 +174,9 @@
 // insertKey begins a transaction with the row that lets the request run once.
 // conflict reports that the row exists already.
 func (s *session) insertKey(r route.Request, fingerprint string, begin bool) (conflict bool, err error) {
+	// The insert waits while another run of the request is open.
+	s.conn.SetAnswerTimeout(max(time.Until(s.deadlineOf(r)), time.Millisecond))
+	defer s.conn.SetAnswerTimeout(0)
 	s.wire = s.wire[:0]
 	if begin {
 		if err := s.execute("BEGIN", nil); err != nil {
@@ -229,7 +232,7 @@
 	if s.unitFailed || s.status != upstream.StatusInTransaction {
 		return s.rollbackKeyed(u)
 	}
-	if err := s.commitKeyed(r); err != nil {
+	if err := s.commitKeyed(u, r); err != nil {
 		return err
 	}
 	if err := s.finish(); err != nil {
@@ -262,10 +265,11 @@
 }
 
 // commitKeyed records the answer, if it is small enough, and commits.
-func (s *session) commitKeyed(r route.Request) error {
+func (s *session) commitKeyed(u *unit, r route.Request) error {
 	s.wire = s.wire[:0]
-	if s.out.sent == 0 && len(s.out.buf) <= maxRecordedAnswer {
-		err := s.execute(RecordAnswerSQL, []uint32{oidText, oidBytea}, []byte(r.Key), s.out.buf)
+	if s.out.sent == 0 && len(s.out.answer()) <= maxRecordedAnswer {
+		answer := encodeRecord(u, s.out.answer())
+		err := s.execute(RecordAnswerSQL, []uint32{oidText, oidBytea}, []byte(r.Key), answer)
 		if err != nil {
 			return err
 		}
@@ -361,7 +365,12 @@
 			message: "request has run already, but its answer was too large to keep",
 		})
 	}
-	s.out.raw(rec.answer)
+	if !s.emitRecord(u, rec.answer) {
+		return s.refuseReplay(u, &refusal{
+			code:    route.CodeAnswerNotKept,
+			message: "request has run already, but its answer was kept for another sequence of messages",
+		})
+	}
 	return s.passKeyed()
 }
 
--- /dev/null
+++ b/daemon/internal/session/parameters.go
@@ -0,0 +1,75 @@
+package session
+
+import (
+	"errors"
+	"regexp"
+	"slices"
+	"strings"
+)
+
+// SetParameterSQL sets a run-time parameter of a server connection. It goes
+// through the extended protocol with two text parameters.
+const SetParameterSQL = "SELECT set_config($1, $2, false)"
+
+var parameterName = regexp.MustCompile(`^[A-Za-z_][A-Za-z0-9_]*(\.[A-Za-z_][A-Za-z0-9_]*)?$`)
+
+// fixedParameters cannot be chosen by a caller: they concern the connection
+// rather than a statement, or would change what the pooled user may do.
+var fixedParameters = []string{
+	"client_encoding", "options", "replication", "role", "session_authorization", "is_superuser", "server_version",
+	"server_encoding", "integer_datetimes", "extra_float_digits",
+}
+
+// settable reports whether a caller may choose the run-time parameter.
+func settable(name string) bool {
+	return len(name) <= 63 && parameterName.MatchString(name) &&
+		!strings.HasPrefix(strings.ToLower(name), settingPrefix) &&
+		!slices.Contains(fixedParameters, strings.ToLower(name))
+}
+
+// applyParameters gives a server connection the run-time parameters of the
+// caller's startup packet and takes back those of another caller. An owner does
+// so for a forwarded transaction.
+func (s *session) applyParameters() error {
+	current := s.conn.Settings()
+	if s.forwarded || len(current) == 0 && len(s.wanted) == 0 {
+		return nil
+	}
+	s.wire = s.wire[:0]
+	for name := range current {
+		if _, ok := s.wanted[name]; ok {
+			continue
+		}
+		if err := s.execute("RESET "+name, nil); err != nil {
+			return err
+		}
+	}
+	for name, value := range s.wanted {
+		if now, ok := current[name]; ok && now == value {
+			continue
+		}
+		if err := s.execute(SetParameterSQL, []uint32{oidText, oidText}, []byte(name), []byte(value)); err != nil {
+			return err
+		}
+	}
+	if len(s.wire) == 0 {
+		return nil
+	}
+	o, err := s.runInternal()
+	var lost *lostError
+	if errors.As(err, &lost) {
+		// Nothing of the unit has been sent.
+		lost.sent = false
+	}
+	if err != nil {
+		return err
+	}
+	if o.failure != nil {
+		return serverRefusal(o.failure)
+	}
+	clear(current)
+	for name, value := range s.wanted {
+		current[name] = value
+	}
+	return nil
+}
--- a/daemon/internal/session/session.go
+++ b/daemon/internal/session/session.go
@@ -40,13 +40,15 @@
 	out output
 	one [1]byte
 
-	user       string
-	database   string
-	appName    string
-	class      string
-	token      string
-	key        string
-	forward    *forward
+	user     string
+	database string
+	appName  string
+	class    string
+	token    string
+	key      string
+	forward  *forward
+	// wanted are the run-time parameters of the startup packet.
+	wanted     map[string]string
 	statements map[string]*statement
 	portals    map[string]*statement
 
@@ -75,6 +77,8 @@
 	// dirty says that the connection has to be reset.
 	dirty   bool
 	changed map[string]struct{}
+	// begunKey is the request key with which the transaction began.
+	begunKey string
 	// txKey is the request key of an explicit transaction, tags its results.
 	txKey string
 	tags  []byte
@@ -88,18 +92,23 @@
 	lastRollback bool
 	sessionState string
 
-	// idle says that the session waits between transactions.
-	idle atomic.Bool
+	// starting is true during the start-up phase, idle while the session waits
+	// between transactions.
+	starting atomic.Bool
+	idle     atomic.Bool
 
 	mu        sync.Mutex
 	current   net.Conn
 	active    *upstream.Conn
 	cancelled bool
+	// waiting is the wait for a connection.
+	waiting *deadlineContext
 }
 
 func newSession(server *Server, nc net.Conn) *session {
 	s := &session{server: server, secret: newSecret(), status: upstream.StatusIdle}
 	s.ctx, s.stop = context.WithCancel(context.Background())
+	s.starting.Store(true)
 	s.out.limit = writeBufferBytes
 	s.out.hold = -1
 	s.out.timeout = server.options.CallerTimeout
@@ -128,6 +137,7 @@
 		s.logEnd("startup_failed", err)
 		return
 	}
+	s.starting.Store(false)
 	s.in.source.timeout = s.options().CallerTimeout
 	for {
 		err := s.readUnit(&s.unit)
@@ -162,8 +172,13 @@
 	}
 }
 
-// wake ends the wait of a session that is idle between transactions.
+// wake ends the wait of a session that is idle between transactions, and a
+// session that is still starting.
 func (s *session) wake() {
+	if s.starting.Load() {
+		s.abort()
+		return
+	}
 	if !s.idle.Load() {
 		return
 	}
@@ -194,6 +209,11 @@
 func (s *session) cancelCurrent() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.waiting != nil {
+		s.cancelled = true
+		s.waiting.cancel()
+		return nil
+	}
 	if s.active == nil {
 		return nil
 	}
@@ -289,7 +309,7 @@
 
 // serveUnit answers one unit.
 func (s *session) serveUnit(u *unit) error {
-	s.out.sent = 0
+	s.out.start()
 	defer s.trim()
 	if s.skip {
 		return s.serveSkipped(u)
@@ -376,6 +396,11 @@
 	if !u.partial {
 		s.ready()
 	}
+	if s.forward != nil && !s.in.empty() {
+		// The entry host has sent the request along with the setting; both
+		// answers go out together.
+		return nil
+	}
 	s.out.flush()
 	return nil
 }
@@ -506,6 +531,7 @@
 		r.Deadline = f.deadline(u.arrived)
 		// The connection carries transactions of many callers.
 		s.token = f.Token
+		s.wanted = f.Parameters
 		s.forward = nil
 	} else if s.options().Deadline != nil {
 		if d := s.options().Deadline(r.Database, r.Class); d > 0 {
@@ -524,11 +550,28 @@
 	return r
 }
 
-// begin gets a connection.
-func (s *session) begin(r route.Request, deadline time.Time) error {
+// awaitTx waits for a connection; a cancel request ends the wait.
+func (s *session) awaitTx(r route.Request, deadline time.Time) (route.Tx, error) {
 	ctx := newDeadlineContext(s.ctx, deadline)
 	defer ctx.cancel()
+	s.mu.Lock()
+	s.waiting = ctx
+	s.cancelled = false
+	s.mu.Unlock()
 	tx, err := s.options().Router.Begin(ctx, r)
+	s.mu.Lock()
+	s.waiting = nil
+	cancelled := s.cancelled
+	s.mu.Unlock()
+	if err != nil && cancelled {
+		return nil, &refusal{code: codeQueryCanceled, message: "canceling statement due to user request; it was not run"}
+	}
+	return tx, err
+}
+
+// begin gets a connection.
+func (s *session) begin(r route.Request, deadline time.Time) error {
+	tx, err := s.awaitTx(r, deadline)
 	if err != nil {
 		return err
 	}
@@ -541,9 +584,9 @@
 	s.conn = conn
 	s.forwarded = tx.Forwarded()
 	s.status = upstream.StatusIdle
+	s.begunKey = r.Key
 	s.mu.Lock()
 	s.active = conn
-	s.cancelled = false
 	s.mu.Unlock()
 	return nil
 }
@@ -613,7 +656,8 @@
 	sent := false
 	for {
 		if err := s.begin(r, deadline); err != nil {
-			if sent && r.Key != "" && s.pause(&delay, deadline) {
+			var cancelled *refusal
+			if sent && r.Key != "" && !errors.As(err, &cancelled) && s.pause(&delay, deadline) {
 				continue
 			}
 			return s.refuse(u, beginRefusal(err, sent))
@@ -675,9 +719,10 @@
 
 // beginRefusal is the error of a request that got no connection.
 func beginRefusal(err error, sent bool) *refusal {
+	var cancelled *refusal
 	if sent {
 		err = &route.UnknownOutcomeError{Reason: "an earlier attempt got no answer", Err: errors.New(err.Error())}
-	} else if _, ok := route.Code(err); !ok {
+	} else if _, ok := route.Code(err); !ok && !errors.As(err, &cancelled) {
 		err = &route.NotRunError{Reason: "no connection", Err: err}
 	}
 	return refusalOf(err)
@@ -685,10 +730,7 @@
 
 // lostRefusal is the error of a first unit whose connection was lost.
 func (s *session) lostRefusal(u *unit, lost *lostError, sent bool) *refusal {
-	var refused *refusal
 	switch {
-	case errors.As(lost.err, &refused):
-		return &refusal{code: route.CodeUnknownOutcome, message: "request was committed in part: " + refused.message, hint: refused.hint}
 	case !sent && !lost.sent:
 		return refusalOf(&route.NotRunError{Reason: "connection failed", Err: lost.err})
 	case !u.writes():
@@ -716,13 +758,19 @@
 
 // attempt runs a first unit once.
 func (s *session) attempt(u *unit, r route.Request, deadline time.Time) error {
+	if s.conn.Stale() {
+		return &lostError{err: errStale}
+	}
+	if err := s.applyParameters(); err != nil {
+		return err
+	}
 	if r.Key != "" && !s.forwarded {
 		return s.attemptKeyed(u, r, deadline)
 	}
 	prologue := ""
 	if s.forwarded {
 		var err error
-		if prologue, err = prologueOf(r, deadline); err != nil {
+		if prologue, err = s.prologue(r, deadline); err != nil {
 			return err
 		}
 	}
@@ -736,8 +784,8 @@
 	return s.answered(u, ready)
 }
 
-// prologueOf is the statement that tells an owner about the request.
-func prologueOf(r route.Request, deadline time.Time) (string, error) {
+// prologue is the statement that tells an owner about the request.
+func (s *session) prologue(r route.Request, deadline time.Time) (string, error) {
 	f := forward{
 		User:       r.User,
 		Class:      r.Class,
@@ -745,6 +793,7 @@
 		Key:        r.Key,
 		DeadlineMS: max(time.Until(deadline).Milliseconds(), 1),
 		Hops:       r.Hops + 1,
+		Parameters: s.wanted,
 	}
 	return f.statement()
 }
@@ -769,6 +818,14 @@
 }
 
 func (s *session) continueOnce(u *unit) error {
+	if key := parseComment(u.sql).key; key != "" && key != s.begunKey {
+		// Ignoring the key would break the promise that it makes.
+		s.failed = s.explicit
+		return &refusal{
+			code:    codeFeatureNotSupported,
+			message: "a request key must be given with the statement that begins the transaction",
+		}
+	}
 	if err := s.recordTags(u); err != nil {
 		return err
 	}
--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -587,6 +587,78 @@
 	})
 }
 
+// Guards against a replay that a driver cannot read because it repeats the request
+// with other protocol messages.
+func TestReplayFitsTheMessages(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		ctx := context.Background()
+		key := func() { mustExec(t, c, "SET gypsumgap.request_key = 'k1'") }
+		values := [][]byte{[]byte("answer")}
+		key()
+		first := c.PgConn().ExecParams(ctx, "SELECT $1", values, nil, nil, nil).Read()
+		if first.Err != nil {
+			t.Fatal(first.Err)
+		}
+		if _, err := c.PgConn().Prepare(ctx, "st", "SELECT $1", nil); err != nil {
+			t.Fatal(err)
+		}
+		key()
+		second := c.PgConn().ExecPrepared(ctx, "st", values, nil, nil).Read()
+		if second.Err != nil {
+			t.Fatal(second.Err)
+		}
+		if string(second.Rows[0][0]) != "answer" || second.CommandTag != first.CommandTag {
+			t.Fatalf("replayed %+v, want %+v", second, first)
+		}
+		key()
+		batch := &pgconn.Batch{}
+		batch.ExecPrepared("st", values, nil, nil)
+		batch.ExecPrepared("st", values, nil, nil)
+		_, err := c.PgConn().ExecBatch(ctx, batch).ReadAll()
+		wantState(t, err, route.CodeKeyReused)
+		if n := w.backends[0].count("SELECT $1"); n != 1 {
+			t.Fatalf("request ran %d times", n)
+		}
+	})
+}
+
+// Guards against a key that is silently ignored because it comes too late.
+func TestKeyInsideTransactionIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		mustExec(t, c, "BEGIN")
+		if got := exec(t, c, "INSERT a /*request_key='k1'*/"); got != codeFeatureNotSupported {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+		mustExec(t, c, "ROLLBACK")
+		mustExec(t, c, "BEGIN /*request_key='k1'*/")
+		mustExec(t, c, "INSERT b /*request_key='k1'*/")
+		mustExec(t, c, "COMMIT /*request_key='k1'*/")
+		wantEffects(t, w.backends[0], "INSERT b")
+	})
+}
+
+// Guards against a request that waits beyond its deadline for another run under
+// its key, or is then reported as anything but not run.
+func TestKeyHeldByAnotherRun(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		start := time.Now()
+		if got := exec(t, c, "INSERT a /*request_key='locked'*/"); got != route.CodeNotRun {
+			t.Fatalf("SQLSTATE %q", got)
+		}
+		// Virtual time: exact but for the retries.
+		if d := time.Since(start); d > defaultRequestTimeout+time.Second {
+			t.Fatalf("waited %v", d)
+		}
+		wantEffects(t, w.backends[0])
+	})
+}
+
 // Guards against a request that is routed by the wrong class, key or token.
 func TestRequestSettings(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -801,6 +873,26 @@
 	})
 }
 
+// Guards against a caller that cannot leave the queue for a connection.
+func TestCancelWhileQueued(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		w.router.queue = make(chan struct{}, 1)
+		done := make(chan error, 1)
+		go func() {
+			_, err := c.Exec(context.Background(), "INSERT a")
+			done <- err
+		}()
+		<-w.router.queue
+		w.cancel(t, c, c.PgConn().SecretKey())
+		wantState(t, <-done, codeQueryCanceled)
+		w.router.queue = nil
+		mustExec(t, c, "INSERT b")
+		wantEffects(t, w.backends[0], "INSERT b")
+	})
+}
+
 // Guards against a cancel request with a wrong secret.
 func TestCancelNeedsTheSecret(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -860,6 +952,26 @@
 	})
 }
 
+// Guards against a stop that waits for a connection which never logs in.
+func TestShutdownDuringStartup(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		nc, err := w.n.dial(context.Background(), "tcp", w.address)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		synctest.Wait()
+		start := time.Now()
+		if err := w.server.Shutdown(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+		if d := time.Since(start); d != 0 {
+			t.Fatalf("Shutdown waited %v", d)
+		}
+	})
+}
+
 // Guards against a stop that waits without bound.
 func TestShutdownIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/internal/session/settings.go
+++ b/daemon/internal/session/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/url"
 	"regexp"
 	"strings"
@@ -149,6 +150,8 @@
 	// DeadlineMS is the time left in milliseconds; clocks of hosts differ.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	Hops       int   `json:"hops"`
+	// Parameters are the caller's run-time parameters.
+	Parameters map[string]string `json:"parameters,omitempty"`
 }
 
 // statement formats the setting that carries f.
@@ -165,6 +168,11 @@
 	if err := json.Unmarshal([]byte(text), f); err != nil {
 		return nil, err
 	}
+	for name := range f.Parameters {
+		if !settable(name) {
+			return nil, fmt.Errorf("run-time parameter %q cannot be set", name)
+		}
+	}
 	return f, nil
 }
 
--- a/daemon/internal/session/startup.go
+++ b/daemon/internal/session/startup.go
@@ -148,8 +148,8 @@
 	return nil
 }
 
-// acceptParameters takes the startup parameters. Connections are shared, so
-// other run-time parameters than the announced ones cannot be honoured.
+// acceptParameters takes the startup parameters. Run-time parameters are set on
+// each connection that the session uses.
 func (s *session) acceptParameters(parameters map[string]string) error {
 	s.user = parameters["user"]
 	if s.user == "" {
@@ -175,7 +175,13 @@
 				return s.refuseParameter(name, value)
 			}
 		case name == replicationParam && slices.Contains([]string{"false", "off", "no", "0"}, value):
-		case !sameParameter(announced, name, value):
+		case sameParameter(announced, name, value):
+		case settable(name):
+			if s.wanted == nil {
+				s.wanted = map[string]string{}
+			}
+			s.wanted[name] = value
+		default:
 			return s.refuseParameter(name, value)
 		}
 	}
@@ -184,7 +190,7 @@
 
 func (s *session) refuseParameter(name, value string) error {
 	return s.fatal(codeFeatureNotSupported,
-		fmt.Sprintf("startup parameter %s = %q is not supported: server connections are shared between callers", name, value))
+		fmt.Sprintf("startup parameter %s = %q is not supported", name, value))
 }
 
 // sameParameter reports whether the value asks for what is announced anyway.
@@ -224,6 +230,13 @@
 		}
 		list = append(list, pgproto3.ParameterStatus{Name: name, Value: value})
 	}
+	for i := range list {
+		for name, value := range s.wanted {
+			if strings.EqualFold(name, list[i].Name) {
+				list[i].Value = value
+			}
+		}
+	}
 	slices.SortFunc(list, func(a, b pgproto3.ParameterStatus) int { return strings.Compare(a.Name, b.Name) })
 	return list
 }
--- a/daemon/internal/session/wire.go
+++ b/daemon/internal/session/wire.go
@@ -166,6 +166,9 @@
 	limit int
 	// hold is the offset of the first held message, or -1.
 	hold int
+	// base is the offset of the current unit's answer. What lies before it
+	// answers an earlier unit and is never withdrawn.
+	base int
 	// sent counts the bytes of the current unit that reached the caller.
 	sent int
 	// err is the first failure of a write; later messages are dropped.
@@ -179,12 +182,27 @@
 
 // add appends a message, after it has sent the buffer if that is full.
 func (o *output) add(m encoder) {
-	if len(o.buf) >= o.limit {
+	o.makeRoom()
+	o.append(m)
+}
+
+// makeRoom sends the buffer if it is full.
+func (o *output) makeRoom() {
+	if len(o.buf)-o.base >= o.limit {
 		o.flush()
 	}
-	o.append(m)
 }
 
+// start marks the beginning of a unit's answer.
+func (o *output) start() {
+	o.base = len(o.buf)
+	o.sent = 0
+	o.hold = -1
+}
+
+// answer returns what the unit has answered so far and has not been sent.
+func (o *output) answer() []byte { return o.buf[o.base:] }
+
 // append appends a message and never sends.
 func (o *output) append(m encoder) {
 	if o.err != nil {
@@ -229,7 +247,7 @@
 
 // withdrawAll drops everything that has not been sent.
 func (o *output) withdrawAll() {
-	o.buf = o.buf[:0]
+	o.buf = o.buf[:o.base]
 	o.hold = -1
 }
 
@@ -240,10 +258,11 @@
 		return
 	}
 	if o.err == nil && len(o.buf) > 0 {
-		o.sent += len(o.buf)
+		o.sent += len(o.buf) - o.base
 		o.err = o.write()
 	}
 	o.buf = o.buf[:0]
+	o.base = 0
 }
 
 func (o *output) write() error {
--- a/daemon/internal/upstream/conn.go
+++ b/daemon/internal/upstream/conn.go
@@ -99,6 +99,7 @@
 	dial          dialFunc
 	writeTimeout  time.Duration
 	answerTimeout time.Duration
+	fullTimeout   time.Duration
 	scratch       []byte
 
 	status     byte
@@ -107,6 +108,7 @@
 	parameters map[string]string
 	statements *statementSet
 	unnamed    string
+	settings   map[string]string
 
 	closeOnce sync.Once
 	closeErr  error
@@ -168,7 +170,9 @@
 		writeTimeout:  orDefault(o.WriteTimeout, defaultWriteTimeout),
 		answerTimeout: orDefault(o.AnswerTimeout, defaultAnswerTimeout),
 		parameters:    map[string]string{},
+		settings:      map[string]string{},
 	}
+	c.fullTimeout = c.answerTimeout
 	limit := o.StatementLimit
 	if limit <= 0 {
 		limit = defaultStatementLimit
@@ -262,6 +266,16 @@
 // SetUnnamed records the peer's unnamed statement.
 func (c *Conn) SetUnnamed(name string) { c.unnamed = name }
 
+// Settings returns the run-time parameters that were set on the connection since
+// its login or last Reset. The map is the connection's own.
+func (c *Conn) Settings() map[string]string { return c.settings }
+
+// SetAnswerTimeout changes the bound of the wait for more bytes of an answer; 0
+// restores that of the options.
+func (c *Conn) SetAnswerTimeout(d time.Duration) {
+	c.answerTimeout = orDefault(d, c.fullTimeout)
+}
+
 // Close closes the connection without waiting for the peer.
 func (c *Conn) Close() error {
 	c.closed.Store(true)
@@ -279,6 +293,7 @@
 // It fails with *ServerError if the peer refused.
 func (c *Conn) Reset(ctx context.Context) error {
 	c.ForgetAll()
+	clear(c.settings)
 	return c.simple(ctx, "DISCARD ALL")
 }
 
