--- a/daemon/internal/session/settings.go
+++ b/daemon/internal/session/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/url"
 	"regexp"
 	"strings"
@@ -43,21 +44,22 @@
 }
 
 // parseSetting recognises a SET of one of the session's own settings.
-func parseSetting(sql string) (setting, bool) {
-	if len(sql) > maxSetBytes || !hasSetPrefix(sql) {
-		return setting{}, false
+// It returns nil for any other statement.
+func parseSetting(sql string) *setting {
+	if len(sql) > maxSetBytes || !hasKeyword(sql, "SET") {
+		return nil
 	}
 	m := setPattern.FindStringSubmatch(sql)
 	if m == nil {
-		return setting{}, false
+		return nil
 	}
-	return setting{name: strings.ToLower(m[1]), value: strings.ReplaceAll(m[2], "''", "'")}, true
+	return &setting{name: strings.ToLower(m[1]), value: strings.ReplaceAll(m[2], "''", "'")}
 }
 
-// hasSetPrefix spares most statements the regular expression.
-func hasSetPrefix(sql string) bool {
+// hasKeyword spares most statements a regular expression.
+func hasKeyword(sql, keyword string) bool {
 	sql = strings.TrimLeft(sql, " \t\r\n\v\f")
-	return len(sql) > 3 && strings.EqualFold(sql[:3], "set")
+	return len(sql) >= len(keyword) && strings.EqualFold(sql[:len(keyword)], keyword)
 }
 
 // quoteLiteral writes an SQL string literal.
@@ -116,7 +118,7 @@
 // the transaction is read-only.
 func isBegin(sql string) (begin, readOnly bool) {
 	body, _ := splitComment(sql)
-	if len(body) > maxSetBytes {
+	if len(body) > maxSetBytes || !hasKeyword(body, "BEGIN") && !hasKeyword(body, "START") {
 		return false, false
 	}
 	m := beginPattern.FindStringSubmatch(body)
@@ -148,6 +150,8 @@
 	// DeadlineMS is the time left in milliseconds; clocks of hosts differ.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 	Hops       int   `json:"hops"`
+	// Parameters are the caller's run-time parameters.
+	Parameters map[string]string `json:"parameters,omitempty"`
 }
 
 // statement formats the setting that carries f.
@@ -164,6 +168,11 @@
 	if err := json.Unmarshal([]byte(text), f); err != nil {
 		return nil, err
 	}
+	for name := range f.Parameters {
+		if !settable(name) {
+			return nil, fmt.Errorf("run-time parameter %q cannot be set", name)
+		}
+	}
 	return f, nil
 }
 
