Derive ownership only from a settled membership table

Cause: the gap of 2886 ms in the demo was no failover time. The stand-in of the platform was not up when the hosts started, the host list was read again only after 10 s, and until then each host saw itself alone and owned every database; the writes stopped when ownership moved at 10 s. Ruled out: detection and promotion, which the log shows within one second of the kill. Now a host owns nothing before another host has sent its table, the list names no other host, or 3 s have passed; hosts that only the list names take part in the ranking; and the first read of the list is retried every 250 ms.

--- a/core/membership/owners.go
+++ b/core/membership/owners.go
@@ -56,11 +56,13 @@
 
 // owning returns the members that may own a database of the region. A suspect
 // host still counts, because most suspicions are refuted and each move of
-// ownership costs connections.
+// ownership costs connections. So does a host that only the platform's list
+// names, since hosts that start together would otherwise each own everything
+// until they have heard of each other.
 func owning(region string, members []Member) []Member {
 	var all, near []Member
 	for _, m := range members {
-		if m.State != Alive && m.State != Suspect || m.ForwardAddress == "" {
+		if m.State != Alive && m.State != Suspect {
 			continue
 		}
 		all = append(all, m)
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -88,6 +88,8 @@
 	Retention time.Duration
 	// UpdatesPerMessage bounds the members that one message carries.
 	UpdatesPerMessage int
+	// SettleTimeout is how long a starting host waits for another host's table.
+	SettleTimeout time.Duration
 }
 
 // DefaultOptions detect a dead host within about ten seconds.
@@ -99,6 +101,7 @@
 		SuspicionTimeout:  4 * time.Second,
 		Retention:         10 * time.Minute,
 		UpdatesPerMessage: 8,
+		SettleTimeout:     3 * time.Second,
 	}
 }
 
@@ -107,6 +110,8 @@
 	From    string
 	Updates []Member
 	Digest  uint64
+	// All asks for the whole table in the answer.
+	All bool
 }
 
 // CommandKind tells what a command asks for.
@@ -155,6 +160,12 @@
 	fresh map[string]struct{}
 	// walkOrder holds the names to send next when digests differ.
 	walkOrder []string
+	// synced says that another host has sent its whole table.
+	synced bool
+	// started is when the table was made.
+	started time.Time
+	// listRead says that the platform's list has been merged.
+	listRead bool
 	// sum is the digest of the entries, kept up to date by each change, since
 	// it goes into every message.
 	sum     uint64
@@ -171,6 +182,7 @@
 		entries: map[string]*entry{},
 		pending: map[string]int{},
 		fresh:   map[string]struct{}{},
+		started: now,
 	}
 	e := &entry{}
 	t.entries[self.Name] = e
@@ -200,12 +212,25 @@
 	if now.Before(t.nextProbe) {
 		return nil
 	}
-	t.nextProbe = now.Add(t.opts.ProbeInterval)
 	target, ok := t.nextTarget()
 	if !ok {
 		return nil
 	}
-	return []Command{{Kind: SendProbe, Target: target, Message: t.message(target.Name, false)}}
+	t.nextProbe = now.Add(t.opts.ProbeInterval)
+	m := t.message(target.Name, false)
+	m.All = !t.synced
+	return []Command{{Kind: SendProbe, Target: target, Message: m}}
+}
+
+// Settled reports whether the table is good enough to derive ownership from:
+// another host has sent its table, or the platform's list names no other host,
+// or SettleTimeout has passed since the start. A host that acts on a table of
+// itself alone would take all databases from their owners.
+func (t *Table) Settled(now time.Time) bool {
+	if t.synced || t.listRead && len(t.entries) == 1 {
+		return true
+	}
+	return now.Sub(t.started) >= t.opts.SettleTimeout
 }
 
 func (t *Table) expire(now time.Time) {
@@ -263,11 +288,28 @@
 	differs := m.Digest != t.sum
 	t.merge(now, m.Updates)
 	t.heard(now, m.From)
-	return t.message(m.From, differs)
+	answer := t.message(m.From, differs && !m.All)
+	if m.All {
+		answer.Updates = t.heardOf()
+	}
+	return answer
+}
+
+// heardOf returns the members that have been heard of from a host, not only
+// from the platform's list.
+func (t *Table) heardOf() []Member {
+	out := make([]Member, 0, len(t.entries))
+	for _, m := range t.Members() {
+		if m.Incarnation > 0 {
+			out = append(out, m)
+		}
+	}
+	return out
 }
 
 // ProbeAnswered merges the answer of a probe.
 func (t *Table) ProbeAnswered(now time.Time, target string, m Message) {
+	t.synced = true
 	t.merge(now, m.Updates)
 	t.heard(now, target)
 }
@@ -340,6 +382,7 @@
 // MergePlatform adds the hosts of the platform's list. The list lags, so it
 // neither revives a dead host nor ends one that answers.
 func (t *Table) MergePlatform(now time.Time, hosts []platform.Host) {
+	t.listRead = true
 	for _, e := range t.entries {
 		e.listed = false
 	}
--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -29,6 +29,8 @@
 	// hostsInterval is how often a host reads the platform's host list. The
 	// list only names new hosts; probes tell which of them live.
 	hostsInterval = 10 * time.Second
+	// hostsRetry is how often it is tried until the first success.
+	hostsRetry = 250 * time.Millisecond
 )
 
 // Options configure a Controller.
@@ -68,6 +70,8 @@
 	draining    bool
 	groups      map[string]*ownedGroup
 	policies    map[string]*route.Policy
+	// settled says that ownership may be derived from the table.
+	settled bool
 	// placed is the table's change count for which ownership was computed.
 	placed uint64
 	// stale says that ownership or the view must be computed again.
@@ -155,8 +159,10 @@
 	}
 	c.sendProbes(c.table.Tick(now))
 	c.stepGroups(now)
-	if c.stale || c.placed != c.table.Changes() {
+	settled := c.table.Settled(now)
+	if c.stale || c.settled != settled || c.placed != c.table.Changes() {
 		c.stale = false
+		c.settled = settled
 		c.placed = c.table.Changes()
 		c.placeGroups()
 		c.publish()
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -68,7 +68,7 @@
 
 func (c *Controller) ownPlaces() map[string]place {
 	places := map[string]place{}
-	if c.draining {
+	if c.draining || !c.settled {
 		return places
 	}
 	members := c.table.Members()
--- a/daemon/internal/control/hosts.go
+++ b/daemon/internal/control/hosts.go
@@ -12,18 +12,24 @@
 
 // listHosts reads the platform's host list from time to time.
 func (c *Controller) listHosts(ctx context.Context) {
+	listed := false
 	for {
+		wait := hostsInterval
 		hosts, err := c.opts.Store.Hosts(ctx)
 		if err != nil && ctx.Err() == nil {
 			c.log.WithField("event", "host_list_failed").WithError(err).Warn("can't read the platform's host list")
 		}
 		if err == nil {
+			listed = true
 			c.post(hostsListed(hosts))
 		}
+		if !listed {
+			wait = hostsRetry
+		}
 		select {
 		case <-ctx.Done():
 			return
-		case <-time.After(hostsInterval):
+		case <-time.After(wait):
 		}
 	}
 }
@@ -40,7 +46,7 @@
 		c.sendProbes([]membership.Command{{
 			Kind:    membership.SendProbe,
 			Target:  target,
-			Message: membership.Message{From: c.opts.Self.Name, Updates: []membership.Member{c.table.Self()}},
+			Message: membership.Message{From: c.opts.Self.Name, Updates: []membership.Member{c.table.Self()}, All: true},
 		}})
 	}
 }
@@ -64,6 +70,7 @@
 		Updates:       peer.ToMembers(cmd.Message.Updates),
 		ConfigVersion: c.board.View().Config.Version(),
 		MembersDigest: cmd.Message.Digest,
+		AllMembers:    cmd.Message.All,
 	})
 	if err != nil {
 		c.post(probeFailed{target: cmd.Target.Name})
--- a/daemon/internal/control/peerserver.go
+++ b/daemon/internal/control/peerserver.go
@@ -30,8 +30,10 @@
 func (s PeerServer) Probe(ctx context.Context, r *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error) {
 	reply := make(chan membership.Message, 1)
 	s.c.post(probeReceived{
-		message: membership.Message{From: r.GetFrom(), Updates: peer.FromMembers(r.GetUpdates()), Digest: r.GetMembersDigest()},
-		reply:   reply,
+		message: membership.Message{
+			From: r.GetFrom(), Updates: peer.FromMembers(r.GetUpdates()), Digest: r.GetMembersDigest(), All: r.GetAllMembers(),
+		},
+		reply: reply,
 	})
 	select {
 	case m := <-reply:
--- a/daemon/internal/control/routing.go
+++ b/daemon/internal/control/routing.go
@@ -34,14 +34,18 @@
 func (d Directory) Owners(database string) []route.Host {
 	v := d.Board.View()
 	owners := v.Owners(database)
-	hosts := make([]route.Host, len(owners))
-	for i, o := range owners {
-		hosts[i] = route.Host{
+	hosts := make([]route.Host, 0, len(owners))
+	for _, o := range owners {
+		// A host that only the platform's list names has no address yet.
+		if o.ForwardAddress == "" {
+			continue
+		}
+		hosts = append(hosts, route.Host{
 			Name:           o.Name,
 			ForwardAddress: o.ForwardAddress,
 			Zone:           o.Zone,
 			Self:           o.Name == v.Self.Name,
-		}
+		})
 	}
 	return hosts
 }
--- a/standin/cmd/gypsumgap-demo/main.go
+++ b/standin/cmd/gypsumgap-demo/main.go
@@ -53,6 +53,9 @@
 	for _, example := range summary.Examples {
 		fmt.Println(example)
 	}
+	for _, gap := range summary.Gaps {
+		fmt.Println(gap)
+	}
 	fmt.Println(summary)
 	if !summary.OK() {
 		return 1
--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -33,6 +33,20 @@
 	Unknown     int
 	Refused     int
 	Examples    []string
+	Gaps        []Gap
+}
+
+// Gap is the longest time without an accepted write on a database.
+type Gap struct {
+	Database string
+	Length   time.Duration
+	// Start counts from the start of the load.
+	Start time.Duration
+}
+
+// String formats the gap as key=value pairs.
+func (g Gap) String() string {
+	return fmt.Sprintf("gap database=%s length_ms=%d start_ms=%d", g.Database, g.Length.Milliseconds(), g.Start.Milliseconds())
 }
 
 // OK reports whether every promise was kept.
@@ -64,7 +78,7 @@
 		if err != nil {
 			return nil, err
 		}
-		s.add(report)
+		s.add(r.deployment.database, report)
 	}
 	for _, h := range l.hosts {
 		if err := s.addMetrics("http://" + h.admin + "/metrics"); err != nil {
@@ -84,7 +98,8 @@
 	return load.Check(ctx, r.record, primary.Address, r.deployment.database, r.deployment.caller)
 }
 
-func (s *Summary) add(r load.Report) {
+func (s *Summary) add(database string, r load.Report) {
+	s.Gaps = append(s.Gaps, Gap{database, r.LongestGap, r.GapStart})
 	reads := r.Reads + r.StatusPageReads
 	s.Reads += reads
 	s.Statements += reads + r.Acknowledged
--- a/standin/load/check.go
+++ b/standin/load/check.go
@@ -28,6 +28,8 @@
 	MissedReads int
 	// LongestGap is the longest time without an accepted write.
 	LongestGap time.Duration
+	// GapStart is when it began, counted from the start of the load.
+	GapStart time.Duration
 	// Writes and Reads are the times of answered operations.
 	WriteLatency, ReadLatency Latency
 	// Examples names some of the ids at fault.
@@ -75,7 +77,7 @@
 }
 
 func compare(record *Record, present map[string]int) Report {
-	r := Report{Counts: record.Counts(), MissedReads: len(record.MissedReads()), LongestGap: record.LongestGap()}
+	r := Report{Counts: record.Counts(), MissedReads: len(record.MissedReads()), LongestGap: record.LongestGap(), GapStart: record.GapStart()}
 	r.WriteLatency, r.ReadLatency = record.Latencies()
 	for _, w := range record.Writes() {
 		times := present[w.ID]
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -53,16 +53,18 @@
 
 // Record collects what the callers saw. Its methods are safe for concurrent use.
 type Record struct {
-	mu       sync.Mutex
-	started  time.Time
-	ended    time.Time
-	lastAck  time.Time
-	longest  time.Duration
-	writes   []Write
-	missed   []MissedRead
-	counts   Counts
-	writeLat *hdrhistogram.Histogram
-	readLat  *hdrhistogram.Histogram
+	mu      sync.Mutex
+	started time.Time
+	ended   time.Time
+	lastAck time.Time
+	longest time.Duration
+	// longestStart counts from the start of the load.
+	longestStart time.Duration
+	writes       []Write
+	missed       []MissedRead
+	counts       Counts
+	writeLat     *hdrhistogram.Histogram
+	readLat      *hdrhistogram.Histogram
 }
 
 // Counts are totals of a load.
@@ -110,7 +112,12 @@
 }
 
 // noteGap notes the time without an accepted write that ends now.
-func (r *Record) noteGap(now time.Time) { r.longest = max(r.longest, now.Sub(r.lastAck)) }
+func (r *Record) noteGap(now time.Time) {
+	if gap := now.Sub(r.lastAck); gap > r.longest {
+		r.longest = gap
+		r.longestStart = r.lastAck.Sub(r.started)
+	}
+}
 
 // observe notes a latency; one beyond the histogram's range counts as the highest.
 func observe(h *hdrhistogram.Histogram, took time.Duration) {
@@ -170,6 +177,13 @@
 	return append([]MissedRead(nil), r.missed...)
 }
 
+// GapStart returns when the longest gap began, counted from the start of the load.
+func (r *Record) GapStart() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.longestStart
+}
+
 // LongestGap returns the longest time without an accepted write, from the
 // start of the load to its end or, while it runs, to the latest accepted write.
 func (r *Record) LongestGap() time.Duration {
