Add the state machine that brings a configuration version to all nodes

Two hosts of a zone watch the store and the others learn from peers, so the store's load follows the number of zones.

A step read from the store names the services that any version within it touched, also where a later version undid the change.

--- a/core/confstore/confstore_test.go
+++ b/core/confstore/confstore_test.go
@@ -292,6 +292,40 @@
 	}
 }
 
+// Guards against a step over several versions that hides a change which a
+// later version undid: a peer that stopped in between would keep it.
+func TestUpdateNamesChangesThatWereUndone(t *testing.T) {
+	s := platformtest.New(platformtest.Options{})
+	all := services("a", "b", "c")
+	apply(t, s, all)
+	have := load(t, s).Snapshot
+	changed := *have.Service("a")
+	changed.CommitTimeout++
+	apply(t, s, all.With(0, []*config.Service{&changed}, nil))
+	apply(t, s, services("a", "b", "c", "d"))
+	apply(t, s, services("a", "b"))
+	update, err := confstore.LoadUpdate(t.Context(), s, have)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if got := strings.Join(update.Touched, " "); !update.Complete || update.Base != 1 || got != "a c d" {
+		t.Errorf("got base %d, complete %v, touched %q", update.Base, update.Complete, got)
+	}
+
+	for i := range 9 {
+		changed.CommitTimeout += config.Duration(i)
+		apply(t, s, all.With(0, []*config.Service{&changed}, nil))
+		changed.CommitTimeout++
+	}
+	update, err = confstore.LoadUpdate(t.Context(), s, have)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if update.Complete || update.Snapshot.Version() != 13 {
+		t.Errorf("a step beyond the remembered versions is %+v", update)
+	}
+}
+
 // Guards against values above the platform's limit at the target size, and
 // against a change of one service that rewrites more than its bucket.
 func TestValueLimitAt19000Databases(t *testing.T) {
@@ -355,7 +389,7 @@
 		w := &confstore.Watcher{
 			Store:     s,
 			Have:      have.Load,
-			Changed:   have.Store,
+			Changed:   func(u confstore.Update) { have.Store(u.Snapshot) },
 			Confirmed: confirmed.Store,
 		}
 		done := make(chan struct{})
--- a/core/confstore/watch.go
+++ b/core/confstore/watch.go
@@ -20,8 +20,8 @@
 	// Have returns the newest snapshot that the host holds, or nil. Chunks
 	// that it covers are not fetched.
 	Have func() *config.Snapshot
-	// Changed receives every version newer than the one that Have returned.
-	Changed func(*config.Snapshot)
+	// Changed receives the steps to versions newer than the one that Have returned.
+	Changed func(Update)
 	// Confirmed receives each version that the store named as current; it may be nil.
 	Confirmed func(version uint64)
 	// Failed receives each failure of the store; it may be nil.
@@ -86,21 +86,30 @@
 	if err != nil {
 		return err
 	}
-	have := w.Have()
-	if have == nil || have.Version() < r.Version {
-		state, err := complete(ctx, w.Store, r, obj.Version, have)
-		if errors.Is(err, platform.ErrNotFound) {
-			state, err = Load(ctx, w.Store, have)
-		}
+	if have := w.Have(); have == nil || have.Version() < r.Version {
+		update, err := w.load(ctx, r, obj.Version, have)
 		if err != nil {
 			return err
 		}
-		w.Changed(state.Snapshot)
+		w.Changed(update)
 	}
 	w.confirm(r.Version)
 	return nil
 }
 
+// load fetches what a root names, or what the current root names if chunks of
+// this one were removed meanwhile.
+func (w *Watcher) load(ctx context.Context, r root, object platform.Version, have *config.Snapshot) (Update, error) {
+	state, err := complete(ctx, w.Store, r, object, have)
+	if errors.Is(err, platform.ErrNotFound) {
+		return LoadUpdate(ctx, w.Store, have)
+	}
+	if err != nil {
+		return Update{}, err
+	}
+	return describe(ctx, w.Store, state, have)
+}
+
 func (w *Watcher) confirm(version uint64) {
 	if w.Confirmed != nil {
 		w.Confirmed(version)
--- /dev/null
+++ b/core/confsync/machine.go
@@ -0,0 +1,420 @@
+package confsync
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+)
+
+const (
+	// TickInterval is the interval at which the machine expects Tick.
+	TickInterval = 100 * time.Millisecond
+
+	// fetchTimeout is the time after which another peer is asked.
+	fetchTimeout = time.Second
+	// sourceBackoff is the time for which a peer that failed to answer a fetch
+	// is asked only if no other peer has the version.
+	sourceBackoff = 2 * time.Second
+	// storeRetryMin and storeRetryMax bound the delay between reads of the
+	// store by a node that is not ready.
+	storeRetryMin = time.Second
+	storeRetryMax = 30 * time.Second
+	// storePatience is the time for which a node waits for the store before it
+	// asks its peers as well.
+	storePatience = 2 * time.Second
+	// loadPatience is the time for which a node looks for a peer that has a
+	// version before it loads the version from the store.
+	loadPatience = 3 * time.Second
+	// inquiryBatch is the number of peers asked in one tick, so that a restart
+	// of many hosts in an outage is no burst of probes.
+	inquiryBatch = 20
+	// inquiryRetry is the time after which a peer that did not answer is asked again.
+	inquiryRetry = 2 * time.Second
+	// searchSize is the number of peers asked in one tick for a version that
+	// only the store is known to have.
+	searchSize = 3
+)
+
+// Options sets a machine.
+type Options struct {
+	// Self is the node's host name, Zone its availability zone.
+	Self string
+	Zone string
+	// Rand is the source of the machine's random choices.
+	Rand *rand.Rand
+	// Start is the time at which the node started.
+	Start time.Time
+}
+
+// Machine decides what a node does to hold the current configuration.
+type Machine struct {
+	options Options
+	rand    *rand.Rand
+
+	published *Published
+	ready     bool
+
+	// members are the live hosts but for the node itself, ordered by name.
+	members []Member
+	zoneOf  map[string]string
+	zone    *zone
+
+	// peers holds what each live host last told.
+	peers map[string]*peer
+	// want is the greatest version that the node has heard of, and wantSince
+	// the time since which it has lacked it.
+	want      uint64
+	wantSince time.Time
+	fetching  *fetching
+
+	store storeState
+	// trees are those of the version in treesOf.
+	trees   []tree
+	treesOf uint64
+}
+
+// peer is what the node knows of another host.
+type peer struct {
+	version uint64
+	// avoidUntil is the end of the backoff after a failed fetch.
+	avoidUntil time.Time
+	// asked is the time of the last inquiry.
+	asked time.Time
+}
+
+// fetching is a fetch in flight.
+type fetching struct {
+	peer     string
+	deadline time.Time
+}
+
+// storeState is the node's relation to the store until it is ready.
+type storeState struct {
+	// confirmed says that the store has told its version since the start.
+	confirmed bool
+	failed    bool
+	reading   bool
+	loading   bool
+	nextRead  time.Time
+	failures  int
+}
+
+// New makes the machine of a node that holds nothing.
+func New(o Options) *Machine {
+	m := &Machine{
+		options:   o,
+		rand:      o.Rand,
+		published: emptyPublished(),
+		peers:     map[string]*peer{},
+	}
+	m.store.nextRead = o.Start
+	m.SetMembers(nil)
+	return m
+}
+
+// Published returns the configuration that the node holds.
+func (m *Machine) Published() *Published { return m.published }
+
+// Snapshot returns the configuration that the node holds.
+func (m *Machine) Snapshot() *config.Snapshot { return m.published.snapshot }
+
+// Ready reports whether the node may serve callers. It stays true once it is.
+func (m *Machine) Ready() bool { return m.ready }
+
+// Version returns the version that the node's probes carry: its own if it is
+// ready, else 0.
+func (m *Machine) Version() uint64 {
+	if !m.ready {
+		return 0
+	}
+	return m.published.Version()
+}
+
+// Watching reports whether the node is one of its zone's watchers of the store.
+func (m *Machine) Watching() bool {
+	return slices.Contains(m.zone.watchers(), m.options.Self)
+}
+
+// SetMembers replaces the live hosts. The node itself may be among them.
+func (m *Machine) SetMembers(members []Member) {
+	m.members = m.members[:0:0]
+	m.zoneOf = map[string]string{}
+	for _, member := range members {
+		if member.Name != m.options.Self {
+			m.members = append(m.members, member)
+			m.zoneOf[member.Name] = member.Zone
+		}
+	}
+	slices.SortFunc(m.members, func(a, b Member) int { return cmp.Compare(a.Name, b.Name) })
+	all := append(slices.Clone(m.members), Member{Name: m.options.Self, Zone: m.options.Zone})
+	m.zone = newZone(m.options.Zone, all)
+	m.trees = nil
+	for name := range m.peers {
+		if _, live := m.zoneOf[name]; !live {
+			delete(m.peers, name)
+		}
+	}
+}
+
+// Handle takes an event and returns the calls to make.
+func (m *Machine) Handle(now time.Time, e Event) []Action {
+	var out []Action
+	switch e := e.(type) {
+	case PeerVersion:
+		m.learn(now, e.Peer, e.Version)
+	case AnnounceDone:
+		out = m.announced(now, e)
+	case FetchDone:
+		out = m.fetched(now, e)
+	case StoreVersion:
+		m.storeVersion(now, e)
+	case StoreUpdate:
+		out = m.storeUpdate(now, e)
+	}
+	return append(out, m.decide(now)...)
+}
+
+// Tick lets time pass and returns the calls to make.
+func (m *Machine) Tick(now time.Time) []Action {
+	if m.fetching != nil && !now.Before(m.fetching.deadline) {
+		m.fetchFailed(now)
+	}
+	out := m.decide(now)
+	if m.needsVersion() {
+		out = append(out, m.inquire(now)...)
+	}
+	if m.searching(now) {
+		out = append(out, m.search()...)
+	}
+	return out
+}
+
+// decide returns the calls that the node's state asks for.
+func (m *Machine) decide(now time.Time) []Action {
+	var out []Action
+	if m.checkReady(now) {
+		out = append(out, m.push()...)
+	}
+	if m.shouldRead(now) {
+		m.store.reading = true
+		out = append(out, ReadVersion{})
+	}
+	if a := m.fetch(now); a != nil {
+		out = append(out, a)
+	}
+	if m.shouldLoad(now) {
+		m.store.loading = true
+		out = append(out, Load{})
+	}
+	return out
+}
+
+// learn records a version that a peer told.
+func (m *Machine) learn(now time.Time, name string, version uint64) {
+	if name == m.options.Self {
+		return
+	}
+	p := m.peer(name)
+	p.version = max(p.version, version)
+	m.heard(now, version)
+}
+
+func (m *Machine) peer(name string) *peer {
+	p := m.peers[name]
+	if p == nil {
+		p = &peer{}
+		m.peers[name] = p
+	}
+	return p
+}
+
+// heard records that a version exists.
+func (m *Machine) heard(now time.Time, version uint64) {
+	if version <= m.want {
+		return
+	}
+	if m.want <= m.published.Version() {
+		m.wantSince = now
+	}
+	m.want = version
+}
+
+func (m *Machine) lacks() bool { return m.want > m.published.Version() }
+
+// announced handles the outcome of an Announce: the version of the peer, or
+// its failure, in which case its children are told in its place.
+func (m *Machine) announced(now time.Time, e AnnounceDone) []Action {
+	if e.Err == nil {
+		m.learn(now, e.Peer, e.Version)
+		return nil
+	}
+	return m.announceChildren(e.Peer)
+}
+
+// push announces the version to the node's children.
+func (m *Machine) push() []Action {
+	if m.Version() == 0 {
+		return nil
+	}
+	return m.announceChildren(m.options.Self)
+}
+
+// announceChildren announces to the children of a host that don't have the
+// version yet.
+func (m *Machine) announceChildren(of string) []Action {
+	if m.Version() == 0 {
+		return nil
+	}
+	var out []Action
+	told := map[string]bool{m.options.Self: true}
+	for _, t := range m.currentTrees() {
+		for _, child := range t.children(of) {
+			if !told[child] {
+				told[child] = true
+				out = append(out, m.announce(child)...)
+			}
+		}
+	}
+	return out
+}
+
+func (m *Machine) announce(to string) []Action {
+	if m.peer(to).version >= m.Version() {
+		return nil
+	}
+	return []Action{Announce{Peer: to, Version: m.Version()}}
+}
+
+func (m *Machine) currentTrees() []tree {
+	if m.trees == nil || m.treesOf != m.Version() {
+		m.treesOf = m.Version()
+		m.trees = m.zone.trees(m.treesOf)
+	}
+	return m.trees
+}
+
+// fetch asks a peer for the version that the node lacks.
+func (m *Machine) fetch(now time.Time) Action {
+	if !m.lacks() || m.fetching != nil {
+		return nil
+	}
+	source := m.source(now)
+	if source == "" {
+		return nil
+	}
+	m.fetching = &fetching{peer: source, deadline: now.Add(fetchTimeout)}
+	return Fetch{Peer: source, Since: m.published.Version()}
+}
+
+// source chooses the peer to fetch from: one with the greatest version, rather
+// of the own zone, and at random among equals. A peer that failed lately is
+// the last choice.
+func (m *Machine) source(now time.Time) string {
+	best, bestRank, ties := "", sourceRank{}, 0
+	for _, member := range m.members {
+		p := m.peers[member.Name]
+		if p == nil || p.version <= m.published.Version() {
+			continue
+		}
+		rank := sourceRank{
+			responsive: !now.Before(p.avoidUntil),
+			version:    p.version,
+			near:       member.Zone == m.options.Zone,
+		}
+		switch order := rank.compare(bestRank); {
+		case best == "" || order > 0:
+			best, bestRank, ties = member.Name, rank, 1
+		case order == 0:
+			ties++
+			if m.rand.IntN(ties) == 0 {
+				best = member.Name
+			}
+		}
+	}
+	return best
+}
+
+// fetched handles the outcome of a Fetch. An answer that arrives after its
+// timeout is used as well.
+func (m *Machine) fetched(now time.Time, e FetchDone) []Action {
+	current := m.fetching != nil && m.fetching.peer == e.Peer
+	if e.Err != nil || e.Response == nil {
+		if current {
+			m.fetchFailed(now)
+		}
+		return nil
+	}
+	if current {
+		m.fetching = nil
+	}
+	if e.Response.Version <= m.published.Version() {
+		m.correct(e.Peer, e.Response)
+		return nil
+	}
+	next, err := m.published.fromPeer(e.Since, e.Response)
+	if err != nil {
+		m.peer(e.Peer).avoidUntil = now.Add(sourceBackoff)
+		return nil
+	}
+	m.learn(now, e.Peer, e.Response.Version)
+	return m.take(now, next, e.Peer)
+}
+
+// correct lowers what the node believes of a peer that restarted with less.
+func (m *Machine) correct(name string, resp *peerapi.FetchConfigResponse) {
+	if p := m.peers[name]; p != nil {
+		p.version = resp.Version
+	}
+}
+
+func (m *Machine) fetchFailed(now time.Time) {
+	p := m.peer(m.fetching.peer)
+	p.avoidUntil = now.Add(sourceBackoff)
+	m.fetching = nil
+}
+
+// storeUpdate handles a step read from the store.
+func (m *Machine) storeUpdate(now time.Time, e StoreUpdate) []Action {
+	m.store.loading = false
+	if e.Err != nil {
+		m.storeFailed(now)
+		return nil
+	}
+	version := e.Update.Snapshot.Version()
+	m.store.confirmed = true
+	m.heard(now, version)
+	if version <= m.published.Version() {
+		return nil
+	}
+	next, err := m.published.fromStore(e.Update)
+	if err != nil {
+		m.storeFailed(now)
+		return nil
+	}
+	return m.take(now, next, "")
+}
+
+// take replaces the configuration by a newer one and tells others. from is the
+// peer that gave it, empty for the store.
+func (m *Machine) take(now time.Time, next *Published, from string) []Action {
+	m.published = next
+	m.heard(now, next.Version())
+	wasReady := m.ready
+	m.checkReady(now)
+	if !m.ready {
+		return nil
+	}
+	out := m.push()
+	if from != "" && wasReady && m.zoneOf[from] != m.options.Zone {
+		for _, w := range m.zone.watchers() {
+			if w != m.options.Self {
+				out = append(out, m.announce(w)...)
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/core/confsync/propagation_test.go
@@ -0,0 +1,221 @@
+package confsync_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/confstore"
+	"github.com/gypsumgap/gypsumgap/core/confsync"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+)
+
+// fleet is a number of nodes and the goal for a new version to reach all.
+type fleet struct {
+	nodes, zones int
+	goal         time.Duration
+}
+
+var fleets = []fleet{
+	{nodes: 21, zones: 3, goal: 2 * time.Second},
+	{nodes: 250, zones: 1, goal: 6 * time.Second},
+	{nodes: 1000, zones: 4, goal: 6 * time.Second},
+	{nodes: 3000, zones: 12, goal: 6 * time.Second},
+}
+
+// spread is what one new version cost.
+type spread struct {
+	time      time.Duration
+	announces int
+	fetches   int
+	calls     int
+}
+
+// propagate starts a fleet and applies one change in it. prepare may inject
+// faults before the change.
+func propagate(t testing.TB, f fleet, prepare func(*sim)) spread {
+	t.Helper()
+	s := newSim(f.nodes, f.zones, 20261204)
+	services := testServices(20)
+	s.apply(services)
+	s.start()
+	if took, ok := s.run(time.Minute, s.converged); !ok {
+		t.Fatalf("%d nodes did not start within %v", f.nodes, took)
+	}
+	s.run(5*time.Second, nil)
+	if prepare != nil {
+		prepare(s)
+	}
+	before := spread{announces: s.announces, fetches: s.fetches, calls: s.store.Counts().Total()}
+	change(services, "service-7")
+	s.apply(services)
+	// The calls of the apply itself are the operator's, not the fleet's.
+	before.calls = s.store.Counts().Total()
+	took, ok := s.run(time.Minute, s.converged)
+	if !ok {
+		t.Fatalf("%d nodes do not all hold the version after %v", f.nodes, took)
+	}
+	return spread{
+		time:      took,
+		announces: s.announces - before.announces,
+		fetches:   s.fetches - before.fetches,
+		calls:     s.store.Counts().Total() - before.calls,
+	}
+}
+
+// Guards against a version that takes longer than the goal to be in force
+// everywhere, against more than a few messages for each node, and against
+// store calls that grow with the fleet.
+func TestVersionReachesAllNodes(t *testing.T) {
+	for _, f := range fleets {
+		t.Run(fmt.Sprint(f.nodes), func(t *testing.T) {
+			got := propagate(t, f, nil)
+			t.Logf("%+v", got)
+			if got.time > f.goal {
+				t.Errorf("the version took %v, the goal is %v", got.time, f.goal)
+			}
+			if limit := 3 * f.nodes; got.announces > limit {
+				t.Errorf("%d announcements, the limit is %d", got.announces, limit)
+			}
+			if limit := 2 * f.nodes; got.fetches > limit {
+				t.Errorf("%d fetches, the limit is %d", got.fetches, limit)
+			}
+			// Each of two watchers in a zone ends its watch, reads the root and
+			// one chunk, and watches again.
+			if limit := 8 * f.zones; got.calls > limit {
+				t.Errorf("%d store calls, the limit is %d", got.calls, limit)
+			}
+		})
+	}
+}
+
+// Guards against a push that depends on every host: a zone whose watchers are
+// cut off, and a network that loses messages.
+func TestVersionReachesAllNodesWithFaults(t *testing.T) {
+	for _, f := range fleets[:3] {
+		t.Run(fmt.Sprint(f.nodes), func(t *testing.T) {
+			got := propagate(t, f, func(s *sim) {
+				s.faults = netFaults{loss: 0.05, double: 0.05}
+				cut := 0
+				for _, n := range s.nodes {
+					if n.machine.Watching() && n.zone == "zone-0" && cut < f.zones {
+						n.cut = true
+						cut++
+					}
+				}
+			})
+			t.Logf("%+v", got)
+			if got.time > f.goal {
+				t.Errorf("the version took %v, the goal is %v", got.time, f.goal)
+			}
+		})
+	}
+}
+
+// Guards against a restart of many hosts that overloads the store: each may
+// read the version, but the content comes from peers.
+func TestRestartsCostOneStoreCallEach(t *testing.T) {
+	s := newSim(100, 2, 1)
+	s.apply(testServices(20))
+	s.start()
+	if _, ok := s.run(time.Minute, s.converged); !ok {
+		t.Fatal("the nodes did not start")
+	}
+	s.run(5*time.Second, nil)
+	before := s.store.Counts()
+	restarted := 0
+	for _, n := range s.nodes {
+		if !n.machine.Watching() && n.zone == "zone-0" {
+			s.restart(n)
+			restarted++
+		}
+	}
+	took, ok := s.run(time.Minute, s.converged)
+	if !ok || took > 2*time.Second {
+		t.Errorf("the restarted nodes took %v to hold the version", took)
+	}
+	if got := s.store.Counts().Total() - before.Total(); got > restarted {
+		t.Errorf("%d restarts made %d store calls", restarted, got)
+	}
+}
+
+// BenchmarkPropagation reports the virtual time until all nodes hold a new
+// version, and the messages and store calls for it.
+func BenchmarkPropagation(b *testing.B) {
+	for _, f := range fleets {
+		b.Run(fmt.Sprintf("nodes=%d", f.nodes), func(b *testing.B) {
+			var got spread
+			for range b.N {
+				got = propagate(b, f, nil)
+			}
+			b.ReportMetric(float64(got.time.Milliseconds()), "virtual-ms")
+			b.ReportMetric(float64(got.announces), "announcements")
+			b.ReportMetric(float64(got.fetches), "fetches")
+			b.ReportMetric(float64(got.calls), "store-calls")
+		})
+	}
+}
+
+// targetConfiguration makes 19,000 databases of five slots.
+func targetConfiguration() *config.Snapshot {
+	const databases, perService, slots = 19_000, 3, 5
+	var services []config.Service
+	for i := range (databases + perService - 1) / perService {
+		s := testService(fmt.Sprintf("service-%d", i))
+		s.Databases = nil
+		for d := range min(perService, databases-i*perService) {
+			db := config.Database{Name: fmt.Sprintf("%s-%d", s.Name, d), ConnectionLimit: 45}
+			for j := range slots {
+				db.Slots = append(db.Slots, group.Slot{
+					ID:      group.SlotID(fmt.Sprintf("%s/%d", db.Name, j)),
+					Address: fmt.Sprintf("10.%d.%d.%d:5432", i>>8, i&255, d*slots+j),
+					Zone:    fmt.Sprintf("zone-%d", j),
+				})
+			}
+			s.Databases = append(s.Databases, db)
+		}
+		services = append(services, s)
+	}
+	return config.NewSnapshot(1, services)
+}
+
+// BenchmarkTakeChange measures the work of a node that takes a change of one
+// service from a peer and answers one peer, at 19,000 databases.
+func BenchmarkTakeChange(b *testing.B) {
+	target := targetConfiguration()
+	start := time.Unix(0, 0)
+	options := func(name string) confsync.Options {
+		return confsync.Options{Self: name, Zone: "z", Rand: rand.New(rand.NewPCG(1, 1)), Start: start}
+	}
+	giver, taker := confsync.New(options("giver")), confsync.New(options("taker"))
+	for _, m := range []*confsync.Machine{giver, taker} {
+		m.Handle(start, confsync.StoreUpdate{Update: confstore.Update{Snapshot: target}})
+	}
+	var responses []*peerapi.FetchConfigResponse
+	for i := range 64 {
+		version := uint64(i + 2)
+		service := *target.Service("service-77")
+		service.CommitTimeout += config.Duration(i + 1)
+		next := giver.Snapshot().With(version, []*config.Service{&service}, nil)
+		update := confstore.Update{Base: version - 1, Snapshot: next, Touched: []string{service.Name}, Complete: true}
+		giver.Handle(start, confsync.StoreUpdate{Update: update})
+		responses = append(responses, giver.Published().Answer(&peerapi.FetchConfigRequest{Since: version - 1}))
+	}
+	bytes := proto.Size(responses[0])
+	b.ResetTimer()
+	for i := range b.N {
+		// The versions go on where a round through the responses ends.
+		resp := &peerapi.FetchConfigResponse{Version: uint64(i + 2), Entries: responses[i%len(responses)].Entries}
+		taker.Handle(start, confsync.FetchDone{Peer: "giver", Since: uint64(i + 1), Response: resp})
+		taker.Published().Answer(&peerapi.FetchConfigRequest{Since: uint64(i + 1)})
+	}
+	if v := taker.Snapshot().Version(); v != uint64(b.N+1) {
+		b.Fatalf("version %d is held, want %d", v, b.N+1)
+	}
+	b.ReportMetric(float64(bytes), "response-bytes")
+}
--- /dev/null
+++ b/core/confsync/published.go
@@ -0,0 +1,243 @@
+package confsync
+
+import (
+	"bytes"
+	"cmp"
+	"compress/gzip"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/confstore"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+)
+
+const (
+	// maxTombstones bounds the removed services that a node remembers.
+	maxTombstones = 4096
+	// maxEntryBytes bounds one service in memory.
+	maxEntryBytes = 256 << 20
+)
+
+// errBadResponse reports a peer's answer that can't be used.
+var errBadResponse = errors.New("unusable configuration from a peer")
+
+// Published is the configuration that a node holds, with the history that it
+// needs to answer peers. It is immutable and may be used concurrently.
+type Published struct {
+	snapshot *config.Snapshot
+	// floor is the least version from which changes can be told.
+	floor   uint64
+	entries map[string]entry
+	// removed holds, by service name, the version that removed it.
+	removed map[string]uint64
+}
+
+// entry is one service in its wire form.
+type entry struct {
+	body []byte
+	// changed is a version not below the one that last changed the service, and
+	// not above the node's.
+	changed uint64
+}
+
+func emptyPublished() *Published {
+	return &Published{snapshot: config.NewSnapshot(0, nil)}
+}
+
+// Snapshot returns the configuration.
+func (p *Published) Snapshot() *config.Snapshot { return p.snapshot }
+
+// Version returns the version of the configuration, 0 for none.
+func (p *Published) Version() uint64 { return p.snapshot.Version() }
+
+// Answer answers a peer's request: the changes since the peer's version if the
+// history reaches back to it, else everything. The changes include those that
+// a later version undid, so that the peer may pass them on.
+func (p *Published) Answer(req *peerapi.FetchConfigRequest) *peerapi.FetchConfigResponse {
+	resp := &peerapi.FetchConfigResponse{Version: p.Version()}
+	if req.Since >= p.Version() {
+		return resp
+	}
+	since := req.Since
+	if since < p.floor || since == 0 {
+		resp.Full = true
+		since = 0
+	}
+	for name, e := range p.entries {
+		if e.changed > since {
+			resp.Entries = append(resp.Entries, &peerapi.ConfigEntry{Name: name, Body: e.body})
+		}
+	}
+	slices.SortFunc(resp.Entries, func(a, b *peerapi.ConfigEntry) int { return cmp.Compare(a.Name, b.Name) })
+	if resp.Full {
+		return resp
+	}
+	for name, version := range p.removed {
+		if version > since {
+			resp.Removed = append(resp.Removed, name)
+		}
+	}
+	slices.Sort(resp.Removed)
+	return resp
+}
+
+// fromStore returns the configuration after a step read from the store.
+func (p *Published) fromStore(u confstore.Update) (*Published, error) {
+	if !u.Complete || u.Base > p.Version() {
+		return p.replaceAll(u.Snapshot)
+	}
+	b := p.builder(u.Snapshot.Version())
+	for _, name := range u.Touched {
+		service := u.Snapshot.Service(name)
+		if service == nil {
+			b.remove(name)
+			continue
+		}
+		body, err := encodeBody(service)
+		if err != nil {
+			return nil, err
+		}
+		b.put(service, body)
+	}
+	return b.build(), nil
+}
+
+// replaceAll returns a configuration without history.
+func (p *Published) replaceAll(s *config.Snapshot) (*Published, error) {
+	out := &Published{snapshot: s, floor: s.Version(), entries: make(map[string]entry, s.Len())}
+	for _, name := range s.Names() {
+		body, err := encodeBody(s.Service(name))
+		if err != nil {
+			return nil, err
+		}
+		out.entries[name] = entry{body: body, changed: s.Version()}
+	}
+	return out, nil
+}
+
+// fromPeer returns the configuration after a peer's answer to a request for
+// the changes since a version. It fails with errBadResponse.
+func (p *Published) fromPeer(since uint64, resp *peerapi.FetchConfigResponse) (*Published, error) {
+	if !resp.Full && (since > p.Version() || since == 0) {
+		return nil, fmt.Errorf("%w: changes since version %d, which the node does not hold", errBadResponse, since)
+	}
+	base := p
+	if resp.Full {
+		base = emptyPublished()
+	}
+	b := base.builder(resp.Version)
+	if resp.Full {
+		b.out.floor = resp.Version
+	}
+	for _, e := range resp.Entries {
+		service, err := decodeBody(e)
+		if err != nil {
+			return nil, err
+		}
+		b.put(service, e.Body)
+	}
+	for _, name := range resp.Removed {
+		b.remove(name)
+	}
+	return b.build(), nil
+}
+
+// builder makes the next configuration.
+type builder struct {
+	base    *config.Snapshot
+	version uint64
+	out     *Published
+	changed []*config.Service
+	gone    []string
+}
+
+func (p *Published) builder(version uint64) *builder {
+	out := &Published{
+		floor:   p.floor,
+		entries: make(map[string]entry, len(p.entries)),
+		removed: make(map[string]uint64, len(p.removed)),
+	}
+	for name, e := range p.entries {
+		out.entries[name] = e
+	}
+	for name, v := range p.removed {
+		out.removed[name] = v
+	}
+	return &builder{base: p.snapshot, version: version, out: out}
+}
+
+func (b *builder) put(s *config.Service, body []byte) {
+	b.out.entries[s.Name] = entry{body: body, changed: b.version}
+	delete(b.out.removed, s.Name)
+	b.changed = append(b.changed, s)
+}
+
+func (b *builder) remove(name string) {
+	delete(b.out.entries, name)
+	b.out.removed[name] = b.version
+	b.gone = append(b.gone, name)
+}
+
+func (b *builder) build() *Published {
+	b.out.snapshot = b.base.With(b.version, b.changed, b.gone)
+	b.out.forget()
+	return b.out
+}
+
+// forget drops the oldest tombstones above the bound and raises the floor to
+// the version that is still complete without them.
+func (p *Published) forget() {
+	excess := len(p.removed) - maxTombstones
+	if excess <= 0 {
+		return
+	}
+	names := make([]string, 0, len(p.removed))
+	for name := range p.removed {
+		names = append(names, name)
+	}
+	slices.SortFunc(names, func(a, b string) int {
+		return cmp.Or(cmp.Compare(p.removed[a], p.removed[b]), cmp.Compare(a, b))
+	})
+	for _, name := range names[:excess] {
+		p.floor = max(p.floor, p.removed[name])
+		delete(p.removed, name)
+	}
+}
+
+func encodeBody(s *config.Service) ([]byte, error) {
+	encoded, err := config.EncodeService(s)
+	if err != nil {
+		return nil, err
+	}
+	var buf bytes.Buffer
+	w := gzip.NewWriter(&buf)
+	if _, err := w.Write(encoded); err != nil {
+		return nil, fmt.Errorf("compress service: %w", err)
+	}
+	if err := w.Close(); err != nil {
+		return nil, fmt.Errorf("compress service: %w", err)
+	}
+	return buf.Bytes(), nil
+}
+
+func decodeBody(e *peerapi.ConfigEntry) (*config.Service, error) {
+	r, err := gzip.NewReader(bytes.NewReader(e.Body))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBadResponse, err)
+	}
+	encoded, err := io.ReadAll(io.LimitReader(r, maxEntryBytes))
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBadResponse, err)
+	}
+	s, err := config.DecodeService(encoded)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", errBadResponse, err)
+	}
+	if s.Name != e.Name {
+		return nil, fmt.Errorf("%w: entry %q holds service %q", errBadResponse, e.Name, s.Name)
+	}
+	return s, nil
+}
--- /dev/null
+++ b/core/confsync/ready.go
@@ -0,0 +1,143 @@
+package confsync
+
+import (
+	"cmp"
+	"time"
+)
+
+// checkReady makes the node ready if it holds the current version; it reports
+// whether the node became ready now.
+func (m *Machine) checkReady(now time.Time) bool {
+	if m.ready {
+		return false
+	}
+	switch {
+	case m.lacks():
+	case m.store.confirmed, m.majorityTold(now):
+		m.ready = true
+	}
+	return m.ready
+}
+
+// majorityTold reports whether a majority of the known hosts has told a
+// version. A node that knows few hosts yet gets a while to learn of others.
+func (m *Machine) majorityTold(now time.Time) bool {
+	if !m.asksPeers(now) || now.Sub(m.options.Start) < storePatience || m.published.Version() == 0 {
+		return false
+	}
+	told := 0
+	for _, member := range m.members {
+		if p := m.peers[member.Name]; p != nil && p.version > 0 {
+			told++
+		}
+	}
+	// The known hosts include the node itself, which has nothing to tell.
+	known := len(m.members) + 1
+	return told >= known/2+1
+}
+
+// asksPeers reports whether the node asks its peers instead of the store.
+func (m *Machine) asksPeers(now time.Time) bool {
+	return !m.store.confirmed && (m.store.failed || now.Sub(m.options.Start) >= storePatience)
+}
+
+// needsVersion reports whether the node does not know the current version yet.
+func (m *Machine) needsVersion() bool { return !m.ready && !m.store.confirmed }
+
+// inquire asks some peers that have not told their version.
+func (m *Machine) inquire(now time.Time) []Action {
+	if !m.asksPeers(now) {
+		return nil
+	}
+	var out []Action
+	for _, i := range m.rand.Perm(len(m.members)) {
+		p := m.peer(m.members[i].Name)
+		if p.version > 0 || !p.asked.IsZero() && now.Sub(p.asked) < inquiryRetry {
+			continue
+		}
+		p.asked = now
+		out = append(out, Announce{Peer: m.members[i].Name, Version: m.Version()})
+		if len(out) == inquiryBatch {
+			break
+		}
+	}
+	return out
+}
+
+// shouldRead reports whether to read the version from the store. Only a node
+// that is not ready does so; a watcher learns the version from its watch.
+func (m *Machine) shouldRead(now time.Time) bool {
+	return m.needsVersion() && !m.store.reading && !now.Before(m.store.nextRead)
+}
+
+// storeVersion handles the version that the store names as current.
+func (m *Machine) storeVersion(now time.Time, e StoreVersion) {
+	m.store.reading = false
+	if e.Err != nil {
+		m.storeFailed(now)
+		return
+	}
+	m.store.confirmed = true
+	m.store.failures = 0
+	m.heard(now, e.Version)
+}
+
+func (m *Machine) storeFailed(now time.Time) {
+	m.store.failed = true
+	delay := min(storeRetryMin<<min(m.store.failures, 10), storeRetryMax)
+	m.store.failures++
+	// Half of the delay is random, so that hosts which failed together don't
+	// return together.
+	m.store.nextRead = now.Add(delay/2 + time.Duration(m.rand.Int64N(int64(delay/2))))
+}
+
+// searching reports whether the node lacks a version that no peer is known to have.
+func (m *Machine) searching(now time.Time) bool {
+	return m.lacks() && m.fetching == nil && m.source(now) == ""
+}
+
+// search asks a few random peers for their version.
+func (m *Machine) search() []Action {
+	var out []Action
+	for _, i := range m.rand.Perm(len(m.members)) {
+		if len(out) == searchSize {
+			break
+		}
+		out = append(out, Announce{Peer: m.members[i].Name, Version: m.Version()})
+	}
+	return out
+}
+
+// shouldLoad reports whether to load the configuration from the store because
+// no peer gave it.
+func (m *Machine) shouldLoad(now time.Time) bool {
+	if !m.lacks() || m.store.loading || now.Before(m.store.nextRead) {
+		return false
+	}
+	if len(m.members) == 0 {
+		return true
+	}
+	return now.Sub(m.wantSince) >= loadPatience
+}
+
+// sourceRank orders peers to fetch from.
+type sourceRank struct {
+	responsive bool
+	version    uint64
+	near       bool
+}
+
+func (r sourceRank) compare(o sourceRank) int {
+	return cmp.Or(compareBools(r.responsive, o.responsive), cmp.Compare(r.version, o.version), compareBools(r.near, o.near))
+}
+
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return 1
+	default:
+		return -1
+	}
+}
--- /dev/null
+++ b/core/confsync/tree.go
@@ -0,0 +1,92 @@
+package confsync
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+)
+
+const (
+	// watchersPerZone is the number of hosts of a zone that watch the store. The
+	// second covers for the first until its loss is noticed.
+	watchersPerZone = 2
+	// fanOut is the number of children of a host in a tree.
+	fanOut = 4
+)
+
+// zone is the part of the membership table that a node pushes to: the live
+// hosts of its availability zone, in an order that all of them agree on.
+type zone struct {
+	// hosts are in rendezvous order; the first watchersPerZone watch the store.
+	hosts []string
+}
+
+func newZone(name string, members []Member) *zone {
+	z := &zone{}
+	for _, m := range members {
+		if m.Zone == name {
+			z.hosts = append(z.hosts, m.Name)
+		}
+	}
+	sortByHash(z.hosts, "config watcher", 0)
+	return z
+}
+
+func (z *zone) watchers() []string {
+	return z.hosts[:min(watchersPerZone, len(z.hosts))]
+}
+
+// trees returns one tree for each watcher, which is its root. The other hosts
+// follow in an order that depends on the tree and the version, so a host that
+// is lost for both trees is lost for other hosts in the next version.
+func (z *zone) trees(version uint64) []tree {
+	var out []tree
+	for i, root := range z.watchers() {
+		t := tree{root}
+		others := slices.DeleteFunc(slices.Clone(z.hosts), func(h string) bool { return h == root })
+		sortByHash(others, "config tree", version<<1|uint64(i&1))
+		out = append(out, append(t, others...))
+	}
+	return out
+}
+
+// tree lists hosts such that the children of the host at index i are at
+// i*fanOut+1 and the following.
+type tree []string
+
+func (t tree) children(host string) []string {
+	i := slices.Index(t, host)
+	if i < 0 {
+		return nil
+	}
+	first := min(i*fanOut+1, len(t))
+	return t[first:min(first+fanOut, len(t))]
+}
+
+// sortByHash orders hosts by the hash of their name with a purpose and number.
+func sortByHash(hosts []string, purpose string, number uint64) {
+	keys := make(map[string]uint64, len(hosts))
+	for _, h := range hosts {
+		keys[h] = hash(purpose, number, h)
+	}
+	slices.SortFunc(hosts, func(a, b string) int {
+		return cmp.Or(cmp.Compare(keys[a], keys[b]), cmp.Compare(a, b))
+	})
+}
+
+func hash(purpose string, number uint64, host string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(purpose))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(host))
+	return mix(h.Sum64() ^ mix(number))
+}
+
+// mix is the finalizer of SplitMix64. Without it, FNV orders similar names
+// alike for every number.
+func mix(x uint64) uint64 {
+	x += 0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
