Add gypsumctl status, switchover and drain

A switchover goes to the owner with the least rank. A failure to connect is told from a lost answer, and a lost answer is settled by the hosts' status.

--- a/ctl/internal/cli/cli.go
+++ b/ctl/internal/cli/cli.go
@@ -38,9 +38,12 @@
 
 // arguments is the command line.
 type arguments struct {
-	Check *checkCommand `arg:"subcommand:check" help:"check a configuration folder without contacting the platform"`
-	Diff  *diffCommand  `arg:"subcommand:diff" help:"show what applying a folder would change"`
-	Apply *applyCommand `arg:"subcommand:apply" help:"make a folder the current configuration"`
+	Check      *checkCommand      `arg:"subcommand:check" help:"check a configuration folder without contacting the platform"`
+	Diff       *diffCommand       `arg:"subcommand:diff" help:"show what applying a folder would change"`
+	Apply      *applyCommand      `arg:"subcommand:apply" help:"make a folder the current configuration"`
+	Status     *statusCommand     `arg:"subcommand:status" help:"show hosts, databases and slots"`
+	Switchover *switchoverCommand `arg:"subcommand:switchover" help:"change the primary of a database as planned"`
+	Drain      *drainCommand      `arg:"subcommand:drain" help:"take a host out of service without interrupting requests"`
 
 	Output   outputFormat  `arg:"--output" default:"text" placeholder:"FORMAT" help:"text or json"`
 	Platform string        `arg:"--platform,env:GYPSUMGAP_PLATFORM" placeholder:"URL" help:"address of the platform, http://host:port"`
--- a/ctl/internal/cli/cli_test.go
+++ b/ctl/internal/cli/cli_test.go
@@ -139,7 +139,7 @@
 	s := &session{}
 	wantStatus(t, s.run(), cli.Usage)
 	wantStatus(t, s.run("--help"), cli.Done)
-	for _, name := range []string{"check", "diff", "apply"} {
+	for _, name := range []string{"check", "diff", "apply", "status", "switchover", "drain"} {
 		wantStatus(t, s.run(name, "--help"), cli.Done)
 	}
 	wantStatus(t, s.run("unknown"), cli.Usage)
--- /dev/null
+++ b/ctl/internal/cli/hosts.go
@@ -0,0 +1,157 @@
+package cli
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptrace"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+)
+
+const (
+	// hostTimeout bounds one status request, so that a silent host does not
+	// hold up the answers of the others.
+	hostTimeout = 3 * time.Second
+	// parallelHosts bounds the requests in flight.
+	parallelHosts = 32
+)
+
+// target is a host to send requests to.
+type target struct {
+	name    string
+	address string
+}
+
+// hostOptions select hosts on the command line.
+type hostOptions struct {
+	Host []string `arg:"--host,separate" placeholder:"HOST:PORT" help:"peer address of a host; may be repeated; without it the platform's host list is used"`
+}
+
+// targets returns the selected hosts, by default those of the platform's list.
+func (o *hostOptions) targets(ctx context.Context, c *call) ([]target, error) {
+	if len(o.Host) > 0 {
+		out := make([]target, len(o.Host))
+		for i, address := range o.Host {
+			out[i] = target{name: address, address: address}
+		}
+		return out, nil
+	}
+	hosts, err := c.platformHosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]target, len(hosts))
+	for i, h := range hosts {
+		out[i] = target{name: h.Name, address: h.Address}
+	}
+	return out, nil
+}
+
+// platformHosts reads the platform's host list, ordered by name.
+func (c *call) platformHosts(ctx context.Context) ([]platform.Host, error) {
+	if c.args.Platform == "" {
+		return nil, &usage{"--host or --platform is missing"}
+	}
+	store, err := c.store()
+	if err != nil {
+		return nil, err
+	}
+	hosts, err := store.Hosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	slices.SortFunc(hosts, func(a, b platform.Host) int { return cmp.Compare(a.Name, b.Name) })
+	return hosts, nil
+}
+
+// hostHTTP connects to hosts directly, whatever proxy the environment names.
+var hostHTTP = &http.Client{Transport: &http.Transport{}}
+
+// hostClient sends requests to one host and tells failures to connect, which
+// changed nothing, from lost answers.
+type hostClient struct {
+	host      target
+	connected atomic.Bool
+}
+
+// Do implements twirp's HTTPClient.
+func (h *hostClient) Do(req *http.Request) (*http.Response, error) {
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { h.connected.Store(true) }}
+	return hostHTTP.Do(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+}
+
+func (h *hostClient) operator() peerapi.Operator {
+	return peerapi.NewOperatorProtobufClient("http://"+h.host.address, h)
+}
+
+// refusals are the codes with which a host says that it did nothing.
+var refusals = []twirp.ErrorCode{
+	twirp.InvalidArgument, twirp.NotFound, twirp.BadRoute, twirp.Malformed, twirp.AlreadyExists,
+	twirp.PermissionDenied, twirp.Unauthenticated, twirp.ResourceExhausted, twirp.FailedPrecondition,
+	twirp.Aborted, twirp.OutOfRange, twirp.Unimplemented, twirp.Unavailable,
+}
+
+// failure types the error of a request that asked for a change.
+func (h *hostClient) failure(err error) error {
+	if err == nil {
+		return nil
+	}
+	if !h.connected.Load() {
+		return fmt.Errorf("host %s: %w: %w", h.host.name, errUnreachable, err)
+	}
+	var answer twirp.Error
+	if errors.As(err, &answer) && slices.Contains(refusals, answer.Code()) {
+		return fmt.Errorf("host %s refused: %s", h.host.name, answer.Msg())
+	}
+	return fmt.Errorf("host %s: %w: %w", h.host.name, errOutcomeUnknown, err)
+}
+
+// hostStatus is a host's answer to a status request, or its failure.
+type hostStatus struct {
+	target target
+	answer *peerapi.StatusResponse
+	err    error
+}
+
+// statusOfHosts asks all targets, a few at a time. It fails only if no host answers.
+func statusOfHosts(ctx context.Context, targets []target, service string) ([]hostStatus, error) {
+	if len(targets) == 0 {
+		return nil, fmt.Errorf("the platform's host list is empty: %w", errUnreachable)
+	}
+	out := make([]hostStatus, len(targets))
+	slots := make(chan struct{}, parallelHosts)
+	var wg sync.WaitGroup
+	for i, t := range targets {
+		slots <- struct{}{}
+		wg.Go(func() {
+			out[i] = statusOfHost(ctx, t, service)
+			<-slots
+		})
+	}
+	wg.Wait()
+	if !slices.ContainsFunc(out, func(s hostStatus) bool { return s.err == nil }) {
+		return out, fmt.Errorf("no host answered: %w", out[0].err)
+	}
+	return out, nil
+}
+
+func statusOfHost(ctx context.Context, t target, service string) hostStatus {
+	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
+	defer cancel()
+	h := &hostClient{host: t}
+	answer, err := h.operator().Status(ctx, &peerapi.StatusRequest{Service: service})
+	if err != nil {
+		err = fmt.Errorf("host %s: %w: %w", t.name, errUnreachable, err)
+	}
+	return hostStatus{target: t, answer: answer, err: err}
+}
--- /dev/null
+++ b/ctl/internal/cli/operate_test.go
@@ -0,0 +1,160 @@
+package cli_test
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/core/platform/platformtest"
+	"github.com/gypsumgap/gypsumgap/ctl/internal/cli"
+)
+
+// fakeHost serves the operators' API with a fixed database.
+type fakeHost struct {
+	name string
+	rank uint32
+	term uint64
+	// dropAnswer makes a switchover take effect and its answer get lost.
+	dropAnswer bool
+	// never makes a switchover do nothing and its answer get lost.
+	never bool
+	asked []string
+}
+
+func (h *fakeHost) Status(_ context.Context, req *peerapi.StatusRequest) (*peerapi.StatusResponse, error) {
+	resp := &peerapi.StatusResponse{Host: h.name, Zone: "randstad-a", State: "ready", ConfigVersion: 7}
+	if req.Service != "" && req.Service != "werkplaats-db" {
+		return resp, nil
+	}
+	resp.Databases = []*peerapi.DatabaseStatus{{
+		Database:         "werkplaats-1-a",
+		Service:          "werkplaats-db",
+		Term:             h.term,
+		PrimarySlot:      "werkplaats-1-a/0",
+		ConnectionsUsed:  12,
+		ConnectionsLimit: 45,
+		LastAction:       "promoted werkplaats-1-a/0",
+		LastReason:       "3 probes missed",
+		LastActionUnixMs: uint64(time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC).UnixMilli()),
+		OwnerRank:        h.rank,
+		Slots: []*peerapi.SlotStatus{
+			{Slot: "werkplaats-1-a/0", Role: "primary", Zone: "randstad-a", ReceivedTerm: 3, ReceivedOffset: 100, AppliedTerm: 3, AppliedOffset: 100, Reachable: true, Connections: 9},
+			{Slot: "werkplaats-1-a/1", Role: "replica", Zone: "gelderland-a", ReceivedTerm: 3, ReceivedOffset: 90, AppliedTerm: 3, AppliedOffset: 80, Reachable: true, Leaving: true, AgeMs: 1500, Connections: 3},
+			{Slot: "werkplaats-1-a/2", Zone: "brabant-a"},
+		},
+	}}
+	return resp, nil
+}
+
+func (h *fakeHost) Switchover(_ context.Context, req *peerapi.SwitchoverRequest) (*peerapi.SwitchoverResponse, error) {
+	h.asked = append(h.asked, "switchover "+req.Database+" "+req.ToSlot)
+	if req.ToSlot == "werkplaats-1-a/2" {
+		return nil, twirp.NewError(twirp.FailedPrecondition, "slot werkplaats-1-a/2 is unreachable")
+	}
+	if h.never {
+		panic(http.ErrAbortHandler)
+	}
+	h.term++
+	if h.dropAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	return &peerapi.SwitchoverResponse{Term: h.term, PrimarySlot: "werkplaats-1-a/0", PausedMs: 130}, nil
+}
+
+func (h *fakeHost) Drain(_ context.Context, req *peerapi.DrainRequest) (*peerapi.DrainResponse, error) {
+	return &peerapi.DrainResponse{Running: req.TimeoutSeconds}, nil
+}
+
+// serveHost serves a fake host and returns its address.
+func serveHost(t *testing.T, h *fakeHost) string {
+	t.Helper()
+	server := httptest.NewUnstartedServer(peerapi.NewOperatorServer(h))
+	server.Config.ErrorLog = nil
+	server.Start()
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// closedAddress returns an address on which nothing listens.
+func closedAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// fleet serves two owners of the database and lists a third host that is gone.
+func fleet(t *testing.T) (*session, *fakeHost, *fakeHost) {
+	t.Helper()
+	first := &fakeHost{name: "e1", rank: 0, term: 3}
+	second := &fakeHost{name: "e2", rank: 1, term: 3}
+	store := platformtest.New(platformtest.Options{Hosts: []platform.Host{
+		{Name: "e2", Address: serveHost(t, second)},
+		{Name: "e1", Address: serveHost(t, first)},
+		{Name: "e3", Address: closedAddress(t)},
+	}})
+	return &session{store: store}, first, second
+}
+
+// Guards against a status that hides an unreachable host, shows a database as
+// a host of a higher rank sees it, or fails because one host is gone.
+func TestStatus(t *testing.T) {
+	s, _, _ := fleet(t)
+	const at = "--platform=http://platform"
+	wantStatus(t, s.run("status", at, "--slots"), cli.Done)
+	wantStatus(t, s.run("status", at, "--service=another"), cli.Done)
+	wantStatus(t, s.run("status"), cli.Usage)
+	s.assert(t, "status")
+
+	wantStatus(t, s.run("status", "--host="+closedAddress(t)), cli.Unreachable)
+	s.store = platformtest.New(platformtest.Options{})
+	wantStatus(t, s.run("status", at), cli.Unreachable)
+}
+
+// Guards against a switchover at a host that is not the first owner, and
+// against refusals, lost answers and outages that look alike.
+func TestSwitchover(t *testing.T) {
+	s, first, second := fleet(t)
+	const at = "--platform=http://platform"
+	wantStatus(t, s.run("switchover", "werkplaats-1-a", at), cli.Done)
+	wantStatus(t, s.run("switchover", "werkplaats-1-a", "--to=werkplaats-1-a/2", at), cli.Refused)
+	wantStatus(t, s.run("switchover", "unknown", at), cli.Refused)
+	first.dropAnswer = true
+	wantStatus(t, s.run("switchover", "werkplaats-1-a", at, "--output=json"), cli.Done)
+	if len(first.asked) != 3 || len(second.asked) != 0 {
+		t.Errorf("the first owner was asked %v, the second %v", first.asked, second.asked)
+	}
+	s.assert(t, "switchover")
+
+	first.never = true
+	wantStatus(t, s.run("switchover", "werkplaats-1-a", at, "--timeout=1s"), cli.Unknown)
+	wantStatus(t, s.run("switchover", "werkplaats-1-a", "--host="+closedAddress(t)), cli.Unreachable)
+}
+
+// Guards against a drain of another host than the named one.
+func TestDrain(t *testing.T) {
+	s, first, _ := fleet(t)
+	const at = "--platform=http://platform"
+	wantStatus(t, s.run("drain", "e1", "--wait=60s", at), cli.Done)
+	wantStatus(t, s.run("drain", "e9", at), cli.Refused)
+	wantStatus(t, s.run("drain", "e1", "--wait=1500ms", at), cli.Usage)
+	s.assert(t, "drain")
+
+	address := serveHost(t, first)
+	wantStatus(t, s.run("drain", address), cli.Done)
+	wantStatus(t, s.run("drain", "e3", at), cli.Unreachable)
+	if !strings.Contains(s.out.String(), "host "+address+" drains") {
+		t.Errorf("a host given by its address was not drained:\n%s", s.out.String())
+	}
+}
