Close a replaced primary's open transaction when the slot follows

Under a load with random faults, silent clients kept the writer lock of replaced primaries, which applied nothing for up to the idle limit of 1 s.

--- a/standin/dbgroup/orders.go
+++ b/standin/dbgroup/orders.go
@@ -60,13 +60,13 @@
 // it changes nothing and succeeds, so that an order can be repeated after a
 // lost answer. It fails, with SQLSTATE 55000, in other states.
 func (s *Slot) Promote(ctx context.Context, t group.Term) (group.Status, error) {
+	if status, done, err := s.checkPromote(t); done || err != nil {
+		return status, err
+	}
 	if !s.writer.acquire(nil, nil, ctx.Done()) {
 		return group.Status{}, ctx.Err()
 	}
 	defer s.writer.release()
-	if status, done, err := s.checkPromote(t); done || err != nil {
-		return status, err
-	}
 	s.applyReceived()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/standin/dbgroup/orders_test.go
+++ b/standin/dbgroup/orders_test.go
@@ -97,6 +97,26 @@
 	}
 }
 
+// Guards against a transaction left open on a replaced primary that keeps the
+// slot from following.
+func TestFollowEndsOpenTransaction(t *testing.T) {
+	g := startGroup(t, func(o *dbgroup.Options) { o.WriterIdleLimit = never })
+	c := connect(t, g.Slot(0))
+	exec(t, c, "BEGIN")
+	exec(t, c, insertJob, 1, "open")
+	for _, s := range []*dbgroup.Slot{g.Slot(1), g.Slot(2)} {
+		_, err := s.Fence(2)
+		must(t, group.Status{}, err)
+	}
+	_, err := g.Slot(1).Promote(background, 2)
+	must(t, group.Status{}, err)
+	_, err = g.Slot(0).Follow(2, g.Slot(1).Address())
+	must(t, group.Status{}, err)
+	awaitApplied(t, g.Slot(0), g.Slot(1).Status().Received)
+	_, err = c.Exec(background, "COMMIT")
+	wantCode(t, err, "57P01")
+}
+
 // Guards against a replica that takes records of a primary whose term it has left.
 func TestFencedReplicaReceivesNothing(t *testing.T) {
 	g := startGroup(t, nil)
--- a/standin/dbgroup/slot.go
+++ b/standin/dbgroup/slot.go
@@ -94,7 +94,7 @@
 		changed:  make(chan struct{}),
 		role:     group.Replica,
 	}
-	s.writer = newWriterLock(g.opts.WriterIdleLimit)
+	s.writer = newWriterLock(g.opts.WriterIdleLimit, s.demoted)
 	s.network.Store(&networkFaults{changed: make(chan struct{})})
 	s.settings.Store(&slotSettings{
 		connectionLimit: g.opts.ConnectionLimit,
@@ -336,6 +336,12 @@
 	return s.running
 }
 
+func (s *Slot) demoted() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.role != group.Primary
+}
+
 // oneWay returns the latency between the slot and a client.
 func (s *Slot) oneWay(client netip.Addr) time.Duration {
 	table := s.group.opts.Latency
