Wait for the reset before a test counts it

Ruled out: state that crossed callers, which the assertion before it checks. The test now waits until every goroutine is idle and still wants exactly one reset. 300 runs with the race detector passed.

--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -202,6 +202,8 @@
 		if got := queryString(t, b, "SHOW search_path"); got != "" {
 			t.Fatalf("other caller sees %q", got)
 		}
+		// The reset follows the answer to the caller.
+		synctest.Wait()
 		if n := w.backends[0].count("DISCARD ALL"); n != 1 {
 			t.Fatalf("%d resets, want 1", n)
 		}
