--- a/standin/cmd/gypsumgap-demo/main.go
+++ b/standin/cmd/gypsumgap-demo/main.go
@@ -19,6 +19,8 @@
 	Bin  string `arg:"--bin" help:"folder of the built programs; the folder of this one by default"`
 	Logs string `arg:"--logs" help:"file for the output of all processes" default:"/dev/null"`
 	Seed uint64 `arg:"--seed" default:"1" help:"seed of the callers' choices"`
+
+	Scenario demo.Scenario `arg:"--scenario" default:"kill" help:"faults to inject"`
 }
 
 func main() {
@@ -45,7 +47,7 @@
 		return 1
 	}
 	defer logs.Close()
-	summary, err := demo.Run(ctx, demo.Options{Bin: args.Bin, Logs: logs, Seed: args.Seed})
+	summary, err := demo.Run(ctx, demo.Options{Bin: args.Bin, Logs: logs, Seed: args.Seed, Scenario: args.Scenario})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		return 1
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -9,10 +9,12 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
 
+	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
 	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
 	"github.com/gypsumgap/gypsumgap/standin/load"
@@ -40,6 +42,8 @@
 	// Logs receives the output of all processes.
 	Logs io.Writer
 	Seed uint64
+	// Scenario chooses the faults.
+	Scenario Scenario
 }
 
 // Run runs the demo and returns its summary. It stops every process that it
@@ -63,7 +67,8 @@
 	if err != nil {
 		return nil, err
 	}
-	loadErr := losePrimaries(ctx, l)
+	bench := &bench{layout: l, processes: p, admin: dbgroup.AdminClient{URL: "http://" + l.groupsAdmin}}
+	loadErr := o.Scenario.inject(ctx, bench)
 	for _, r := range runs {
 		r.stop()
 	}
@@ -80,7 +85,7 @@
 		return err
 	}
 	for _, h := range l.hosts {
-		if err := p.start("gypsumgap", "--settings", h.settings); err != nil {
+		if err := p.startHost(h); err != nil {
 			return err
 		}
 	}
@@ -133,37 +138,15 @@
 	return runs, nil
 }
 
-// losePrimaries kills the primary of each database under load, and restarts it
-// some time later.
-func losePrimaries(ctx context.Context, l *layout) error {
-	admin := dbgroup.AdminClient{URL: "http://" + l.groupsAdmin}
-	for _, dep := range deployments {
-		if err := sleep(ctx, loadBeforeFault); err != nil {
-			return err
-		}
-		if err := killPrimary(ctx, admin, dep, l); err != nil {
-			return err
-		}
-	}
-	return sleep(ctx, loadAfterFault)
-}
-
-func killPrimary(ctx context.Context, admin dbgroup.AdminClient, dep deployment, l *layout) error {
+// primary returns the index of a database's primary among its slots.
+func (l *layout) primary(ctx context.Context, database string) (int, error) {
 	client := pgcontrol.New(pgcontrol.Options{})
 	defer client.Close()
-	slot, err := load.FindPrimary(ctx, client, l.slots[dep.database])
+	slot, err := load.FindPrimary(ctx, client, l.slots[database])
 	if err != nil {
-		return fmt.Errorf("find primary of %s: %w", dep.database, err)
+		return 0, fmt.Errorf("find primary of %s: %w", database, err)
 	}
-	for i, s := range l.slots[dep.database] {
-		if s.ID == slot.ID {
-			killed := true
-			if _, err := admin.Set(ctx, dep.database, i, dbgroup.Faults{Killed: &killed}); err != nil {
-				return fmt.Errorf("kill %s: %w", slot.ID, err)
-			}
-		}
-	}
-	return nil
+	return slices.IndexFunc(l.slots[database], func(s group.Slot) bool { return s.ID == slot.ID }), nil
 }
 
 func sleep(ctx context.Context, d time.Duration) error {
@@ -196,6 +179,9 @@
 	bin     string
 	logs    io.Writer
 	running []*exec.Cmd
+	// hosts holds the gypsumgap processes in the order of the layout; an entry
+	// is nil once the process was ended.
+	hosts []*exec.Cmd
 }
 
 func (p *processes) command(name string, args ...string) *exec.Cmd {
@@ -217,6 +203,14 @@
 	return nil
 }
 
+func (p *processes) startHost(h hostPlan) error {
+	if err := p.start("gypsumgap", "--settings", h.settings); err != nil {
+		return err
+	}
+	p.hosts = append(p.hosts, p.running[len(p.running)-1])
+	return nil
+}
+
 func (p *processes) run(ctx context.Context, name string, args ...string) error {
 	cmd := p.command(name, args...)
 	if err := cmd.Start(); err != nil {
@@ -230,6 +224,11 @@
 	return nil
 }
 
+// forget drops a process that has ended.
+func (p *processes) forget(cmd *exec.Cmd) {
+	p.running = slices.DeleteFunc(p.running, func(c *exec.Cmd) bool { return c == cmd })
+}
+
 // stop ends the processes, the latest first, so that the hosts drain while the
 // stand-ins still run.
 func (p *processes) stop() {
--- /dev/null
+++ b/standin/demo/scenario.go
@@ -0,0 +1,473 @@
+package demo
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/standin/dbgroup"
+	"github.com/gypsumgap/gypsumgap/standin/platform"
+)
+
+// Scenario is a set of faults that a run injects.
+type Scenario string
+
+// scenarios maps each name to its faults. Every scenario begins and ends with
+// load that no new fault disturbs.
+var scenarios = map[Scenario]func(context.Context, *bench) error{
+	"kill":          killPrimaries,
+	"kill-twice":    killTwice,
+	"freeze":        freezePrimaries,
+	"short-freeze":  freezeBriefly,
+	"cut":           cutPrimaries,
+	"silent":        silenceConnections,
+	"lag":           stallReplicas,
+	"leaving":       leavePrimaries,
+	"switchover":    switchPrimaries,
+	"store-down":    failWithoutStore,
+	"store-slow":    failWithSlowStore,
+	"host-kill":     killHosts,
+	"host-pause":    pauseHosts,
+	"host-drain":    drainHosts,
+	"apply-race":    raceApplies,
+	"kill-and-host": killPrimaryAndOwner,
+}
+
+// Scenarios returns the names in order.
+func Scenarios() []string {
+	var names []string
+	for s := range scenarios {
+		names = append(names, string(s))
+	}
+	slices.Sort(names)
+	return names
+}
+
+// UnmarshalText accepts the name of a scenario.
+func (s *Scenario) UnmarshalText(text []byte) error {
+	if _, ok := scenarios[Scenario(text)]; !ok {
+		return fmt.Errorf("unknown scenario %q; known are %s", text, strings.Join(Scenarios(), ", "))
+	}
+	*s = Scenario(text)
+	return nil
+}
+
+func (s Scenario) inject(ctx context.Context, b *bench) error {
+	if err := sleep(ctx, loadBeforeFault); err != nil {
+		return err
+	}
+	if err := scenarios[s](ctx, b); err != nil {
+		return fmt.Errorf("scenario %s: %w", s, err)
+	}
+	return sleep(ctx, loadAfterFault)
+}
+
+const (
+	// betweenFaults lets the system settle after one fault.
+	betweenFaults = 4 * time.Second
+	// briefFreeze is shorter than the detection time of 3 probes at 250 ms.
+	briefFreeze = 300 * time.Millisecond
+	longFreeze  = 5 * time.Second
+	hostPause   = 8 * time.Second
+)
+
+// bench is what faults act on.
+type bench struct {
+	layout    *layout
+	processes *processes
+	admin     dbgroup.AdminClient
+}
+
+// primaries sets faults on the primary of each database, one after the other.
+func (b *bench) primaries(ctx context.Context, faults dbgroup.Faults) (undo func(dbgroup.Faults) error, err error) {
+	var hit []func(dbgroup.Faults) error
+	for _, dep := range deployments {
+		i, err := b.layout.primary(ctx, dep.database)
+		if err != nil {
+			return nil, err
+		}
+		set := func(f dbgroup.Faults) error {
+			_, err := b.admin.Set(ctx, dep.database, i, f)
+			return err
+		}
+		if err := set(faults); err != nil {
+			return nil, err
+		}
+		hit = append(hit, set)
+		if err := sleep(ctx, betweenFaults); err != nil {
+			return nil, err
+		}
+	}
+	return func(f dbgroup.Faults) error {
+		var errs []error
+		for _, set := range hit {
+			errs = append(errs, set(f))
+		}
+		return errors.Join(errs...)
+	}, nil
+}
+
+func flag(v bool) *bool { return &v }
+
+func killPrimaries(ctx context.Context, b *bench) error {
+	undo, err := b.primaries(ctx, dbgroup.Faults{Killed: flag(true)})
+	if err != nil {
+		return err
+	}
+	// The old primaries return with a log that may hold lost records.
+	return undo(dbgroup.Faults{Killed: flag(false)})
+}
+
+func killTwice(ctx context.Context, b *bench) error {
+	if err := killPrimaries(ctx, b); err != nil {
+		return err
+	}
+	if err := sleep(ctx, betweenFaults); err != nil {
+		return err
+	}
+	return killPrimaries(ctx, b)
+}
+
+func freezePrimaries(ctx context.Context, b *bench) error {
+	undo, err := b.primaries(ctx, dbgroup.Faults{Frozen: flag(true)})
+	if err != nil {
+		return err
+	}
+	return undo(dbgroup.Faults{Frozen: flag(false)})
+}
+
+func freezeBriefly(ctx context.Context, b *bench) error {
+	for _, dep := range deployments {
+		i, err := b.layout.primary(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		if _, err := b.admin.Set(ctx, dep.database, i, dbgroup.Faults{Frozen: flag(true)}); err != nil {
+			return err
+		}
+		if err := sleep(ctx, briefFreeze); err != nil {
+			return err
+		}
+		if _, err := b.admin.Set(ctx, dep.database, i, dbgroup.Faults{Frozen: flag(false)}); err != nil {
+			return err
+		}
+		after, err := b.layout.primary(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		if after != i {
+			return fmt.Errorf("a freeze of %s moved the primary of %s", briefFreeze, dep.database)
+		}
+	}
+	return nil
+}
+
+// cutPrimaries cuts each primary off from its replicas, but not from the hosts,
+// so that it goes on believing that it leads.
+func cutPrimaries(ctx context.Context, b *bench) error {
+	for _, dep := range deployments {
+		i, err := b.layout.primary(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		var others []int
+		for s := range dep.slots {
+			if s != i {
+				others = append(others, s)
+			}
+		}
+		if _, err := b.admin.Set(ctx, dep.database, i, dbgroup.Faults{CutSlots: &others}); err != nil {
+			return err
+		}
+		if err := sleep(ctx, betweenFaults+longFreeze); err != nil {
+			return err
+		}
+		if _, err := b.admin.Set(ctx, dep.database, i, dbgroup.Faults{CutSlots: &[]int{}}); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func silenceConnections(ctx context.Context, b *bench) error {
+	_, err := b.primaries(ctx, dbgroup.Faults{SilenceConnections: flag(true)})
+	return err
+}
+
+func (b *bench) replicas(ctx context.Context, f dbgroup.Faults) error {
+	for _, dep := range deployments {
+		i, err := b.layout.primary(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		for s := range dep.slots {
+			if s == i {
+				continue
+			}
+			if _, err := b.admin.Set(ctx, dep.database, s, f); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (b *bench) setLag(ctx context.Context, lag time.Duration) error {
+	text := config.Duration(lag).String()
+	var f dbgroup.Faults
+	if err := json.Unmarshal([]byte(`{"apply_lag":"`+text+`"}`), &f); err != nil {
+		return err
+	}
+	return b.replicas(ctx, f)
+}
+
+func stallReplicas(ctx context.Context, b *bench) error {
+	const lag = 3 * time.Second
+	if err := b.setLag(ctx, lag); err != nil {
+		return err
+	}
+	if err := sleep(ctx, 2*lag); err != nil {
+		return err
+	}
+	return b.setLag(ctx, 0)
+}
+
+func leavePrimaries(ctx context.Context, b *bench) error {
+	_, err := b.primaries(ctx, dbgroup.Faults{Leaving: flag(true)})
+	return err
+}
+
+func switchPrimaries(ctx context.Context, b *bench) error {
+	for _, dep := range deployments {
+		if err := b.gypsumctl(ctx, "switchover", dep.database); err != nil {
+			return err
+		}
+		if err := sleep(ctx, betweenFaults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (b *bench) gypsumctl(ctx context.Context, args ...string) error {
+	return b.processes.run(ctx, "gypsumctl", append(args, "--platform", "http://"+b.layout.platform)...)
+}
+
+// store sets the faults of the platform stand-in.
+func (b *bench) store(ctx context.Context, f platform.Faults) error {
+	body, err := json.Marshal(f)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPut, "http://"+b.layout.platform+"/admin/faults", bytes.NewReader(body))
+	if err != nil {
+		return err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return fmt.Errorf("set faults of the platform: %s", resp.Status)
+	}
+	return nil
+}
+
+func failWithoutStore(ctx context.Context, b *bench) error {
+	if err := b.store(ctx, platform.Faults{Down: true}); err != nil {
+		return err
+	}
+	if err := killPrimaries(ctx, b); err != nil {
+		return err
+	}
+	return b.store(ctx, platform.Faults{})
+}
+
+func failWithSlowStore(ctx context.Context, b *bench) error {
+	const delay = 3 * time.Second
+	if err := b.store(ctx, platform.Faults{Slow: config.Duration(delay)}); err != nil {
+		return err
+	}
+	if err := killPrimaries(ctx, b); err != nil {
+		return err
+	}
+	return b.store(ctx, platform.Faults{})
+}
+
+// owner returns the index of the first owner of a database among the hosts.
+func (b *bench) owner(ctx context.Context, database string) (int, error) {
+	for i, h := range b.layout.hosts {
+		if b.processes.hosts[i] == nil {
+			continue
+		}
+		rank, ok, err := ownerRank(ctx, h, database)
+		if err != nil {
+			return 0, err
+		}
+		if ok && rank == 0 {
+			return i, nil
+		}
+	}
+	return 0, fmt.Errorf("no host owns %s", database)
+}
+
+// killHosts ends the owner of each database without a graceful shutdown, in
+// the middle of transactions, and starts a process in its place.
+func killHosts(ctx context.Context, b *bench) error {
+	for _, dep := range deployments {
+		i, err := b.owner(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		if err := b.kill(i); err != nil {
+			return err
+		}
+		if err := sleep(ctx, betweenFaults); err != nil {
+			return err
+		}
+		if err := b.restart(i); err != nil {
+			return err
+		}
+	}
+	return sleep(ctx, betweenFaults)
+}
+
+func (b *bench) kill(host int) error {
+	cmd := b.processes.hosts[host]
+	if err := cmd.Process.Kill(); err != nil {
+		return err
+	}
+	_ = cmd.Wait()
+	b.processes.forget(cmd)
+	b.processes.hosts[host] = nil
+	return nil
+}
+
+func (b *bench) restart(host int) error {
+	if err := b.processes.start("gypsumgap", "--settings", b.layout.hosts[host].settings); err != nil {
+		return err
+	}
+	b.processes.hosts[host] = b.processes.running[len(b.processes.running)-1]
+	return nil
+}
+
+// pauseHosts stops the owner of each database for longer than the other hosts
+// take to hold it for dead, and lets it go on unaware.
+func pauseHosts(ctx context.Context, b *bench) error {
+	for _, dep := range deployments {
+		i, err := b.owner(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		if err := b.processes.hosts[i].Process.Signal(syscall.SIGSTOP); err != nil {
+			return err
+		}
+		err = sleep(ctx, hostPause)
+		if err := errors.Join(err, b.processes.hosts[i].Process.Signal(syscall.SIGCONT)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drainHosts stops the owner of each database gracefully and replaces it.
+func drainHosts(ctx context.Context, b *bench) error {
+	for _, dep := range deployments {
+		i, err := b.owner(ctx, dep.database)
+		if err != nil {
+			return err
+		}
+		cmd := b.processes.hosts[i]
+		terminate(cmd)
+		b.processes.forget(cmd)
+		if err := b.restart(i); err != nil {
+			return err
+		}
+		if err := sleep(ctx, betweenFaults); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// killPrimaryAndOwner ends the primary and the host that would replace it at once.
+func killPrimaryAndOwner(ctx context.Context, b *bench) error {
+	dep := deployments[0]
+	slot, err := b.layout.primary(ctx, dep.database)
+	if err != nil {
+		return err
+	}
+	host, err := b.owner(ctx, dep.database)
+	if err != nil {
+		return err
+	}
+	if _, err := b.admin.Set(ctx, dep.database, slot, dbgroup.Faults{Killed: flag(true)}); err != nil {
+		return err
+	}
+	if err := b.kill(host); err != nil {
+		return err
+	}
+	if err := sleep(ctx, 2*betweenFaults); err != nil {
+		return err
+	}
+	return b.restart(host)
+}
+
+// raceApplies lets two operators apply different folders at the same moment,
+// while the store loses an answer. One must win, and both must get a clear result.
+func raceApplies(ctx context.Context, b *bench) error {
+	var folders []string
+	for i, timeout := range []string{"4s", "6s"} {
+		folder, err := b.variant(i, timeout)
+		if err != nil {
+			return err
+		}
+		folders = append(folders, folder)
+	}
+	if err := b.store(ctx, platform.Faults{LoseAnswers: 1}); err != nil {
+		return err
+	}
+	results := make(chan error, len(folders))
+	for _, folder := range folders {
+		go func() { results <- b.gypsumctl(ctx, "apply", folder) }()
+	}
+	applied := 0
+	for range folders {
+		err := <-results
+		var exit *exec.ExitError
+		switch {
+		case err == nil:
+			applied++
+		case errors.As(err, &exit) && exit.ExitCode() == 1:
+			// The other operator's change came first.
+		default:
+			return err
+		}
+	}
+	if applied == 0 {
+		return errors.New("neither operator's change was applied")
+	}
+	return nil
+}
+
+// variant copies the folder with another commit timeout for a service.
+func (b *bench) variant(n int, timeout string) (string, error) {
+	folder := filepath.Join(b.layout.dir, fmt.Sprintf("variant-%d", n))
+	if err := os.CopyFS(folder, os.DirFS(b.layout.configuration)); err != nil {
+		return "", err
+	}
+	text := fmt.Sprintf("services:\n  %s:\n    commit_timeout: %s\n", deployments[0].service, timeout)
+	return folder, os.WriteFile(filepath.Join(folder, "99-variant.yaml"), []byte(text), 0o600)
+}
