Bound pauses inside a unit by the idle timeouts, check text for session state

A caller may pause between the messages of a unit, so the 30 s bound applies to the rest of a message only. Reads whose text contains set_config, advisory or temp lead to a reset, as their tag does not show what they leave behind.

--- a/daemon/internal/session/bench_test.go
+++ b/daemon/internal/session/bench_test.go
@@ -163,6 +163,28 @@
 	}
 }
 
+// BenchmarkForwarded measures a one-row read through an entry host and an owner.
+func BenchmarkForwarded(b *testing.B) {
+	direct := benchBackend(b, map[string][]byte{"SELECT 1": benchAnswer(b, 1)})
+	r := newFakeRouter(b, nil)
+	r.backends = []string{direct}
+	r.unlogged = true
+	_, owner := startServer(b, nil, Options{Router: r, Forwarded: true})
+	entry := newFakeRouter(b, nil)
+	entry.backends = []string{owner}
+	entry.forwarded = true
+	entry.unlogged = true
+	_, address := startServer(b, nil, Options{Router: entry})
+	c := newBenchCaller(b, address, "SELECT 1")
+	defer c.nc.Close()
+	b.ReportAllocs()
+	for b.Loop() {
+		if err := c.run(); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkThroughput measures one-row reads of 64 callers. The CPU time of the
 // session is the difference between the paths, since callers and backend share
 // the process.
--- a/daemon/internal/session/doc.go
+++ b/daemon/internal/session/doc.go
@@ -26,10 +26,11 @@
 // connection is reset with DISCARD ALL, rather than closed, before it is given
 // back after a transaction in which a ParameterStatus changed or a statement
 // completed with another tag than those of plain reads, writes and transaction
-// control; a new connection costs 12 to 30 ms, a reset one round trip. A
-// connection whose transaction did not end cleanly is closed. State that a SELECT
-// changes, by set_config or pg_advisory_lock for example, does not show in the
-// tag and is not reset.
+// control, or whose text contains set_config, advisory or temp, since a SELECT
+// with these leaves state that its tag does not show; a new connection costs 12 to
+// 30 ms, a reset one round trip. A connection whose transaction did not end
+// cleanly is closed. State that a server-side function changes unseen is not
+// found, and currval and lastval are not reset after an INSERT.
 //
 // A caller's SET therefore lasts for its transaction only: the values of
 // parameters that changed are reported again at its end, and SET, LISTEN or
--- a/daemon/internal/session/exchange.go
+++ b/daemon/internal/session/exchange.go
@@ -120,9 +120,11 @@
 	}
 	switch it.kind {
 	case itemQuery:
+		s.dirty = s.dirty || mayLeaveState(it.sql)
 		s.conn.SetUnnamed("")
 		s.pass(u, i, expectReady)
 	case itemCall:
+		s.dirty = true
 		s.pass(u, i, expectReady)
 	case itemParse:
 		return s.buildParse(u, i)
@@ -130,6 +132,7 @@
 		if err := s.ensure(it.name, it.stmt); err != nil {
 			return err
 		}
+		s.dirty = s.dirty || it.stmt != nil && it.stmt.leavesState
 		s.pass(u, i, expectBind)
 	case itemDescribeStatement:
 		if err := s.ensure(it.name, it.stmt); err != nil {
--- a/daemon/internal/session/keyed.go
+++ b/daemon/internal/session/keyed.go
@@ -224,13 +224,19 @@
 		return err
 	}
 	s.out.limit = maxRecordedAnswer
-	_, err = s.exchange(u, relayMode{keyed: true})
+	ready, err := s.exchange(u, relayMode{keyed: true})
 	s.out.limit = writeBufferBytes
-	if err != nil {
+	switch {
+	case err != nil:
 		return err
-	}
-	if s.unitFailed || s.status != upstream.StatusInTransaction {
+	case !ready:
+		// A failed unit that ends with a simple query; the server skips up to
+		// the next Sync.
+		return s.abandonKeyed()
+	case s.unitFailed:
 		return s.rollbackKeyed(u)
+	case s.status != upstream.StatusInTransaction:
+		return errCommittedInPart
 	}
 	if err := s.commitKeyed(u, r); err != nil {
 		return err
@@ -243,18 +249,24 @@
 
 // rollbackKeyed ends a keyed unit that failed; its key is free again.
 func (s *session) rollbackKeyed(u *unit) error {
-	if _, err := s.control("ROLLBACK"); err != nil {
-		// The error is the unit's answer; a lost connection rolls back too.
-		s.releaseTx(false)
-		s.out.released()
-		s.ready()
-		s.out.flush()
-		return nil
+	if _, err := s.control("ROLLBACK"); err != nil || s.status != upstream.StatusIdle {
+		return s.abandonKeyed()
 	}
-	s.unitFailed = true
 	return s.complete(u)
 }
 
+// abandonKeyed passes a unit's error on and closes the connection, which rolls
+// the transaction back.
+func (s *session) abandonKeyed() error {
+	s.releaseTx(false)
+	s.out.released()
+	if !s.skip {
+		s.ready()
+	}
+	s.out.flush()
+	return nil
+}
+
 // control runs a statement without parameters or rows.
 func (s *session) control(sql string) (outcome, error) {
 	s.wire = s.wire[:0]
--- a/daemon/internal/session/session.go
+++ b/daemon/internal/session/session.go
@@ -673,6 +673,10 @@
 		again := s.out.sent == 0 && s.repeatable(u, r, lost)
 		s.releaseTx(false)
 		sent = sent || lost.sent && u.executed > 0
+		if again && errors.Is(lost.err, errStale) && time.Now().Before(deadline) {
+			// The pool may hold more connections that ended with this one.
+			continue
+		}
 		if !again || !s.pause(&delay, deadline) {
 			return s.refuse(u, s.lostRefusal(u, lost, sent))
 		}
--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -208,6 +208,23 @@
 	})
 }
 
+// Guards against state that a read leaves behind without showing it in its tag.
+func TestStateLeftByReadsIsReset(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		c := w.connect(t, "")
+		statements := []string{"SELECT pg_Advisory_lock(1)", "SELECT set_config('a', 'b', false)", "SELECT 1 INTO TEMP t"}
+		for i, sql := range statements {
+			mustExec(t, c, sql)
+			queryString(t, c, sql+" /*prepared*/")
+			mustExec(t, c, "SELECT harmless")
+			if n := w.backends[0].count("DISCARD ALL"); n != 2*(i+1) {
+				t.Fatalf("%d resets after %s", n, sql)
+			}
+		}
+	})
+}
+
 // Guards against a SET that is reported as done and silently lost, and against a
 // caller that keeps a wrong idea of a reported parameter.
 func TestSetOutsideTransactionIsRefused(t *testing.T) {
@@ -548,8 +565,12 @@
 				t.Fatalf("SQLSTATE %q", got)
 			}
 			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
-			if got := exec(t, c, "COMMIT"); got == "" {
-				t.Fatal("commit inside a keyed unit was accepted")
+			if got := exec(t, c, "COMMIT"); got != route.CodeUnknownOutcome {
+				t.Fatalf("SQLSTATE %q", got)
+			}
+			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
+			if got := exec(t, c, "COMMIT"); got != route.CodeAnswerNotKept {
+				t.Fatalf("SQLSTATE %q", got)
 			}
 		})
 	})
@@ -1046,6 +1067,59 @@
 	})
 }
 
+// Guards against a keyed unit that fails before a simple query, which a server
+// skips up to the next Sync, and against a caller that pauses inside a unit.
+func TestMixedUnit(t *testing.T) {
+	for _, sql := range []string{"FAIL 22012", "FAIL 22012 /*request_key='k1'*/"} {
+		synctest.Test(t, func(t *testing.T) {
+			w := newWorld(t, 1, nil)
+			h, err := w.connect(t, "").PgConn().Hijack()
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer h.Conn.Close()
+			sent := make(chan error, 1)
+			go func() {
+				defer close(sent)
+				for _, m := range []encoder{
+					&pgproto3.Parse{Query: sql}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Query{String: "INSERT a"}, &pgproto3.Sync{},
+				} {
+					if _, err := h.Conn.Write(encode(t, m)); err != nil {
+						sent <- err
+						return
+					}
+					time.Sleep(defaultCallerTimeout + time.Second)
+				}
+			}()
+			var got []string
+			for {
+				m, err := h.Frontend.Receive()
+				if err != nil {
+					t.Fatal(err)
+				}
+				if e, ok := m.(*pgproto3.ErrorResponse); ok && e.Code != "22012" {
+					t.Errorf("%s: error %s %s", sql, e.Code, e.Message)
+				}
+				got = append(got, fmt.Sprintf("%T", m))
+				if r, ok := m.(*pgproto3.ReadyForQuery); ok {
+					if r.TxStatus != 'I' {
+						t.Fatalf("status %c", r.TxStatus)
+					}
+					break
+				}
+			}
+			want := []string{"*pgproto3.ParseComplete", "*pgproto3.BindComplete", "*pgproto3.ErrorResponse", "*pgproto3.ReadyForQuery"}
+			if !slices.Equal(got, want) {
+				t.Fatalf("answer %v", got)
+			}
+			if err := <-sent; err != nil {
+				t.Fatal(err)
+			}
+			wantEffects(t, w.backends[0])
+		})
+	}
+}
+
 // Guards against a caller that never reads its answer and keeps the connection.
 func TestCallerThatDoesNotRead(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/internal/session/settings.go
+++ b/daemon/internal/session/settings.go
@@ -37,6 +37,28 @@
 // maxSetBytes bounds the length of a statement that is matched as a setting.
 const maxSetBytes = 16 << 10
 
+// sessionWords occur in the text of reads that leave state behind on their
+// connection: parameters, advisory locks and temporary tables.
+var sessionWords = []string{"set_config", "advisory", "temp"}
+
+// mayLeaveState reports whether a statement contains one of sessionWords. It is
+// not parsed; a word in another role costs one needless reset.
+func mayLeaveState(sql string) bool {
+	for i := 0; i < len(sql); i++ {
+		switch sql[i] | 0x20 {
+		case 's', 'a', 't':
+		default:
+			continue
+		}
+		for _, word := range sessionWords {
+			if len(sql)-i >= len(word) && strings.EqualFold(sql[i:i+len(word)], word) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // setting is a recognised SET statement.
 type setting struct {
 	name  string
--- a/daemon/internal/session/unit.go
+++ b/daemon/internal/session/unit.go
@@ -15,6 +15,8 @@
 	*upstream.Statement
 	// setting is set if the statement sets one of the session's own settings.
 	setting *setting
+	// leavesState says that the text matches mayLeaveState.
+	leavesState bool
 }
 
 type itemKind byte
@@ -130,7 +132,7 @@
 	}
 	u.arrived = time.Now()
 	for {
-		m, err := s.in.backend.Receive()
+		m, err := s.receiveNext(u)
 		if err != nil {
 			return s.refuseMessage(err)
 		}
@@ -147,6 +149,23 @@
 	}
 }
 
+// receiveNext reads a message. A caller may pause between the messages of a unit
+// as long as between units.
+func (s *session) receiveNext(u *unit) (pgproto3.FrontendMessage, error) {
+	if len(u.items) == 0 || !s.in.empty() {
+		return s.in.backend.Receive()
+	}
+	s.in.source.timeout = s.options().IdleTimeout
+	if s.tx != nil {
+		s.in.source.timeout = s.options().IdleInTransaction
+	}
+	m, err := s.in.backend.Receive()
+	s.in.source.timeout = s.options().CallerTimeout
+	// The time for the request does not run while its caller pauses.
+	u.arrived = time.Now()
+	return m, err
+}
+
 // take adds a message to the unit and reports whether it ends it.
 func (s *session) take(u *unit, m pgproto3.FrontendMessage) (bool, error) {
 	switch m := m.(type) {
@@ -210,6 +229,7 @@
 		it.local = true
 	} else {
 		it.stmt.Statement = upstream.NewStatement(m.Query, m.ParameterOIDs)
+		it.stmt.leavesState = mayLeaveState(m.Query)
 		u.note(m.Query)
 	}
 	s.setStatement(m.Name, it.stmt)
--- a/daemon/internal/upstream/conn.go
+++ b/daemon/internal/upstream/conn.go
@@ -94,6 +94,7 @@
 // Cancel may be called concurrently with the other methods.
 type Conn struct {
 	nc            net.Conn
+	peeker        *peeker
 	frontend      *pgproto3.Frontend
 	address       string
 	dial          dialFunc
@@ -166,6 +167,7 @@
 func newConn(nc net.Conn, o Options) *Conn {
 	c := &Conn{
 		nc:            nc,
+		peeker:        newPeeker(nc),
 		address:       o.Address,
 		writeTimeout:  orDefault(o.WriteTimeout, defaultWriteTimeout),
 		answerTimeout: orDefault(o.AnswerTimeout, defaultAnswerTimeout),
--- a/daemon/internal/upstream/stale.go
+++ b/daemon/internal/upstream/stale.go
@@ -1,9 +1,37 @@
 package upstream
 
 import (
+	"net"
 	"syscall"
 )
 
+// peeker looks for bytes that have arrived. Its function is made once, so that a
+// look costs one system call and no allocation.
+type peeker struct {
+	raw     syscall.RawConn
+	look    func(fd uintptr)
+	arrived bool
+}
+
+// newPeeker returns nil for a connection without a file descriptor.
+func newPeeker(nc net.Conn) *peeker {
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	p := &peeker{raw: raw}
+	buf := make([]byte, 1)
+	p.look = func(fd uintptr) {
+		_, _, err := syscall.Recvfrom(int(fd), buf, syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		p.arrived = err != syscall.EAGAIN && err != syscall.EINTR
+	}
+	return p
+}
+
 // Stale reports that the peer has closed the idle connection or sent something
 // unasked, such as the reason why it ends the session. A request written to such
 // a connection would be lost with an unknown outcome. Stale does not block; it
@@ -12,19 +40,9 @@
 	if c.closed.Load() || c.frontend.ReadBufferLen() > 0 {
 		return true
 	}
-	sc, ok := c.nc.(syscall.Conn)
-	if !ok {
+	if c.peeker == nil {
 		return false
 	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return true
-	}
-	stale := false
-	var b [1]byte
-	err = raw.Control(func(fd uintptr) {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		stale = err != syscall.EAGAIN && err != syscall.EINTR
-	})
-	return stale || err != nil
+	err := c.peeker.raw.Control(c.peeker.look)
+	return err != nil || c.peeker.arrived
 }
