--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -199,6 +199,8 @@
 			t.Fatalf("own transaction sees %q", got)
 		}
 		mustExec(t, a, "COMMIT")
+		// The reset runs after the caller has its answer.
+		synctest.Wait()
 		if got := queryString(t, b, "SHOW search_path"); got != "" {
 			t.Fatalf("other caller sees %q", got)
 		}
