Accept connections as soon as a rebuilt slot reports its position

The test of a diverged primary failed once in six runs on two processors: the status showed the copied position while connections still got 57P03.

--- a/standin/dbgroup/replicate.go
+++ b/standin/dbgroup/replicate.go
@@ -259,6 +259,8 @@
 	}
 	s.log, s.applied, s.arrivals = copied.log, copied.applied, nil
 	s.lastHeard = time.Now()
+	// A slot whose status shows the new position must accept connections.
+	s.rebuilding = false
 	s.broadcast()
 	s.logger.WithField("position", s.log.end).Info("slot_rebuilt")
 }
