--- a/standin/demo/scenario.go
+++ b/standin/demo/scenario.go
@@ -308,19 +308,21 @@
 
 // owner returns the index of the first owner of a database among the hosts.
 func (b *bench) owner(ctx context.Context, database string) (int, error) {
+	var errs []error
 	for i, h := range b.layout.hosts {
 		if b.processes.hosts[i] == nil {
 			continue
 		}
 		rank, ok, err := ownerRank(ctx, h, database)
 		if err != nil {
-			return 0, err
+			errs = append(errs, err)
+			continue
 		}
 		if ok && rank == 0 {
 			return i, nil
 		}
 	}
-	return 0, fmt.Errorf("no host owns %s", database)
+	return 0, errors.Join(append(errs, fmt.Errorf("no host owns %s", database))...)
 }
 
 // killHosts ends the owner of each database without a graceful shutdown, in
@@ -337,7 +339,7 @@
 		if err := sleep(ctx, betweenFaults); err != nil {
 			return err
 		}
-		if err := b.restart(i); err != nil {
+		if err := b.restart(ctx, i); err != nil {
 			return err
 		}
 	}
@@ -355,12 +357,16 @@
 	return nil
 }
 
-func (b *bench) restart(host int) error {
-	if err := b.processes.start("gypsumgap", "--settings", b.layout.hosts[host].settings); err != nil {
+// restart starts a host again and waits until it is ready.
+func (b *bench) restart(ctx context.Context, host int) error {
+	h := b.layout.hosts[host]
+	if err := b.processes.start("gypsumgap", "--settings", h.settings); err != nil {
 		return err
 	}
 	b.processes.hosts[host] = b.processes.running[len(b.processes.running)-1]
-	return nil
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	return waitHTTP(ctx, "http://"+h.admin+"/readyz")
 }
 
 // pauseHosts stops the owner of each database for longer than the other hosts
@@ -392,7 +398,7 @@
 		cmd := b.processes.hosts[i]
 		terminate(cmd)
 		b.processes.forget(cmd)
-		if err := b.restart(i); err != nil {
+		if err := b.restart(ctx, i); err != nil {
 			return err
 		}
 		if err := sleep(ctx, betweenFaults); err != nil {
@@ -422,7 +428,7 @@
 	if err := sleep(ctx, 2*betweenFaults); err != nil {
 		return err
 	}
-	return b.restart(host)
+	return b.restart(ctx, host)
 }
 
 // raceApplies lets two operators apply different folders at the same moment,
