Add gypsumctl report burn

Compares each service's objectives with the hosts' metrics as multiwindow burn rates. Hosts keep no past, so the increases between scrapes are kept in a file of the operator.

--- /dev/null
+++ b/ctl/internal/burn/metrics.go
@@ -0,0 +1,148 @@
+package burn
+
+import (
+	"fmt"
+	"io"
+	"math"
+
+	dto "github.com/prometheus/client_model/go"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+)
+
+// Metrics that a host exports and this package reads.
+const (
+	// requestsMetric counts requests with the labels service and outcome.
+	requestsMetric = "gypsumgap_requests_total"
+	// durationMetric is a histogram of answered requests in seconds, with the
+	// label service.
+	durationMetric = "gypsumgap_request_duration_seconds"
+	// databaseSecondsMetric counts the seconds for which the first owner of a
+	// database saw it writable or not, with the labels service and state.
+	databaseSecondsMetric = "gypsumgap_database_seconds_total"
+	// readsMetric counts reads with the labels service and target.
+	readsMetric = "gypsumgap_reads_total"
+
+	serviceLabel  = "service"
+	stateLabel    = "state"
+	targetLabel   = "target"
+	writableState = "writable"
+	replicaTarget = "replica"
+)
+
+// Objective is a kind of service-level objective.
+type Objective string
+
+// The objectives, named like the keys of the configuration.
+const (
+	Answered    Objective = "answered_share"
+	Writable    Objective = "writable_share"
+	ReplicaRead Objective = "replica_read_share"
+)
+
+// Objectives lists the kinds in the order of reports.
+var Objectives = []Objective{Answered, Writable, ReplicaRead}
+
+// share returns the share that a service promises, 0 for none.
+func (o Objective) share(s *config.Service) float64 {
+	switch o {
+	case Answered:
+		return s.Objectives.AnsweredShare
+	case Writable:
+		return s.Objectives.WritableShare
+	default:
+		return s.Objectives.ReplicaReadShare
+	}
+}
+
+// Events counts events of one objective.
+type Events struct {
+	Good  float64 `json:"good"`
+	Total float64 `json:"total"`
+}
+
+// Counters are the events of a host by service and objective.
+type Counters map[string]map[Objective]Events
+
+func (c Counters) add(service string, o Objective, good, total float64) {
+	if service == "" {
+		return
+	}
+	if c[service] == nil {
+		c[service] = map[Objective]Events{}
+	}
+	e := c[service][o]
+	c[service][o] = Events{Good: e.Good + good, Total: e.Total + total}
+}
+
+// Parse reads a host's metrics in the Prometheus text format. A request counts
+// as good if it was answered within the service's objective; if the
+// histogram has no bucket with that bound, the next lower one counts.
+func Parse(r io.Reader, snapshot *config.Snapshot) (Counters, error) {
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(r)
+	if err != nil {
+		return nil, fmt.Errorf("metrics: %w", err)
+	}
+	out := Counters{}
+	for _, m := range families[requestsMetric].GetMetric() {
+		out.add(label(m, serviceLabel), Answered, 0, value(m))
+	}
+	for _, m := range families[durationMetric].GetMetric() {
+		name := label(m, serviceLabel)
+		if s := snapshot.Service(name); s != nil {
+			bound := s.Objectives.AnsweredWithin.Std().Seconds()
+			out.add(name, Answered, within(m.GetHistogram(), bound), 0)
+		}
+	}
+	for _, m := range families[databaseSecondsMetric].GetMetric() {
+		out.add(label(m, serviceLabel), Writable, goodIf(m, stateLabel, writableState), value(m))
+	}
+	for _, m := range families[readsMetric].GetMetric() {
+		out.add(label(m, serviceLabel), ReplicaRead, goodIf(m, targetLabel, replicaTarget), value(m))
+	}
+	return out, nil
+}
+
+// within returns the count of the greatest bucket up to the bound. The slack
+// allows for bounds that were rounded in the text format.
+func within(h *dto.Histogram, bound float64) float64 {
+	const slack = 1 + 1e-9
+	count, best := 0.0, math.Inf(-1)
+	for _, b := range h.GetBucket() {
+		if b.GetUpperBound() <= bound*slack && b.GetUpperBound() > best {
+			best = b.GetUpperBound()
+			count = float64(b.GetCumulativeCount())
+		}
+	}
+	return count
+}
+
+func goodIf(m *dto.Metric, name, good string) float64 {
+	if label(m, name) == good {
+		return value(m)
+	}
+	return 0
+}
+
+func label(m *dto.Metric, name string) string {
+	for _, l := range m.GetLabel() {
+		if l.GetName() == name {
+			return l.GetValue()
+		}
+	}
+	return ""
+}
+
+func value(m *dto.Metric) float64 {
+	switch {
+	case m.GetCounter() != nil:
+		return m.GetCounter().GetValue()
+	case m.GetGauge() != nil:
+		return m.GetGauge().GetValue()
+	default:
+		return m.GetUntyped().GetValue()
+	}
+}
--- /dev/null
+++ b/ctl/internal/burn/report.go
@@ -0,0 +1,118 @@
+package burn
+
+import (
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+)
+
+// Level says how urgent a burn rate is.
+type Level string
+
+// The levels. Unknown is the level of an objective without events.
+const (
+	Fine    Level = "fine"
+	Ticket  Level = "ticket"
+	Page    Level = "page"
+	Unknown Level = "unknown"
+)
+
+// pair is a long and a short window with their threshold.
+type pair struct {
+	long, short time.Duration
+	threshold   float64
+	level       Level
+}
+
+// pairs use up 2% of a 30-day budget in 1 h, 5% in 6 h and 10% in 3 days. The
+// worst level comes first.
+var pairs = []pair{
+	{long: time.Hour, short: 5 * time.Minute, threshold: 14.4, level: Page},
+	{long: 6 * time.Hour, short: 30 * time.Minute, threshold: 6, level: Page},
+	{long: 72 * time.Hour, short: 6 * time.Hour, threshold: 1, level: Ticket},
+}
+
+// Windows lists the windows of a report from the shortest to the longest.
+var Windows = []time.Duration{
+	5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour, 72 * time.Hour,
+}
+
+// Rate is the burn rate of one window.
+type Rate struct {
+	Window config.Duration `json:"window"`
+	// Covered is the part of the window that the history covers.
+	Covered config.Duration `json:"covered"`
+	Events  Events          `json:"events"`
+	// Burn is nil if there were no events.
+	Burn *float64 `json:"burn"`
+}
+
+// Line is one objective of one service.
+type Line struct {
+	Service   string    `json:"service"`
+	Objective Objective `json:"objective"`
+	Promised  float64   `json:"promised"`
+	Level     Level     `json:"level"`
+	Rates     []Rate    `json:"rates"`
+}
+
+// Report compares the history with the objectives of all services, ordered by
+// service. Objectives that a service does not set are left out, and so are
+// those that allow no bad event at all, which have no budget to burn.
+func (h *History) Report(now time.Time, snapshot *config.Snapshot) []Line {
+	lines := []Line{}
+	for _, name := range snapshot.Names() {
+		for _, o := range Objectives {
+			promised := o.share(snapshot.Service(name))
+			if promised <= 0 || promised >= 1 {
+				continue
+			}
+			lines = append(lines, h.line(now, name, o, promised))
+		}
+	}
+	return lines
+}
+
+func (h *History) line(now time.Time, service string, o Objective, promised float64) Line {
+	l := Line{Service: service, Objective: o, Promised: promised, Level: Unknown}
+	burns := map[time.Duration]*float64{}
+	for _, window := range Windows {
+		events, covered := h.sum(now, window, service, o)
+		r := Rate{
+			Window:  config.Duration(window),
+			Covered: config.Duration(covered),
+			Events:  events,
+			Burn:    rate(events, promised),
+		}
+		burns[window] = r.Burn
+		l.Rates = append(l.Rates, r)
+	}
+	l.Level = level(burns)
+	return l
+}
+
+// level returns the worst level whose pair of windows exceeds its threshold.
+func level(burns map[time.Duration]*float64) Level {
+	known := false
+	for _, p := range pairs {
+		long, short := burns[p.long], burns[p.short]
+		known = known || long != nil
+		if long != nil && short != nil && *long > p.threshold && *short > p.threshold {
+			return p.level
+		}
+	}
+	if !known {
+		return Unknown
+	}
+	return Fine
+}
+
+// rate returns the burn rate of events, or nil if there are none.
+func rate(e Events, promised float64) *float64 {
+	if e.Total <= 0 {
+		return nil
+	}
+	bad := max(0, e.Total-e.Good)
+	burn := bad / e.Total / (1 - promised)
+	return &burn
+}
--- /dev/null
+++ b/ctl/internal/cli/burn.go
@@ -0,0 +1,187 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/confstore"
+	"github.com/gypsumgap/gypsumgap/ctl/internal/burn"
+)
+
+// maxMetricsBytes bounds one host's metrics in memory.
+const maxMetricsBytes = 64 << 20
+
+type reportCommand struct {
+	Burn *burnCommand `arg:"subcommand:burn" help:"compare the services' objectives with the hosts' metrics"`
+}
+
+type burnCommand struct {
+	History   string   `arg:"--history,required" placeholder:"FILE" help:"file that keeps earlier scrapes; made if it does not exist"`
+	Metrics   []string `arg:"--metrics,separate" placeholder:"HOST:PORT" help:"admin address of a host; may be repeated; without it the platform's host list is used"`
+	AdminPort int      `arg:"--admin-port" default:"9432" placeholder:"PORT" help:"port of the admin addresses of the platform's hosts"`
+	Folder    string   `arg:"--folder" placeholder:"FOLDER" help:"take the objectives from a folder instead of the platform"`
+}
+
+func (*burnCommand) example() string {
+	return "gypsumctl report burn --history burn.json --platform http://127.0.0.1:5000"
+}
+
+// burnReport is the outcome of a scrape and the burn rates with it.
+type burnReport struct {
+	At          time.Time   `json:"at"`
+	Objectives  []burn.Line `json:"objectives"`
+	Unreachable []string    `json:"unreachable"`
+}
+
+func (cmd *burnCommand) run(ctx context.Context, c *call) (report, error) {
+	snapshot, err := cmd.objectives(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	targets, err := cmd.targets(ctx, c)
+	if err != nil {
+		return nil, err
+	}
+	history, err := burn.ReadHistory(cmd.History)
+	if err != nil {
+		return nil, &usage{err.Error()}
+	}
+	rep := &burnReport{At: c.env.Now().UTC(), Unreachable: []string{}}
+	hosts := scrapeAll(ctx, targets, snapshot, rep)
+	if len(hosts) == 0 {
+		return nil, fmt.Errorf("no host gave its metrics: %w", errUnreachable)
+	}
+	history.Add(rep.At, hosts)
+	if err := history.Write(cmd.History); err != nil {
+		return nil, err
+	}
+	rep.Objectives = history.Report(rep.At, snapshot)
+	return rep, nil
+}
+
+func (cmd *burnCommand) objectives(ctx context.Context, c *call) (*config.Snapshot, error) {
+	if cmd.Folder != "" {
+		snapshot, _, err := readFolder(cmd.Folder)
+		return snapshot, err
+	}
+	store, err := c.store()
+	if err != nil {
+		return nil, err
+	}
+	state, err := confstore.Load(ctx, store, nil)
+	if err != nil {
+		return nil, err
+	}
+	return state.Snapshot, nil
+}
+
+// targets returns the admin addresses to scrape.
+func (cmd *burnCommand) targets(ctx context.Context, c *call) ([]string, error) {
+	if len(cmd.Metrics) > 0 {
+		return cmd.Metrics, nil
+	}
+	hosts, err := c.platformHosts(ctx)
+	if err != nil {
+		return nil, err
+	}
+	var out []string
+	for _, h := range hosts {
+		ip, _, err := net.SplitHostPort(h.Address)
+		if err != nil {
+			return nil, fmt.Errorf("host %s: %w", h.Name, err)
+		}
+		out = append(out, net.JoinHostPort(ip, strconv.Itoa(cmd.AdminPort)))
+	}
+	return out, nil
+}
+
+// scrapeAll scrapes hosts, a few at a time, and notes those that fail.
+func scrapeAll(ctx context.Context, targets []string, snapshot *config.Snapshot, rep *burnReport) map[string]burn.Counters {
+	counters := make([]burn.Counters, len(targets))
+	slots := make(chan struct{}, parallelHosts)
+	var wg sync.WaitGroup
+	for i, t := range targets {
+		slots <- struct{}{}
+		wg.Go(func() {
+			// A host without metrics is reported as unreachable.
+			counters[i], _ = scrape(ctx, t, snapshot)
+			<-slots
+		})
+	}
+	wg.Wait()
+	out := map[string]burn.Counters{}
+	for i, t := range targets {
+		if counters[i] == nil {
+			rep.Unreachable = append(rep.Unreachable, t)
+			continue
+		}
+		out[t] = counters[i]
+	}
+	return out
+}
+
+func scrape(ctx context.Context, address string, snapshot *config.Snapshot) (burn.Counters, error) {
+	ctx, cancel := context.WithTimeout(ctx, hostTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", address, err)
+	}
+	resp, err := hostHTTP.Do(req)
+	if err != nil {
+		return nil, fmt.Errorf("metrics of %s: %w", address, err)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("metrics of %s: %s", address, resp.Status)
+	}
+	return burn.Parse(io.LimitReader(resp.Body, maxMetricsBytes), snapshot)
+}
+
+func (r *burnReport) writeText(w io.Writer) {
+	table := newTable(w)
+	fmt.Fprint(table, "SERVICE\tOBJECTIVE\tPROMISED\tLEVEL")
+	for _, window := range burn.Windows {
+		fmt.Fprintf(table, "\t%s", shortDuration(window))
+	}
+	fmt.Fprintln(table)
+	for _, l := range r.Objectives {
+		fmt.Fprintf(table, "%s\t%s\t%v\t%s", l.Service, l.Objective, l.Promised, l.Level)
+		for _, rate := range l.Rates {
+			fmt.Fprintf(table, "\t%s", burnText(rate))
+		}
+		fmt.Fprintln(table)
+	}
+	table.Flush()
+	fmt.Fprintln(w, "Burn rates: 1 uses up the error budget exactly. * marks a window that the history covers in part.")
+	for _, address := range r.Unreachable {
+		fmt.Fprintf(w, "%s gave no metrics\n", address)
+	}
+}
+
+func burnText(r burn.Rate) string {
+	if r.Burn == nil {
+		return "-"
+	}
+	s := strconv.FormatFloat(*r.Burn, 'f', 2, 64)
+	// Scrapes don't meet the edge of a window exactly.
+	if r.Covered.Std() < r.Window.Std()*9/10 {
+		s += "*"
+	}
+	return s
+}
+
+// shortDuration formats whole hours or minutes.
+func shortDuration(d time.Duration) string {
+	if d >= time.Hour {
+		return fmt.Sprintf("%dh", d/time.Hour)
+	}
+	return fmt.Sprintf("%dm", d/time.Minute)
+}
--- /dev/null
+++ b/ctl/internal/cli/burn_test.go
@@ -0,0 +1,114 @@
+package cli_test
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/ctl/internal/cli"
+)
+
+// portPattern matches addresses that differ from run to run.
+var portPattern = regexp.MustCompile(`127\.0\.0\.1:\d+`)
+
+// meter is a host whose metrics the test sets.
+type meter struct {
+	answered, late, failed   int
+	writable, unwritable     int
+	replicaReads, otherReads int
+}
+
+func (m *meter) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != "/metrics" {
+		http.NotFound(w, r)
+		return
+	}
+	fmt.Fprintf(w, `# TYPE gypsumgap_requests_total counter
+gypsumgap_requests_total{service="werkplaats-db",outcome="answered"} %d
+gypsumgap_requests_total{service="werkplaats-db",outcome="failed"} %d
+# TYPE gypsumgap_request_duration_seconds histogram
+gypsumgap_request_duration_seconds_bucket{service="werkplaats-db",le="0.1"} 0
+gypsumgap_request_duration_seconds_bucket{service="werkplaats-db",le="0.5"} %d
+gypsumgap_request_duration_seconds_bucket{service="werkplaats-db",le="+Inf"} %d
+gypsumgap_request_duration_seconds_sum{service="werkplaats-db"} 1
+gypsumgap_request_duration_seconds_count{service="werkplaats-db"} %d
+# TYPE gypsumgap_database_seconds_total counter
+gypsumgap_database_seconds_total{service="werkplaats-db",database="werkplaats-1-a",state="writable"} %d
+gypsumgap_database_seconds_total{service="werkplaats-db",database="werkplaats-1-a",state="not_writable"} %d
+# TYPE gypsumgap_reads_total counter
+gypsumgap_reads_total{service="werkplaats-db",target="replica"} %d
+gypsumgap_reads_total{service="werkplaats-db",target="primary"} %d
+`, m.answered+m.late, m.failed, m.answered, m.answered+m.late, m.answered+m.late,
+		m.writable, m.unwritable, m.replicaReads, m.otherReads)
+}
+
+// address serves the meter and returns its address.
+func (m *meter) address(t *testing.T) string {
+	t.Helper()
+	server := httptest.NewServer(m)
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+// Guards against wrong burn rates: late and failed requests that count as
+// good, a restarted host whose counters are taken as a decrease, windows of
+// the wrong length, and a host without metrics that goes unnoticed.
+func TestReportBurn(t *testing.T) {
+	first, second := &meter{}, &meter{}
+	addresses := []string{first.address(t), second.address(t)}
+	now := time.Date(2026, 12, 4, 6, 0, 0, 0, time.UTC)
+	s := &session{now: func() time.Time { return now }}
+	history := filepath.Join(t.TempDir(), "burn.json")
+	argv := []string{"report", "burn", "--history", history, "--folder", "testdata/first",
+		"--metrics", addresses[0], "--metrics", addresses[1]}
+
+	wantStatus(t, s.run(argv...), cli.Done)
+	for minute := 1; minute <= 72; minute++ {
+		now = now.Add(time.Minute)
+		first.answered += 990
+		first.writable += 60
+		first.replicaReads += 90
+		first.otherReads += 10
+		second.answered += 500
+		if minute > 60 {
+			first.late += 6
+			first.failed += 4
+		}
+		if minute == 65 {
+			*second = meter{answered: 500}
+		}
+		s.out.Reset()
+		wantStatus(t, s.run(argv...), cli.Done)
+	}
+	wantStatus(t, s.run(append(argv, "--output=json")...), cli.Done)
+	wantStatus(t, s.run(append(argv, "--metrics", closedAddress(t))...), cli.Done)
+	out := s.out.String()
+	for i, address := range addresses {
+		out = strings.ReplaceAll(out, address, fmt.Sprintf("host-%d", i+1))
+	}
+	out = strings.ReplaceAll(out, history, "burn.json")
+	out = portPattern.ReplaceAllString(out, "closed")
+	s.out.Reset()
+	s.out.WriteString(out)
+	s.assert(t, "burn")
+}
+
+// Guards against an outage of all hosts that spoils the history.
+func TestReportBurnWithoutHosts(t *testing.T) {
+	s := &session{now: time.Now}
+	history := filepath.Join(t.TempDir(), "burn.json")
+	wantStatus(t, s.run("report", "burn", "--history", history, "--folder", "testdata/first",
+		"--metrics", closedAddress(t)), cli.Unreachable)
+	wantStatus(t, s.run("report"), cli.Usage)
+	wantStatus(t, s.run("report", "burn"), cli.Usage)
+	wantStatus(t, s.run("report", "burn", "--help"), cli.Done)
+	if _, err := os.Stat(history); err == nil {
+		t.Error("a scrape without an answer changed the history")
+	}
+}
--- a/ctl/internal/cli/cli.go
+++ b/ctl/internal/cli/cli.go
@@ -25,11 +25,13 @@
 	Stderr io.Writer
 	// OpenStore connects to the platform at an address.
 	OpenStore func(address string) (platform.Store, error)
+	// Now reads the clock.
+	Now func() time.Time
 }
 
 // System returns the environment of the running process.
 func System() Environment {
-	return Environment{Stdout: os.Stdout, Stderr: os.Stderr, OpenStore: openStore}
+	return Environment{Stdout: os.Stdout, Stderr: os.Stderr, OpenStore: openStore, Now: time.Now}
 }
 
 func openStore(address string) (platform.Store, error) {
@@ -44,6 +46,7 @@
 	Status     *statusCommand     `arg:"subcommand:status" help:"show hosts, databases and slots"`
 	Switchover *switchoverCommand `arg:"subcommand:switchover" help:"change the primary of a database as planned"`
 	Drain      *drainCommand      `arg:"subcommand:drain" help:"take a host out of service without interrupting requests"`
+	Report     *reportCommand     `arg:"subcommand:report" help:"make reports"`
 
 	Output   outputFormat  `arg:"--output" default:"text" placeholder:"FORMAT" help:"text or json"`
 	Platform string        `arg:"--platform,env:GYPSUMGAP_PLATFORM" placeholder:"URL" help:"address of the platform, http://host:port"`
--- a/ctl/internal/cli/cli_test.go
+++ b/ctl/internal/cli/cli_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/sebdah/goldie/v2"
 
@@ -18,6 +19,7 @@
 // session runs commands and records their output.
 type session struct {
 	store platform.Store
+	now   func() time.Time
 	out   bytes.Buffer
 }
 
@@ -28,6 +30,7 @@
 		Stdout:    &stdout,
 		Stderr:    &stderr,
 		OpenStore: func(string) (platform.Store, error) { return s.store, nil },
+		Now:       s.now,
 	}
 	status := cli.Run(context.Background(), argv, env)
 	fmt.Fprintf(&s.out, "$ gypsumctl %s\n%s", strings.Join(argv, " "), stdout.String())
