--- a/daemon/internal/route/pool.go
+++ b/daemon/internal/route/pool.go
@@ -158,7 +158,7 @@
 		if time.Since(c.used) <= s.cfg.PingAfter {
 			return c, nil
 		}
-		if err := s.ping(ctx, c); err == nil {
+		if err := s.ping(ctx, c); err == nil && s.usable(c) {
 			return c, nil
 		}
 		if err := ctx.Err(); err != nil {
@@ -167,6 +167,18 @@
 	}
 }
 
+// usable reports whether the peer's connections were not closed during a ping;
+// if they were, the connection is given up.
+func (s *Pools) usable(c *pooled) bool {
+	s.mu.Lock()
+	retired := c.retired
+	s.mu.Unlock()
+	if retired {
+		s.put(c, false)
+	}
+	return !retired
+}
+
 // ping checks a connection that was long unused. When it fails, the other long
 // unused connections to the target are closed too: connections go silent
 // together, and a request should wait for at most one ping.
--- /dev/null
+++ b/daemon/internal/route/pool_machine_test.go
@@ -0,0 +1,268 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	_ "github.com/gypsumgap/gypsumgap/core/testseed"
+	"pgregory.net/rapid"
+)
+
+// poolOp is one step of a random run. The steps are drawn before the run,
+// because a rapid test must not fail inside a synctest bubble.
+type poolOp struct {
+	Kind   string
+	Peer   string
+	User   string
+	Clean  bool
+	Amount int
+	Wait   time.Duration
+	Hold   time.Duration
+}
+
+var poolOpKinds = []string{
+	"get", "get", "get", "get", "get", "get", "pass", "pass", "limit", "total", "drain", "close",
+	"warm", "maintain", "refuse", "silence", "replace",
+}
+
+func drawPoolOp(t *rapid.T) poolOp {
+	return poolOp{
+		Kind:   rapid.SampledFrom(poolOpKinds).Draw(t, "kind"),
+		Peer:   rapid.SampledFrom([]string{"a", "b"}).Draw(t, "peer"),
+		User:   rapid.SampledFrom([]string{"u", "v"}).Draw(t, "user"),
+		Clean:  rapid.IntRange(0, 3).Draw(t, "clean") > 0,
+		Amount: rapid.IntRange(0, 5).Draw(t, "amount"),
+		// Times around that of a dial make requests give up as they are served.
+		Wait: rapid.SampledFrom([]time.Duration{12, 24, 36, 200, 8000}).Draw(t, "wait") * time.Millisecond,
+		Hold: rapid.SampledFrom([]time.Duration{12, 24, 250}).Draw(t, "hold") * time.Millisecond,
+	}
+}
+
+// poolRun checks a Pools against its limits during a random run.
+type poolRun struct {
+	net       *fakeNet
+	pools     *Pools
+	mu        sync.Mutex
+	peerLimit int
+	total     int
+	address   map[string]string
+	err       error
+	users     map[Conn]int
+	closings  map[string]int // of each peer
+	dialed    map[Conn]int   // closings of the peer before the dial began
+	requests  sync.WaitGroup
+}
+
+func (r *poolRun) fail(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.err == nil {
+		r.err = fmt.Errorf(format, args...)
+	}
+}
+
+func (r *poolRun) limits() (peer, total int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.peerLimit, r.total
+}
+
+// dial checks that the new connection is within the limits.
+func (r *poolRun) dial(ctx context.Context, t Target) (Conn, error) {
+	peer, total := r.limits()
+	r.net.mu.Lock()
+	open, all := r.net.open[t.Peer]+1, r.net.open["a"]+r.net.open["b"]+1
+	r.net.mu.Unlock()
+	if open > peer || all > total {
+		r.fail("dial of connection %d to %s and %d in all, limits %d and %d", open, t.Peer, all, peer, total)
+	}
+	r.mu.Lock()
+	closings := r.closings[t.Peer]
+	r.mu.Unlock()
+	conn, err := r.net.dial(ctx, t)
+	if err == nil {
+		r.mu.Lock()
+		r.dialed[conn] = closings
+		r.mu.Unlock()
+	}
+	return conn, err
+}
+
+func (r *poolRun) target(op poolOp) Target {
+	return Target{Peer: op.Peer, Address: r.address[op.Peer], User: op.User, Database: "d"}
+}
+
+func (r *poolRun) get(op poolOp) {
+	target := r.target(op)
+	r.requests.Go(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), op.Wait)
+		defer cancel()
+		c, err := r.pools.get(ctx, target)
+		if err != nil {
+			return
+		}
+		r.enter(c, target)
+		time.Sleep(op.Hold)
+		r.mu.Lock()
+		r.users[c.conn]--
+		r.mu.Unlock()
+		r.pools.put(c, op.Clean)
+	})
+}
+
+func (r *poolRun) enter(c *pooled, target Target) {
+	r.pools.mu.Lock()
+	gone := c.gone
+	r.pools.mu.Unlock()
+	conn := c.conn.(*fakeConn)
+	r.net.mu.Lock()
+	closed := conn.closed
+	r.net.mu.Unlock()
+	if closed && !gone {
+		r.fail("a closed connection was handed out")
+	}
+	if conn.target != target {
+		r.fail("connection to %v handed out for %v", conn.target, target)
+	}
+	r.mu.Lock()
+	r.users[conn]++
+	shared := r.users[conn] > 1
+	stale := r.dialed[conn] != r.closings[target.Peer]
+	r.mu.Unlock()
+	if stale {
+		r.fail("a connection from before the peer was closed was handed out")
+	}
+	if shared {
+		r.fail("a connection was handed out twice")
+	}
+}
+
+func (r *poolRun) closed(peer string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closings[peer]++
+}
+
+func (r *poolRun) step(op poolOp) {
+	switch op.Kind {
+	case "get":
+		r.get(op)
+	case "pass":
+		time.Sleep(op.Wait)
+	case "limit":
+		r.mu.Lock()
+		r.peerLimit = op.Amount
+		r.mu.Unlock()
+	case "total":
+		r.mu.Lock()
+		r.total = 2 * op.Amount
+		r.mu.Unlock()
+	case "drain":
+		r.closed(op.Peer)
+		r.pools.DrainPeer(op.Peer)
+	case "close":
+		r.closed(op.Peer)
+		r.pools.ClosePeer(op.Peer)
+	case "warm":
+		r.pools.Warm(r.target(op), op.Amount)
+	case "maintain":
+		r.pools.Maintain()
+	case "refuse":
+		r.net.setRefuse(op.Peer, !op.Clean)
+	case "silence":
+		r.net.silence(op.Clean)
+	case "replace":
+		r.address[op.Peer] += "'"
+	}
+}
+
+// check looks for requests that wait beside a free connection or free room.
+func (r *poolRun) check() {
+	s := r.pools
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counted := 0
+	for _, p := range s.pools {
+		counted += p.size()
+		if p.waiting > 0 && len(p.idle) > 0 {
+			r.fail("%d wait for %v beside %d idle connections", p.waiting, p.target, len(p.idle))
+		}
+	}
+	if counted != s.open {
+		r.fail("%d connections counted, %d in pools", s.open, counted)
+	}
+}
+
+func (r *poolRun) run(ops []poolOp) error {
+	for _, op := range ops {
+		r.step(op)
+		synctest.Wait()
+		r.pools.Maintain()
+		synctest.Wait()
+		r.check()
+	}
+	r.checkLiveness()
+	r.requests.Wait()
+	r.pools.Close()
+	for peer, n := range r.net.open {
+		if n != 0 {
+			r.fail("%d connections to %s are open at the end", n, peer)
+		}
+	}
+	if len(r.pools.waiters) != 0 {
+		r.fail("%d requests wait at the end", len(r.pools.waiters))
+	}
+	return r.err
+}
+
+// checkLiveness makes sure that after all faults a request gets a connection.
+func (r *poolRun) checkLiveness() {
+	r.mu.Lock()
+	r.peerLimit, r.total = 2, 4
+	r.mu.Unlock()
+	for _, peer := range []string{"a", "b"} {
+		r.net.setRefuse(peer, false)
+		ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+		c, err := r.pools.get(ctx, r.target(poolOp{Peer: peer, User: "u"}))
+		cancel()
+		if err != nil {
+			r.fail("no connection to %s after all faults: %v", peer, err)
+			continue
+		}
+		r.pools.put(c, true)
+	}
+}
+
+// Guards against more connections than a limit allows under any order of
+// requests and faults, connections handed out twice, closed or to another
+// target, requests left waiting beside a free connection, and leaks.
+func TestPoolsUnderFaults(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		ops := rapid.SliceOfN(rapid.Custom(drawPoolOp), 1, 60).Draw(rt, "ops")
+		var err error
+		synctest.Test(t, func(*testing.T) {
+			r := &poolRun{
+				net:       newFakeNet(),
+				peerLimit: 3,
+				total:     4,
+				address:   map[string]string{"a": "a:1", "b": "b:1"},
+				users:     map[Conn]int{},
+				closings:  map[string]int{},
+				dialed:    map[Conn]int{},
+			}
+			r.pools = NewPools(PoolsConfig{
+				Dial:       r.dial,
+				PeerLimit:  func() int { n, _ := r.limits(); return n },
+				TotalLimit: func() int { _, n := r.limits(); return n },
+			})
+			err = r.run(ops)
+		})
+		if err != nil {
+			rt.Fatal(err)
+		}
+	})
+}
--- a/daemon/internal/route/pool_test.go
+++ b/daemon/internal/route/pool_test.go
@@ -16,6 +16,7 @@
 	peak    map[string]int
 	dials   int
 	latency time.Duration
+	deaf    bool            // dials do not notice that they are canceled
 	refuse  map[string]bool // peers that refuse connections
 	conns   []*fakeConn
 }
@@ -32,6 +33,9 @@
 	n.open[t.Peer]++
 	n.peak[t.Peer] = max(n.peak[t.Peer], n.open[t.Peer])
 	latency := n.latency
+	if n.deaf {
+		ctx = context.Background()
+	}
 	n.mu.Unlock()
 	err := sleep(ctx, latency)
 	n.mu.Lock()
@@ -48,6 +52,23 @@
 	return c, nil
 }
 
+func (n *fakeNet) setRefuse(peer string, refuse bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.refuse[peer] = refuse
+}
+
+// silence makes the connections opened so far stop answering, and later dials
+// notice cancellation or not.
+func (n *fakeNet) silence(deaf bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.deaf = deaf
+	for _, c := range n.conns {
+		c.silent = true
+	}
+}
+
 type fakeConn struct {
 	net    *fakeNet
 	target Target
@@ -65,7 +86,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return nil
+	return sleep(ctx, 2*time.Millisecond)
 }
 
 func (c *fakeConn) Close() error {
@@ -109,3 +130,143 @@
 		s.Close()
 	})
 }
+
+func mustGet(t *testing.T, s *Pools, target Target) *pooled {
+	t.Helper()
+	c, err := s.get(t.Context(), target)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// Guards against a request that is sent on a connection that went silent while
+// unused, against one ping after another when all are silent, and against
+// pings on connections that were just used.
+func TestPoolPingsBeforeReuse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		s := NewPools(PoolsConfig{Dial: net.dial, PeerLimit: limitOf(4)})
+		defer s.Close()
+		s.Warm(targetOf("a"), 4)
+		time.Sleep(4 * time.Second)
+		c := mustGet(t, s, targetOf("a"))
+		s.put(c, true)
+		if pings := c.conn.(*fakeConn).pings; pings != 0 {
+			t.Errorf("%d pings of a connection that was just opened", pings)
+		}
+		time.Sleep(6 * time.Second)
+		net.silence(false)
+		start := time.Now()
+		c = mustGet(t, s, targetOf("a"))
+		if c.conn.(*fakeConn).silent {
+			t.Error("a silent connection was handed out")
+		}
+		if waited := time.Since(start); waited != defaultPingTimeout+net.latency {
+			t.Errorf("waited %v, want one ping and one dial", waited)
+		}
+		s.put(c, true)
+	})
+}
+
+// Guards against a connection that is handed out although the connections to
+// its peer were closed during its ping.
+func TestPoolClosedDuringPing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		s := NewPools(PoolsConfig{Dial: net.dial, PeerLimit: limitOf(4)})
+		defer s.Close()
+		old := mustGet(t, s, targetOf("a"))
+		s.put(old, true)
+		time.Sleep(6 * time.Second)
+		time.AfterFunc(time.Millisecond, func() { s.ClosePeer("a") })
+		c := mustGet(t, s, targetOf("a"))
+		if c == old {
+			t.Error("a closed connection was handed out")
+		}
+		s.put(c, true)
+	})
+}
+
+// Guards against connections that are kept for ever, and against warmed ones
+// that are not kept.
+func TestPoolIdleTimeout(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		s := NewPools(PoolsConfig{Dial: net.dial, PeerLimit: limitOf(8), IdleTimeout: 10 * time.Second})
+		defer s.Close()
+		s.Warm(targetOf("a"), 4)
+		s.Warm(targetOf("a"), 2)
+		time.Sleep(9 * time.Second)
+		s.Maintain()
+		if n := s.Open("a"); n != 4 {
+			t.Errorf("%d connections before the timeout, want 4", n)
+		}
+		time.Sleep(2 * time.Second)
+		s.Maintain()
+		if n := s.Open("a"); n != 2 {
+			t.Errorf("%d connections after the timeout, want the 2 warm ones", n)
+		}
+	})
+}
+
+// Guards against work in progress that a leaving peer interrupts, against
+// connections of a dead or replaced peer that stay in use, and against new
+// work on either.
+func TestPoolClosesPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		s := NewPools(PoolsConfig{Dial: net.dial, PeerLimit: limitOf(4)})
+		defer s.Close()
+		busy := func() *pooled {
+			idle := mustGet(t, s, targetOf("a"))
+			c := mustGet(t, s, targetOf("a"))
+			s.put(idle, true)
+			return c
+		}
+		c := busy()
+		s.DrainPeer("a")
+		if net.open["a"] != 1 || c.conn.(*fakeConn).closed {
+			t.Errorf("%d connections to a leaving peer, want only the one in use", net.open["a"])
+		}
+		s.put(c, true)
+		if net.open["a"] != 0 {
+			t.Error("a connection to a leaving peer was kept after its release")
+		}
+		c = busy()
+		s.ClosePeer("a")
+		if net.open["a"] != 0 {
+			t.Errorf("%d connections to a dead peer", net.open["a"])
+		}
+		s.put(c, true)
+		c = busy()
+		replaced := targetOf("a")
+		replaced.Address = "other:5432"
+		fresh := mustGet(t, s, replaced)
+		if net.open["a"] != 1 || !c.conn.(*fakeConn).closed {
+			t.Errorf("%d connections after the peer was replaced, want the new one", net.open["a"])
+		}
+		s.put(c, true)
+		s.put(fresh, true)
+	})
+}
+
+// Guards against a user that waits for ever because another user's idle
+// connections fill the limit.
+func TestPoolMakesRoomForOtherUsers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		s := NewPools(PoolsConfig{Dial: net.dial, PeerLimit: limitOf(4), TotalLimit: limitOf(5)})
+		defer s.Close()
+		s.Warm(targetOf("a"), 4)
+		time.Sleep(time.Second)
+		other := targetOf("a")
+		other.User = "v"
+		s.put(mustGet(t, s, other), true)
+		s.put(mustGet(t, s, targetOf("b")), true)
+		s.put(mustGet(t, s, targetOf("c")), true)
+		if net.peak["a"] > 4 || net.open["a"]+net.open["b"]+net.open["c"] > 5 {
+			t.Errorf("limits exceeded: %v, peaks %v", net.open, net.peak)
+		}
+	})
+}
