--- a/core/admission/doc.go
+++ b/core/admission/doc.go
@@ -22,8 +22,9 @@
 // late to finish before its deadline, given the service time seen so far
 // (exponentially weighted). The check is repeated when its turn comes, so that
 // no connection is spent on an answer that is too late. A request that finds a
-// free connection is always admitted before its deadline; so estimates that
-// have become wrong are corrected.
+// free connection, and the only one of a queue, are not refused by estimate;
+// so estimates that have become wrong, for example when transactions hung
+// during a failover, are corrected.
 //
 // Release after a failover. Resume admits a first small number of requests and
 // doubles it each RampStep, so that a new primary with cold caches and
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -279,11 +279,11 @@
 }
 
 // estimate returns the time until a request that now joins the queue would
-// finish. The first of a queue counts only its service, so that a request gets
-// through to correct an estimate that is too high.
+// finish. It is 0 for the first of a queue, so that requests get through to
+// correct what was learned during a disturbance.
 func (s *State) estimate(q *queue) time.Duration {
 	if q.length == 0 {
-		return q.service
+		return 0
 	}
 	byRate := time.Duration(q.length) * q.interval
 	return max(byRate, s.workAhead(q)) + q.service
@@ -409,9 +409,18 @@
 }
 
 // dropLate refuses the first requests of a queue that cannot finish in time.
+// The last of a queue is refused only once its deadline has passed, for the
+// reason given at estimate.
 func (s *State) dropLate(now time.Time, q *queue) {
-	for q.first != nil && now.Add(q.service).After(q.first.Deadline) {
+	for q.first != nil {
 		t := q.first
+		finish := now
+		if q.length > 1 {
+			finish = now.Add(q.service)
+		}
+		if !finish.After(t.Deadline) {
+			return
+		}
 		s.dequeue(t)
 		t.refuse(DeadlineUnreachable)
 		s.settled = append(s.settled, t)
--- a/core/admission/state_test.go
+++ b/core/admission/state_test.go
@@ -377,6 +377,15 @@
 	if first.Status() != Admitted {
 		t.Error("an estimate that is too high refuses requests though a connection is free")
 	}
+	idle.Pause()
+	idle.Cancel(now, first)
+	paused := ticketOf(pay, now)
+	paused.Deadline = now.Add(time.Second)
+	idle.Arrive(now, paused)
+	idle.Resume(now.Add(900 * time.Millisecond))
+	if paused.Status() != Admitted {
+		t.Error("an estimate that is too high refuses the only request that waits")
+	}
 }
 
 // Guards against a connection spent on a request that became too late while it
@@ -389,7 +398,7 @@
 	late.Deadline = epoch.Add(50 * time.Millisecond)
 	s.Arrive(epoch, late)
 	s.Arrive(epoch, good)
-	s.Finish(epoch.Add(40*time.Millisecond), running)
+	s.Finish(epoch.Add(40*time.Millisecond), running) // 40 ms for late too
 	if late.Status() != Refused || good.Status() != Admitted {
 		t.Errorf("late is %v, good is %v", late.Status(), good.Status())
 	}
--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -224,7 +224,7 @@
 // an owner.
 func (e *EntryRouter) forward(ctx context.Context, owners []Host, t *forwardTx) (Tx, error) {
 	deadline := t.class.deadlineOf(&t.request, t.start)
-	t.admitted = admission.Ticket{Class: &t.class.admission, Deadline: deadline}
+	t.admitted = admission.Ticket{Class: &t.class.primary, Deadline: deadline}
 	t.placed = t.admitted
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -373,6 +373,6 @@
 		return
 	}
 	t.router.pools.put(t.conn, clean)
-	t.owner.Release(&t.placed)
-	t.database.limiter.Release(&t.admitted)
+	giveBack(t.owner, &t.placed, clean)
+	giveBack(t.database.limiter, &t.admitted, clean)
 }
--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -470,10 +470,14 @@
 }
 
 func (o *OwnerRouter) newTx(q *pending, l *admission.Limiter, path Path) *ownerTx {
+	class := &q.class.primary
+	if path == PathReplica {
+		class = &q.class.replica
+	}
 	return &ownerTx{
 		router:  o,
 		limiter: l,
-		ticket:  admission.Ticket{Class: &q.class.admission, Deadline: q.deadline},
+		ticket:  admission.Ticket{Class: class, Deadline: q.deadline},
 		need:    q.need,
 		class:   q.class,
 		policy:  q.policy,
@@ -499,6 +503,7 @@
 	keyed    bool
 	path     Path
 	start    time.Time
+	failed   bool // Finish failed
 	released atomic.Bool
 }
 
@@ -524,6 +529,7 @@
 		err = fmt.Errorf("the group's position %v is behind %v, which the session has seen", p, t.need)
 	}
 	if err != nil {
+		t.failed = true
 		return "", t.unconfirmed(err)
 	}
 	o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
@@ -567,7 +573,18 @@
 		t.router.cfg.Gate.ReportAnswer(t.slot)
 	}
 	t.router.pools.put(t.conn, clean)
-	t.limiter.Release(&t.ticket)
+	giveBack(t.limiter, &t.ticket, clean && !t.failed)
+}
+
+// giveBack ends an admission. The time of a transaction that failed says
+// nothing about the service time: many wait for a timeout while a primary is
+// replaced, and requests would be refused because of them.
+func giveBack(l *admission.Limiter, t *admission.Ticket, learn bool) {
+	if learn {
+		l.Release(t)
+		return
+	}
+	l.Cancel(t)
 }
 
 // giveUp gives back a connection that was not used.
--- a/daemon/internal/route/owner_test.go
+++ b/daemon/internal/route/owner_test.go
@@ -1,7 +1,9 @@
 package route
 
 import (
+	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -176,3 +178,305 @@
 		tx.Release(true)
 	})
 }
+
+// tally counts what a router records.
+type tally struct {
+	mu       sync.Mutex
+	began    map[Path]int
+	refused  map[Refusal]int
+	unknown  int
+	stale    int
+	finished int
+}
+
+func newTally() *tally { return &tally{began: map[Path]int{}, refused: map[Refusal]int{}} }
+
+func (c *tally) count(f func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	f()
+}
+
+func (c *tally) Began(_ Labels, p Path, _ time.Duration) { c.count(func() { c.began[p]++ }) }
+func (c *tally) Statements(Labels, int)                  {}
+func (c *tally) Refused(_ Labels, r Refusal)             { c.count(func() { c.refused[r]++ }) }
+func (c *tally) OutcomeUnknown(Labels)                   { c.count(func() { c.unknown++ }) }
+func (c *tally) StaleRead(Labels)                        { c.count(func() { c.stale++ }) }
+func (c *tally) Finished(Labels, time.Duration)          { c.count(func() { c.finished++ }) }
+
+// runTx runs a transaction of the given length and returns its token.
+func runTx(ctx context.Context, r Router, q Request, length time.Duration) (string, error) {
+	tx, err := r.Begin(ctx, q)
+	if err != nil {
+		return "", err
+	}
+	time.Sleep(length)
+	token, err := tx.Finish(ctx)
+	tx.Release(err == nil)
+	return token, err
+}
+
+// Guards against requests that fail, or are all released at once, when the
+// primary is lost and another is promoted, against connections that stay open
+// to the old primary, and against waiting for connects after the change.
+func TestFailover(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		net := newFakeNet()
+		net.latency = 30 * time.Millisecond
+		o := NewOwnerRouter(OwnerConfig{
+			Database: "d",
+			Slots:    []group.Slot{slotOf("p"), slotOf("r")},
+			Policy:   NewPolicy(testService()),
+			Gate:     g,
+			Dial:     net.dial,
+			Limit:    limitOf(16),
+		})
+		defer o.Close()
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		held, err := o.Begin(t.Context(), Request{Class: "pay"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		if n, _ := net.count("r"); n != warmSpare {
+			t.Errorf("%d connections opened ahead to the replica, want %d", n, warmSpare)
+		}
+		net.setRefuse("p", true)
+		g.set(func(g *fakeGate) { g.known = false })
+		first := time.Hour
+		var mu sync.Mutex
+		promoted := time.Now().Add(500 * time.Millisecond)
+		var wg sync.WaitGroup
+		for range 30 {
+			wg.Go(func() {
+				tx, err := o.Begin(t.Context(), Request{Class: "book"})
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				first = min(first, time.Since(promoted))
+				mu.Unlock()
+				time.Sleep(10 * time.Millisecond)
+				if _, err := tx.Finish(t.Context()); err != nil {
+					t.Error(err)
+				}
+				tx.Release(true)
+			})
+		}
+		time.Sleep(500 * time.Millisecond)
+		g.promote("r", 4)
+		time.Sleep(30 * time.Millisecond)
+		if n, _ := net.count("p"); n != 0 || !held.Conn().(*fakeConn).isClosed() {
+			t.Errorf("%d connections to the old primary", n)
+		}
+		if used := len(inUse(o, "r")); used > 2 {
+			t.Errorf("%d requests released in the first step, want 2 of a limit of 16", used)
+		}
+		wg.Wait()
+		if first != 0 {
+			t.Errorf("the first request waited %v after the change", first)
+		}
+		if _, err := held.Finish(t.Context()); err == nil {
+			t.Error("a transaction of the old primary was confirmed")
+		}
+		held.Release(false)
+		if n, waiting := o.primary.Load(); n != 0 || waiting != 0 {
+			t.Errorf("%d admitted and %d waiting at the end", n, waiting)
+		}
+	})
+}
+
+func inUse(o *OwnerRouter, peer string) []*pooled {
+	o.pools.mu.Lock()
+	defer o.pools.mu.Unlock()
+	var busy []*pooled
+	for t, p := range o.pools.pools {
+		if t.Peer == peer {
+			busy = append(busy, p.busy...)
+		}
+	}
+	return busy
+}
+
+// Guards against requests refused though the gate still names a primary that
+// cannot be reached, and against a dead primary that nobody reports.
+func TestUnreachablePrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		net := newFakeNet()
+		net.setRefuse("p", true)
+		o := newOwner(g, net)
+		defer o.Close()
+		time.AfterFunc(600*time.Millisecond, func() { g.promote("r", 4) })
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Error(err)
+		}
+		if g.failures["p"] == 0 {
+			t.Error("the failed connects were not reported")
+		}
+	})
+}
+
+// Guards against an unbounded queue while there is no primary, requests that
+// wait beyond their deadline, and refusals that are not counted.
+func TestQueueIsBoundedWithoutPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		g.known = false
+		net := newFakeNet()
+		o := newOwner(g, net)
+		defer o.Close()
+		counts := newTally()
+		o.cfg.Recorder = counts
+		start := time.Now()
+		var wg sync.WaitGroup
+		for range 60 {
+			wg.Go(func() {
+				var notRun *NotRunError
+				if _, err := o.Begin(t.Context(), Request{Class: "pay"}); !errors.As(err, &notRun) {
+					t.Errorf("Begin without a primary: %v", err)
+				}
+			})
+		}
+		wg.Wait()
+		if counts.refused[RefusedQueue] != 10 || counts.refused[RefusedDeadline] != 50 {
+			t.Errorf("refusals %v, want 10 for the queue limit of 50 and 50 for the deadline", counts.refused)
+		}
+		if time.Since(start) != time.Second || net.dials != 0 {
+			t.Errorf("ended after %v with %d dials", time.Since(start), net.dials)
+		}
+	})
+}
+
+// Guards against reads that take the primary's connections while replicas
+// qualify, and against payments that wait behind them.
+func TestReplicaReadsLeavePrimaryFree(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		net := newFakeNet()
+		o := newOwner(g, net)
+		defer o.Close()
+		counts := newTally()
+		o.cfg.Recorder = counts
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		var wg sync.WaitGroup
+		for range 40 {
+			wg.Go(func() {
+				runTx(t.Context(), o, Request{Class: "stock", Token: TokenNone}, 200*time.Millisecond)
+			})
+		}
+		time.Sleep(50 * time.Millisecond)
+		start := time.Now()
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil || time.Since(start) != 0 {
+			t.Errorf("payment during reads: %v after %v", err, time.Since(start))
+		}
+		wg.Wait()
+		if counts.began[PathPrimaryRead] != 0 || net.peak["r"] > 4 {
+			t.Errorf("%d reads on the primary, %d connections to the replica", counts.began[PathPrimaryRead], net.peak["r"])
+		}
+		if counts.began[PathReplica]+counts.refused[RefusedDeadline] != 40 || counts.began[PathReplica] < 16 {
+			t.Errorf("began %v, refused %v", counts.began, counts.refused)
+		}
+	})
+}
+
+// Guards against reads that a dead replica delays to their deadline.
+func TestReplicaUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		net := newFakeNet()
+		net.setRefuse("r", true)
+		o := newOwner(g, net)
+		defer o.Close()
+		tx, err := o.Begin(t.Context(), Request{Class: "stock", Token: TokenNone})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if tx.(*ownerTx).peer() != "p" || g.failures["r"] == 0 {
+			t.Errorf("served by %s, failures %v", tx.(*ownerTx).peer(), g.failures)
+		}
+		tx.Release(true)
+	})
+}
+
+// Guards against reads of data that grew older than accepted while the request
+// waited for a connection.
+func TestAgeIncludesTheWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		g.replicas[0].age = 9 * time.Second // of the 10 s that reports accept
+		o := newOwner(g, newFakeNet())
+		defer o.Close()
+		tx, err := o.Begin(t.Context(), Request{Class: "report", Token: TokenNone})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if tx.(*ownerTx).peer() != "p" {
+			t.Error("a read that had to wait for a connect got data that may be too old by then")
+		}
+		tx.Release(true)
+	})
+}
+
+// Guards against repeating what must run once, and against retries without
+// bound.
+func TestMayRepeat(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		o := newOwner(g, newFakeNet())
+		defer o.Close()
+		repeats := func(r Request) int {
+			n := 0
+			for range 200 {
+				tx, err := o.Begin(t.Context(), r)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if tx.MayRepeat() {
+					n++
+				}
+				tx.Release(false)
+			}
+			return n
+		}
+		if n := repeats(Request{Class: "pay"}); n != 0 {
+			t.Errorf("%d payments without a key may be repeated", n)
+		}
+		if n := repeats(Request{Class: "pay", Key: "k"}); n != 200 {
+			t.Errorf("%d of 200 payments may be repeated under their key", n)
+		}
+		if n := repeats(Request{Class: "book"}); n < 20 || n > 30 {
+			t.Errorf("%d of 200 requests may be repeated, want 10%% and a burst of 10", n)
+		}
+		if g.failures["p"] != 600 || g.answers["p"] != 0 {
+			t.Errorf("failures %v, answers %v", g.failures, g.answers)
+		}
+	})
+}
+
+// Guards against a router whose Close leaves requests waiting.
+func TestCloseRefusesWaiting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		g.known = false
+		o := newOwner(g, newFakeNet())
+		counts := newTally()
+		o.cfg.Recorder = counts
+		time.AfterFunc(100*time.Millisecond, o.Close)
+		start := time.Now()
+		var notRun *NotRunError
+		if _, err := o.Begin(t.Context(), Request{Class: "pay"}); !errors.As(err, &notRun) {
+			t.Error(err)
+		}
+		if time.Since(start) != 100*time.Millisecond || counts.refused[RefusedStopped] != 1 {
+			t.Errorf("refused after %v: %v", time.Since(start), counts.refused)
+		}
+		synctest.Wait()
+	})
+}
--- a/daemon/internal/route/policy.go
+++ b/daemon/internal/route/policy.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/admission"
@@ -34,7 +36,8 @@
 
 type classPolicy struct {
 	labels     Labels
-	admission  admission.Class
+	primary    admission.Class // at the primary's limiter, and on entry hosts
+	replica    admission.Class // at the limiters of replicas
 	deadline   time.Duration
 	repeatable bool
 	read       bool
@@ -52,43 +55,61 @@
 	}
 	setDefault(&p.commitTimeout, defaultCommitTimeout)
 	setDefault(&p.replicaWait, defaultReplicaWait)
-	first, last := priorities(s.Classes)
+	r := rangeOf(s.Classes)
 	for _, c := range s.Classes {
-		p.classes[c.Name] = newClassPolicy(s.Name, c, first)
+		p.classes[c.Name] = newClassPolicy(s.Name, c, r)
 	}
-	p.unclassified = newClassPolicy(s.Name, config.Class{Priority: last}, first)
+	p.unclassified = newClassPolicy(s.Name, config.Class{Priority: r.last}, r)
 	return p
 }
 
-func priorities(classes []config.Class) (first, last int) {
-	for i, c := range classes {
-		if i == 0 {
-			first, last = c.Priority, c.Priority
+// priorityRange is the range of a service's priorities.
+type priorityRange struct {
+	first, last int
+	// firstRead is the first priority of a class that reads; the reserve on
+	// replicas is for it, as classes that write do not go there.
+	firstRead int
+}
+
+func rangeOf(classes []config.Class) priorityRange {
+	if len(classes) == 0 {
+		return priorityRange{}
+	}
+	byPriority := func(a, b config.Class) int { return cmp.Compare(a.Priority, b.Priority) }
+	r := priorityRange{
+		first: slices.MinFunc(classes, byPriority).Priority,
+		last:  slices.MaxFunc(classes, byPriority).Priority,
+	}
+	r.firstRead = r.last
+	for _, c := range classes {
+		if c.Read {
+			r.firstRead = min(r.firstRead, c.Priority)
 		}
-		first = min(first, c.Priority)
-		last = max(last, c.Priority)
 	}
-	return first, last
+	return r
 }
 
-func newClassPolicy(service string, c config.Class, first int) *classPolicy {
+func newClassPolicy(service string, c config.Class, r priorityRange) *classPolicy {
+	if c.QueueLimit <= 0 {
+		c.QueueLimit = defaultQueueLimit
+	}
+	admitted := admission.Class{
+		Name:       service + "/" + c.Name,
+		Priority:   c.Priority,
+		QueueLimit: c.QueueLimit,
+		Top:        c.Priority == r.first,
+	}
 	p := &classPolicy{
-		labels: Labels{Service: service, Class: c.Name},
-		admission: admission.Class{
-			Name:       service + "/" + c.Name,
-			Priority:   c.Priority,
-			QueueLimit: c.QueueLimit,
-			Top:        c.Priority == first,
-		},
+		labels:     Labels{Service: service, Class: c.Name},
+		primary:    admitted,
+		replica:    admitted,
 		deadline:   c.Deadline.Std(),
 		repeatable: c.Repeatable,
 		read:       c.Read,
 		maxAge:     c.MaxAge.Std(),
 	}
+	p.replica.Top = c.Priority <= r.firstRead
 	setDefault(&p.deadline, defaultDeadline)
-	if p.admission.QueueLimit <= 0 {
-		p.admission.QueueLimit = defaultQueueLimit
-	}
 	return p
 }
 
--- a/daemon/internal/route/pool.go
+++ b/daemon/internal/route/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -14,7 +15,7 @@
 	// Peer is the ID of a slot or the name of an owner host.
 	Peer string
 	// Address is the peer's host:port. A new address for the same peer means
-	// that the machine was replaced.
+	// that the machine was replaced; the old one then gets no more connections.
 	Address  string
 	User     string
 	Database string
@@ -31,6 +32,8 @@
 	// that takes much longer is not worth waiting for, a new one is faster.
 	defaultPingTimeout = 250 * time.Millisecond
 	defaultDialTimeout = 2 * time.Second
+	// replacedFor is longer than any request waits.
+	replacedFor = 5 * time.Minute
 	// warmBackoff keeps warming from dialing a dead peer on every call.
 	warmBackoff = time.Second
 )
@@ -100,6 +103,7 @@
 type peer struct {
 	name       string
 	address    string
+	replaced   map[string]time.Time // earlier addresses and when they were replaced
 	open       int
 	generation *generation
 }
@@ -209,7 +213,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	p := s.pools[t]
-	if p == nil || s.closed || p.waiting > 0 || len(p.idle) == 0 {
+	if p == nil || p.peer.address != t.Address || s.closed || p.waiting > 0 || len(p.idle) == 0 {
 		return nil
 	}
 	if time.Since(p.idle[len(p.idle)-1].used) > s.cfg.PingAfter {
@@ -225,6 +229,10 @@
 		return nil, ErrPoolClosed
 	}
 	p := s.pool(t)
+	if p == nil {
+		s.mu.Unlock()
+		return nil, ErrPeerClosed
+	}
 	if p.waiting == 0 && len(p.idle) > 0 {
 		c := p.popIdle()
 		s.mu.Unlock()
@@ -286,25 +294,44 @@
 }
 
 // pool returns the pool of the target. If the peer has a new address, the
-// connections to the old one are closed.
+// connections to the old one are closed. It returns nil for an address that was
+// replaced, which a request may have learned before that.
 func (s *Pools) pool(t Target) *Pool {
-	if p := s.pools[t]; p != nil {
+	if p := s.pools[t]; p != nil && p.peer.address == t.Address {
 		return p
 	}
 	pr := s.peers[t.Peer]
 	if pr == nil {
-		pr = &peer{name: t.Peer, generation: newGeneration()}
+		pr = &peer{name: t.Peer, address: t.Address, generation: newGeneration()}
 		s.peers[t.Peer] = pr
 	}
-	if pr.address != t.Address {
-		s.closePeer(pr, true)
-		pr.address = t.Address
+	if pr.address != t.Address && !s.readdress(pr, t.Address) {
+		return nil
+	}
+	p := s.pools[t]
+	if p == nil {
+		p = &Pool{set: s, peer: pr, target: t}
+		s.pools[t] = p
 	}
-	p := &Pool{set: s, peer: pr, target: t}
-	s.pools[t] = p
 	return p
 }
 
+// readdress moves a peer to a new address; it fails for one that was replaced
+// a short while ago.
+func (s *Pools) readdress(pr *peer, address string) bool {
+	if at, ok := pr.replaced[address]; ok && time.Since(at) < replacedFor {
+		return false
+	}
+	s.closePeer(pr, true)
+	if pr.replaced == nil {
+		pr.replaced = make(map[string]time.Time)
+	}
+	delete(pr.replaced, address)
+	pr.replaced[pr.address] = time.Now()
+	pr.address = address
+	return true
+}
+
 func newGeneration() *generation {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &generation{ctx: ctx, cancel: cancel}
@@ -458,6 +485,9 @@
 		return
 	}
 	p := s.pool(t)
+	if p == nil {
+		return
+	}
 	p.warm = n
 	if time.Since(p.failed) < warmBackoff {
 		return
@@ -535,7 +565,8 @@
 		used[p.peer] = true
 	}
 	for name, p := range s.peers {
-		if p.open == 0 && !used[p] {
+		maps.DeleteFunc(p.replaced, func(_ string, at time.Time) bool { return time.Since(at) >= replacedFor })
+		if p.open == 0 && !used[p] && len(p.replaced) == 0 {
 			p.generation.cancel()
 			delete(s.peers, name)
 		}
--- a/daemon/internal/route/pool_test.go
+++ b/daemon/internal/route/pool_test.go
@@ -52,6 +52,19 @@
 	return c, nil
 }
 
+// count returns the open connections to a peer and their highest number.
+func (n *fakeNet) count(peer string) (open, peak int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.open[peer], n.peak[peer]
+}
+
+func (c *fakeConn) isClosed() bool {
+	c.net.mu.Lock()
+	defer c.net.mu.Unlock()
+	return c.closed
+}
+
 func (n *fakeNet) setRefuse(peer string, refuse bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -246,6 +259,9 @@
 		if net.open["a"] != 1 || !c.conn.(*fakeConn).closed {
 			t.Errorf("%d connections after the peer was replaced, want the new one", net.open["a"])
 		}
+		if _, err := s.get(t.Context(), targetOf("a")); !errors.Is(err, ErrPeerClosed) {
+			t.Errorf("a request that knows the old address: %v", err)
+		}
 		s.put(c, true)
 		s.put(fresh, true)
 	})
