--- a/daemon/internal/session/fake_test.go
+++ b/daemon/internal/session/fake_test.go
@@ -358,6 +358,9 @@
 		c.be.Send(&pgproto3.CloseComplete{})
 	case *pgproto3.Flush:
 		return c.be.Flush()
+	case *pgproto3.FunctionCall:
+		c.be.Send(&pgproto3.FunctionCallResponse{Result: []byte("result")})
+		c.endStatement()
 	case *pgproto3.Sync:
 		c.skip = false
 		c.endStatement()
--- a/daemon/internal/session/fuzz_test.go
+++ b/daemon/internal/session/fuzz_test.go
@@ -85,6 +85,7 @@
 		&pgproto3.Close{ObjectType: 'S', Name: "s"}, &pgproto3.Sync{}), false)
 	f.Add(encode(f, query("COPY t FROM STDIN"), &pgproto3.CopyData{Data: []byte("x\n")}, &pgproto3.CopyDone{}), false)
 	f.Add(encode(f, &pgproto3.Parse{Query: "FAIL 22012"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Flush{}, &pgproto3.Sync{}), false)
+	f.Add(encode(f, &pgproto3.FunctionCall{Function: 1}, &pgproto3.Terminate{}), false)
 	f.Add(encode(f, &pgproto3.Bind{PreparedStatement: "gg_none"}, &pgproto3.Close{ObjectType: 'P', Name: "p"}, &pgproto3.Sync{}), false)
 	f.Fuzz(func(t *testing.T, sent []byte, forwarded bool) {
 		synctest.Test(t, func(t *testing.T) {
--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -1182,6 +1182,50 @@
 	})
 }
 
+// Guards against a COPY by the extended protocol that ends at the wrong Sync: a
+// server ignores the one that arrives during the COPY.
+func TestCopyInByExtendedProtocol(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		h, err := w.connect(t, "").PgConn().Hijack()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer h.Conn.Close()
+		send := func(messages ...encoder) {
+			if _, err := h.Conn.Write(encode(t, messages...)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		receive := func() pgproto3.BackendMessage {
+			m, err := h.Frontend.Receive()
+			if err != nil {
+				t.Fatal(err)
+			}
+			return m
+		}
+		send(&pgproto3.Parse{Query: "COPY t FROM STDIN"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+		for {
+			if _, ok := receive().(*pgproto3.CopyInResponse); ok {
+				break
+			}
+		}
+		send(&pgproto3.CopyData{Data: []byte("line\n")}, &pgproto3.CopyDone{}, &pgproto3.Sync{})
+		if m, ok := receive().(*pgproto3.CommandComplete); !ok || string(m.CommandTag) != "COPY 1" {
+			t.Fatalf("got %#v", m)
+		}
+		if m, ok := receive().(*pgproto3.ReadyForQuery); !ok || m.TxStatus != 'I' {
+			t.Fatalf("got %#v", m)
+		}
+		send(&pgproto3.Query{String: "INSERT a"})
+		if m, ok := receive().(*pgproto3.CommandComplete); !ok || string(m.CommandTag) != "INSERT 0 1" {
+			t.Fatalf("got %#v", m)
+		}
+		receive()
+		wantEffects(t, w.backends[0], "COPY 5 bytes", "INSERT a")
+	})
+}
+
 // Guards against memory that a unit without bound takes.
 func TestUnitLimit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/daemon/internal/session/wire.go
+++ b/daemon/internal/session/wire.go
@@ -18,6 +18,7 @@
 const (
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 16 << 10
+	writePartBytes   = 64 << 10
 	// keptBufferBytes is the largest output buffer that returns to the pool.
 	keptBufferBytes = 64 << 10
 
@@ -265,12 +266,20 @@
 	o.base = 0
 }
 
+// write sends the buffer in parts, each of which has the full time, so that a
+// slow caller is told from one that does not read.
 func (o *output) write() error {
-	if err := o.nc.SetWriteDeadline(time.Now().Add(o.timeout)); err != nil {
-		return err
+	for b := o.buf; len(b) > 0; {
+		n := min(len(b), writePartBytes)
+		if err := o.nc.SetWriteDeadline(time.Now().Add(o.timeout)); err != nil {
+			return err
+		}
+		if _, err := o.nc.Write(b[:n]); err != nil {
+			return err
+		}
+		b = b[n:]
 	}
-	_, err := o.nc.Write(o.buf)
-	return err
+	return nil
 }
 
 // free returns the empty buffer to the pool.
--- a/daemon/internal/upstream/conn.go
+++ b/daemon/internal/upstream/conn.go
@@ -27,6 +27,7 @@
 	defaultWriteTimeout   = 30 * time.Second
 	defaultDialTimeout    = 10 * time.Second
 	defaultStatementLimit = 256
+	writePartBytes        = 64 << 10
 	cancelTimeout         = 5 * time.Second
 
 	// StatusIdle, StatusInTransaction and StatusFailed are the transaction
@@ -202,12 +203,21 @@
 }
 
 // Write sends encoded messages and returns the number of bytes that were handed
-// to the network; 0 with an error means that the peer has seen none of them.
+// to the network; 0 with an error means that the peer has seen none of them. The
+// write timeout applies to each part of 64 KiB.
 func (c *Conn) Write(p []byte) (int, error) {
-	if err := c.nc.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
-		return 0, err
+	written := 0
+	for {
+		part := p[written:min(len(p), written+writePartBytes)]
+		if err := c.nc.SetWriteDeadline(time.Now().Add(c.writeTimeout)); err != nil {
+			return written, err
+		}
+		n, err := c.nc.Write(part)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
 	}
-	return c.nc.Write(p)
 }
 
 // Receive returns the next message, which is valid until the next call.
