--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -67,6 +67,18 @@
 	}
 }
 
+// inWorld runs a test in virtual time with one backend and one caller.
+func inWorld(t *testing.T, run func(t *testing.T, w *world, c *pgx.Conn)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		run(t, w, w.connect(t, ""))
+	})
+}
+
+func subWorld(t *testing.T, name string, run func(t *testing.T, w *world, c *pgx.Conn)) {
+	t.Run(name, func(t *testing.T) { inWorld(t, run) })
+}
+
 // exec returns the SQLSTATE of a statement, empty for success.
 func exec(t *testing.T, c *pgx.Conn, sql string, arguments ...any) string {
 	t.Helper()
@@ -74,6 +86,27 @@
 	return sqlState(t, err)
 }
 
+func wantCode(t *testing.T, c *pgx.Conn, code, sql string, arguments ...any) {
+	t.Helper()
+	if got := exec(t, c, sql, arguments...); got != code {
+		t.Fatalf("%s: SQLSTATE %q, want %q", sql, got, code)
+	}
+}
+
+func wantTag(t *testing.T, c *pgx.Conn, tag, sql string) {
+	t.Helper()
+	if got := mustExec(t, c, sql); got != tag {
+		t.Fatalf("%s: tag %q, want %q", sql, got, tag)
+	}
+}
+
+func wantRow(t *testing.T, c *pgx.Conn, value, sql string, arguments ...any) {
+	t.Helper()
+	if got := queryString(t, c, sql, arguments...); got != value {
+		t.Fatalf("%s: row %q, want %q", sql, got, value)
+	}
+}
+
 func wantEffects(t *testing.T, b *fakeBackend, want ...string) {
 	t.Helper()
 	if got := b.effects(); !slices.Equal(got, want) {
@@ -88,15 +121,9 @@
 // Guards against an unusable path: plain and prepared statements and a
 // transaction block.
 func TestStatementsThroughRouter(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
-		if got := mustExec(t, c, "INSERT a"); got != "INSERT 0 1" {
-			t.Fatalf("tag %q", got)
-		}
-		if got := queryString(t, c, "SELECT $1", "x"); got != "x" {
-			t.Fatalf("row %q", got)
-		}
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
+		wantTag(t, c, "INSERT 0 1", "INSERT a")
+		wantRow(t, c, "x", "SELECT $1", "x")
 		mustExec(t, c, "BEGIN")
 		mustExec(t, c, "INSERT b")
 		mustExec(t, c, "COMMIT")
@@ -125,16 +152,12 @@
 		}
 		for i := range 9 {
 			want := fmt.Sprint(i)
-			if got := queryString(t, []*pgx.Conn{a, b}[i%2], "st", want); got != want {
-				t.Fatalf("row %q, want %q", got, want)
-			}
+			wantRow(t, []*pgx.Conn{a, b}[i%2], want, "st", want)
 		}
 		if err := a.Deallocate(ctx, "st"); err != nil {
 			t.Fatal(err)
 		}
-		if got := queryString(t, b, "st", "still"); got != "still" {
-			t.Fatalf("row %q", got)
-		}
+		wantRow(t, b, "still", "st", "still")
 		wantState(t, a.PgConn().ExecPrepared(ctx, "st", [][]byte{nil}, nil, nil).Read().Err, codeUnknownStatement)
 		_, err := b.PgConn().Prepare(ctx, "st", "SELECT other", nil)
 		wantState(t, err, "42P05")
@@ -144,9 +167,7 @@
 // Guards against a statement that stays recorded on a connection although the
 // server skipped or refused its Parse.
 func TestFailedParseIsNotRecorded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		ctx := context.Background()
 		for range 2 {
 			_, err := c.PgConn().Prepare(ctx, "bad", "SYNTAX", nil)
@@ -157,9 +178,7 @@
 		batch.ExecParams("SELECT later", nil, nil, nil, nil)
 		_, err := c.PgConn().ExecBatch(ctx, batch).ReadAll()
 		wantState(t, err, "22012")
-		if got := queryString(t, c, "SELECT later"); got != "later" {
-			t.Fatalf("row %q", got)
-		}
+		wantRow(t, c, "later", "SELECT later")
 	})
 }
 
@@ -173,9 +192,7 @@
 		for range 2 {
 			for i := range 4 {
 				name := fmt.Sprintf("SELECT $1 /*%d*/", i)
-				if got := queryString(t, c, name, "v"); got != "v" {
-					t.Fatalf("row %q", got)
-				}
+				wantRow(t, c, "v", name, "v")
 			}
 		}
 		w.backends[0].mu.Lock()
@@ -212,9 +229,7 @@
 
 // Guards against state that a read leaves behind without showing it in its tag.
 func TestStateLeftByReadsIsReset(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		statements := []string{"SELECT pg_Advisory_lock(1)", "SELECT set_config('a', 'b', false)", "SELECT 1 INTO TEMP t"}
 		for i, sql := range statements {
 			mustExec(t, c, sql)
@@ -230,15 +245,9 @@
 // Guards against a SET that is reported as done and silently lost, and against a
 // caller that keeps a wrong idea of a reported parameter.
 func TestSetOutsideTransactionIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
-		if got := exec(t, c, "SET search_path = mine"); got != codeFeatureNotSupported {
-			t.Fatalf("SQLSTATE %q", got)
-		}
-		if got := exec(t, c, "LISTEN news"); got != codeFeatureNotSupported {
-			t.Fatalf("SQLSTATE %q", got)
-		}
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
+		wantCode(t, c, codeFeatureNotSupported, "SET search_path = mine")
+		wantCode(t, c, codeFeatureNotSupported, "LISTEN news")
 		mustExec(t, c, "BEGIN")
 		mustExec(t, c, "SET TimeZone = Dar")
 		if got := c.PgConn().ParameterStatus("TimeZone"); got != "Dar" {
@@ -349,12 +358,8 @@
 		w := newWorld(t, 1, nil)
 		w.router.begin = func(int) error { return &route.NotRunError{Reason: "queue is full"} }
 		c := w.connect(t, "")
-		if got := exec(t, c, "INSERT a"); got != route.CodeNotRun {
-			t.Fatalf("SQLSTATE %q", got)
-		}
-		if got := exec(t, c, "INSERT $1", "x"); got != route.CodeNotRun {
-			t.Fatalf("SQLSTATE %q", got)
-		}
+		wantCode(t, c, route.CodeNotRun, "INSERT a")
+		wantCode(t, c, route.CodeNotRun, "INSERT $1", "x")
 		wantEffects(t, w.backends[0])
 	})
 }
@@ -367,9 +372,7 @@
 			w := newWorld(t, 1, nil)
 			w.backends[0].fail("INSERT a", dropAfter)
 			c := w.connect(t, "")
-			if got := exec(t, c, "INSERT a"); got != route.CodeUnknownOutcome {
-				t.Fatalf("SQLSTATE %q", got)
-			}
+			wantCode(t, c, route.CodeUnknownOutcome, "INSERT a")
 			wantEffects(t, w.backends[0], "INSERT a")
 			mustExec(t, c, "INSERT b")
 		})
@@ -380,9 +383,7 @@
 			w.router.mayRepeat = true
 			w.backends[0].fail("SELECT 1", dropBefore, dropAfter)
 			c := w.connect(t, "")
-			if got := queryString(t, c, "SELECT 1"); got != "1" {
-				t.Fatalf("row %q", got)
-			}
+			wantRow(t, c, "1", "SELECT 1")
 			if got := w.router.released(); got[len(got)-1] != true || slices.Index(got, false) < 0 {
 				t.Fatalf("releases %v", got)
 			}
@@ -401,9 +402,7 @@
 			w.backends[0].fail("INSERT a", dropAfter)
 			c := w.connect(t, "")
 			// An attempt has reached the server, so "not run" would be false.
-			if got := exec(t, c, "INSERT a"); got != route.CodeUnknownOutcome {
-				t.Fatalf("SQLSTATE %q", got)
-			}
+			wantCode(t, c, route.CodeUnknownOutcome, "INSERT a")
 		})
 	})
 	t.Run("inside a transaction", func(t *testing.T) {
@@ -414,19 +413,11 @@
 			c := w.connect(t, "")
 			mustExec(t, c, "BEGIN")
 			mustExec(t, c, "INSERT a")
-			if got := exec(t, c, "INSERT b"); got != codeConnectionFailure {
-				t.Fatalf("SQLSTATE %q", got)
-			}
+			wantCode(t, c, codeConnectionFailure, "INSERT b")
 			// The rest of the block must not run by itself.
-			if got := exec(t, c, "INSERT c"); got != codeFailedTransaction {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-			if got := exec(t, c, "INSERT $1", "d"); got != codeFailedTransaction {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-			if got := mustExec(t, c, "COMMIT"); got != "ROLLBACK" {
-				t.Fatalf("tag %q", got)
-			}
+			wantCode(t, c, codeFailedTransaction, "INSERT c")
+			wantCode(t, c, codeFailedTransaction, "INSERT $1", "d")
+			wantTag(t, c, "ROLLBACK", "COMMIT")
 			mustExec(t, c, "INSERT e")
 			wantEffects(t, w.backends[0], "INSERT e")
 		})
@@ -438,9 +429,7 @@
 			c := w.connect(t, "")
 			mustExec(t, c, "BEGIN")
 			mustExec(t, c, "INSERT a")
-			if got := exec(t, c, "COMMIT"); got != route.CodeUnknownOutcome {
-				t.Fatalf("SQLSTATE %q", got)
-			}
+			wantCode(t, c, route.CodeUnknownOutcome, "COMMIT")
 		})
 	})
 }
@@ -456,66 +445,38 @@
 			a, b := w.connect(t, ""), w.connect(t, "")
 			first := mustExec(t, a, insert)
 			w.router.turn = 0
-			if got := mustExec(t, b, insert); got != first {
-				t.Fatalf("replayed tag %q, want %q", got, first)
-			}
+			wantTag(t, b, first, insert)
 			wantEffects(t, w.backends[0], "INSERT claim")
 		})
 	})
-	t.Run("by setting and extended protocol", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 1, nil)
-			c := w.connect(t, "")
-			for range 2 {
-				mustExec(t, c, "SET gypsumgap.request_key = 'k2'")
-				if got := queryString(t, c, "SELECT $1", "answer"); got != "answer" {
-					t.Fatalf("row %q", got)
-				}
-			}
-			if n := w.backends[0].count("SELECT $1"); n != 1 {
-				t.Fatalf("request ran %d times", n)
-			}
-			// The key counts for one transaction only.
-			queryString(t, c, "SELECT $1", "answer")
-			if n := w.backends[0].count("SELECT $1"); n != 2 {
-				t.Fatalf("request ran %d times", n)
-			}
-		})
+	subWorld(t, "by setting and extended protocol", func(t *testing.T, w *world, c *pgx.Conn) {
+		for range 2 {
+			mustExec(t, c, "SET gypsumgap.request_key = 'k2'")
+			wantRow(t, c, "answer", "SELECT $1", "answer")
+		}
+		if n := w.backends[0].count("SELECT $1"); n != 1 {
+			t.Fatalf("request ran %d times", n)
+		}
+		// The key counts for one transaction only.
+		queryString(t, c, "SELECT $1", "answer")
+		if n := w.backends[0].count("SELECT $1"); n != 2 {
+			t.Fatalf("request ran %d times", n)
+		}
 	})
-	t.Run("reuse", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 1, nil)
-			c := w.connect(t, "")
-			mustExec(t, c, insert)
-			if got := exec(t, c, "INSERT other /*request_key='k1'*/"); got != route.CodeKeyReused {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-			wantEffects(t, w.backends[0], "INSERT claim")
-		})
+	subWorld(t, "reuse", func(t *testing.T, w *world, c *pgx.Conn) {
+		mustExec(t, c, insert)
+		wantCode(t, c, route.CodeKeyReused, "INSERT other /*request_key='k1'*/")
+		wantEffects(t, w.backends[0], "INSERT claim")
 	})
-	t.Run("failed request frees its key", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 1, nil)
-			c := w.connect(t, "")
-			if got := exec(t, c, "FAIL 22012 /*request_key='k1'*/"); got != "22012" {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-			mustExec(t, c, insert)
-			wantEffects(t, w.backends[0], "INSERT claim")
-		})
+	subWorld(t, "failed request frees its key", func(t *testing.T, w *world, c *pgx.Conn) {
+		wantCode(t, c, "22012", "FAIL 22012 /*request_key='k1'*/")
+		mustExec(t, c, insert)
+		wantEffects(t, w.backends[0], "INSERT claim")
 	})
-	t.Run("large answer", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 1, nil)
-			c := w.connect(t, "")
-			const sql = "SELECT rows 100 1000 /*request_key='k1'*/"
-			if got := mustExec(t, c, sql); got != "SELECT 100" {
-				t.Fatalf("tag %q", got)
-			}
-			if got := exec(t, c, sql); got != route.CodeAnswerNotKept {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-		})
+	subWorld(t, "large answer", func(t *testing.T, w *world, c *pgx.Conn) {
+		const sql = "SELECT rows 100 1000 /*request_key='k1'*/"
+		wantTag(t, c, "SELECT 100", sql)
+		wantCode(t, c, route.CodeAnswerNotKept, sql)
 	})
 	t.Run("connection lost at commit", func(t *testing.T) {
 		for _, f := range []fault{dropBefore, dropAfter} {
@@ -523,9 +484,7 @@
 				w := newWorld(t, 1, nil)
 				w.backends[0].fail("COMMIT", f)
 				c := w.connect(t, "")
-				if got := mustExec(t, c, insert); got != "INSERT 0 1" {
-					t.Fatalf("tag %q", got)
-				}
+				wantTag(t, c, "INSERT 0 1", insert)
 				wantEffects(t, w.backends[0], "INSERT claim")
 			})
 		}
@@ -552,35 +511,21 @@
 			w := newWorld(t, 1, nil)
 			w.router.finish = unknown
 			c := w.connect(t, "")
-			if got := exec(t, c, insert); got != route.CodeUnknownOutcome {
-				t.Fatalf("SQLSTATE %q", got)
-			}
+			wantCode(t, c, route.CodeUnknownOutcome, insert)
 			wantEffects(t, w.backends[0], "INSERT claim")
 		})
 	})
-	t.Run("transaction control", func(t *testing.T) {
-		synctest.Test(t, func(t *testing.T) {
-			w := newWorld(t, 1, nil)
-			c := w.connect(t, "")
-			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
-			if got := exec(t, c, "ROLLBACK"); got != codeFeatureNotSupported {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
-			if got := exec(t, c, "COMMIT"); got != route.CodeUnknownOutcome {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-			mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
-			if got := exec(t, c, "COMMIT"); got != route.CodeAnswerNotKept {
-				t.Fatalf("SQLSTATE %q", got)
-			}
-		})
+	subWorld(t, "transaction control", func(t *testing.T, w *world, c *pgx.Conn) {
+		mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
+		wantCode(t, c, codeFeatureNotSupported, "ROLLBACK")
+		mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
+		wantCode(t, c, route.CodeUnknownOutcome, "COMMIT")
+		mustExec(t, c, "SET gypsumgap.request_key = 'k1'")
+		wantCode(t, c, route.CodeAnswerNotKept, "COMMIT")
 	})
 	t.Run("transaction block", func(t *testing.T) {
 		for _, f := range []fault{noFault, dropBefore, dropAfter} {
-			synctest.Test(t, func(t *testing.T) {
-				w := newWorld(t, 1, nil)
-				c := w.connect(t, "")
+			inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 				mustExec(t, c, "BEGIN /*request_key='k1'*/")
 				mustExec(t, c, "INSERT claim")
 				w.backends[0].fail("COMMIT", f)
@@ -602,9 +547,7 @@
 				if errors.As(err, &pe); pe.Detail != "INSERT 0 1\n" {
 					t.Fatalf("recorded tags %q", pe.Detail)
 				}
-				if got := exec(t, c, insert); got != route.CodeKeyReused {
-					t.Fatalf("SQLSTATE %q", got)
-				}
+				wantCode(t, c, route.CodeKeyReused, insert)
 			})
 		}
 	})
@@ -613,9 +556,7 @@
 // Guards against a replay that a driver cannot read because it repeats the request
 // with other protocol messages.
 func TestReplayFitsTheMessages(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		ctx := context.Background()
 		key := func() { mustExec(t, c, "SET gypsumgap.request_key = 'k1'") }
 		values := [][]byte{[]byte("answer")}
@@ -649,13 +590,9 @@
 
 // Guards against a key that is silently ignored because it comes too late.
 func TestKeyInsideTransactionIsRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		mustExec(t, c, "BEGIN")
-		if got := exec(t, c, "INSERT a /*request_key='k1'*/"); got != codeFeatureNotSupported {
-			t.Fatalf("SQLSTATE %q", got)
-		}
+		wantCode(t, c, codeFeatureNotSupported, "INSERT a /*request_key='k1'*/")
 		mustExec(t, c, "ROLLBACK")
 		mustExec(t, c, "BEGIN /*request_key='k1'*/")
 		mustExec(t, c, "INSERT b /*request_key='k1'*/")
@@ -667,13 +604,9 @@
 // Guards against a request that waits beyond its deadline for another run under
 // its key, or is then reported as anything but not run.
 func TestKeyHeldByAnotherRun(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		start := time.Now()
-		if got := exec(t, c, "INSERT a /*request_key='locked'*/"); got != route.CodeNotRun {
-			t.Fatalf("SQLSTATE %q", got)
-		}
+		wantCode(t, c, route.CodeNotRun, "INSERT a /*request_key='locked'*/")
 		// Virtual time: exact but for the retries.
 		if d := time.Since(start); d > defaultRequestTimeout+time.Second {
 			t.Fatalf("waited %v", d)
@@ -720,9 +653,7 @@
 // Guards against settings sent through the extended protocol that reach the
 // server or go unanswered.
 func TestSettingsByExtendedProtocol(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		ctx := context.Background()
 		if _, err := c.Prepare(ctx, "s", "SET gypsumgap.class = 'it''s'"); err != nil {
 			t.Fatal(err)
@@ -745,12 +676,8 @@
 
 // Guards against a caller that claims to be another host.
 func TestForwardSettingIsForHostsOnly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
-		if got := exec(t, c, `SET gypsumgap.forward = '{"user":"admin"}'`); got != codeInvalidSetting {
-			t.Fatalf("SQLSTATE %q", got)
-		}
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
+		wantCode(t, c, codeInvalidSetting, `SET gypsumgap.forward = '{"user":"admin"}'`)
 	})
 }
 
@@ -791,9 +718,7 @@
 			t.Fatalf("owner got %+v and %+v", first, got[1])
 		}
 		mustExec(t, a, "BEGIN")
-		if got := queryString(t, a, "SELECT $1", "x"); got != "x" {
-			t.Fatalf("row %q", got)
-		}
+		wantRow(t, a, "x", "SELECT $1", "x")
 		mustExec(t, a, "INSERT b")
 		mustExec(t, a, "COMMIT")
 		mustExec(t, b, "INSERT c")
@@ -822,9 +747,7 @@
 		}
 		owner.router.begin = nil
 		owner.router.finish = unknown
-		if got := exec(t, c, "INSERT b"); got != route.CodeUnknownOutcome {
-			t.Fatalf("SQLSTATE %q", got)
-		}
+		wantCode(t, c, route.CodeUnknownOutcome, "INSERT b")
 	})
 }
 
@@ -873,9 +796,7 @@
 // Guards against a cancel request that is lost, or that hits the next user of
 // the connection.
 func TestCancel(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		ctx := context.Background()
 		failed := make(chan error, 1)
 		go func() {
@@ -898,9 +819,7 @@
 
 // Guards against a caller that cannot leave the queue for a connection.
 func TestCancelWhileQueued(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		w.router.queue = make(chan struct{}, 1)
 		done := make(chan error, 1)
 		go func() {
@@ -918,9 +837,7 @@
 
 // Guards against a cancel request with a wrong secret.
 func TestCancelNeedsTheSecret(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		done := make(chan error, 1)
 		go func() {
 			_, err := c.Exec(context.Background(), "SELECT wait")
@@ -997,9 +914,7 @@
 
 // Guards against a stop that waits without bound.
 func TestShutdownIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		mustExec(t, c, "BEGIN")
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
@@ -1014,9 +929,7 @@
 
 // Guards against a caller that holds a connection by doing nothing.
 func TestIdleInTransaction(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		mustExec(t, c, "BEGIN")
 		mustExec(t, c, "INSERT a")
 		time.Sleep(2 * defaultIdleInTransaction)
@@ -1124,9 +1037,7 @@
 
 // Guards against a caller that never reads its answer and keeps the connection.
 func TestCallerThatDoesNotRead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		rows, err := c.Query(context.Background(), "SELECT rows 20000 1000")
 		if err != nil {
 			t.Fatal(err)
@@ -1143,9 +1054,7 @@
 // Guards against a deadlock when a large unit and its answers exceed the buffers
 // of the connection.
 func TestLargePipeline(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		batch := &pgx.Batch{}
 		const n = 300
 		for i := range n {
@@ -1169,9 +1078,7 @@
 
 // Guards against a COPY that loses data or does not end.
 func TestCopyIn(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		text := strings.Repeat("line\n", 20000)
 		tag, err := c.PgConn().CopyFrom(context.Background(), strings.NewReader(text), "COPY t FROM STDIN")
 		if err != nil || tag.String() != "COPY 1" {
@@ -1245,9 +1152,7 @@
 // Guards against answers that a caller awaits after a Flush but gets only after
 // its Sync.
 func TestFlush(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		ctx := context.Background()
 		pipeline := c.PgConn().StartPipeline(ctx)
 		pipeline.SendQueryParams("INSERT a", nil, nil, nil, nil)
--- a/daemon/internal/session/startup_test.go
+++ b/daemon/internal/session/startup_test.go
@@ -237,9 +237,7 @@
 				}
 			}
 			d := connect(t, w.n, address, "&search_path=invalid")
-			if got := exec(t, d, "INSERT a"); got != codeInvalidSetting {
-				t.Errorf("SQLSTATE %q", got)
-			}
+			wantCode(t, d, codeInvalidSetting, "INSERT a")
 			wantEffects(t, w.backends[0])
 		})
 	}
@@ -319,9 +317,7 @@
 // Guards against a message that cannot be read and ends the session without a
 // reason, or is skipped.
 func TestMalformedMessage(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		w := newWorld(t, 1, nil)
-		c := w.connect(t, "")
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
 		h, err := c.PgConn().Hijack()
 		if err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/daemon/internal/session/transaction.go
@@ -0,0 +1,483 @@
+package session
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+)
+
+// request describes the transaction that the unit begins, and takes the settings
+// that count only for it.
+func (s *session) request(u *unit) route.Request {
+	r := route.Request{
+		Database: s.database,
+		User:     s.user,
+		Class:    s.appName,
+		Token:    s.token,
+		Key:      s.key,
+		Arrived:  u.arrived,
+	}
+	if s.class != "" {
+		r.Class = s.class
+	}
+	c := parseComment(u.sql)
+	if c.class != "" {
+		r.Class = c.class
+	}
+	if c.key != "" {
+		r.Key = c.key
+	}
+	if f := s.forward; f != nil {
+		r.User, r.Class, r.Token, r.Key, r.Hops = f.User, f.Class, f.Token, f.Key, f.Hops
+		r.Deadline = f.deadline(u.arrived)
+		// The connection carries transactions of many callers.
+		s.token = f.Token
+		s.wanted = f.Parameters
+		s.forward = nil
+	} else if s.options().Deadline != nil {
+		if d := s.options().Deadline(r.Database, r.Class); d > 0 {
+			r.Deadline = u.arrived.Add(d)
+		}
+	}
+	if sql, ok := u.single(); ok {
+		_, r.ReadOnly = isBegin(sql)
+	}
+	if u.executed == 0 {
+		// Preparing a statement is not the request that the key is meant for.
+		r.Key = ""
+		return r
+	}
+	s.key = ""
+	return r
+}
+
+// awaitTx waits for a connection; a cancel request ends the wait.
+func (s *session) awaitTx(r route.Request, deadline time.Time) (route.Tx, error) {
+	ctx := newDeadlineContext(s.ctx, deadline)
+	defer ctx.cancel()
+	s.mu.Lock()
+	s.waiting = ctx
+	s.cancelled = false
+	s.mu.Unlock()
+	tx, err := s.options().Router.Begin(ctx, r)
+	s.mu.Lock()
+	s.waiting = nil
+	cancelled := s.cancelled
+	s.mu.Unlock()
+	if err != nil && cancelled {
+		return nil, &refusal{code: codeQueryCanceled, message: "canceling statement due to user request; it was not run"}
+	}
+	return tx, err
+}
+
+// begin gets a connection.
+func (s *session) begin(r route.Request, deadline time.Time) error {
+	tx, err := s.awaitTx(r, deadline)
+	if err != nil {
+		return err
+	}
+	conn, ok := tx.Conn().(*upstream.Conn)
+	if !ok {
+		tx.Release(false)
+		return &route.NotRunError{Reason: fmt.Sprintf("unsupported connection type %T", tx.Conn())}
+	}
+	s.tx = tx
+	s.conn = conn
+	s.forwarded = tx.Forwarded()
+	s.status = upstream.StatusIdle
+	s.begunKey = r.Key
+	s.mu.Lock()
+	s.active = conn
+	s.mu.Unlock()
+	return nil
+}
+
+func (s *session) finishTx() (string, error) {
+	ctx := newDeadlineContext(s.ctx, time.Now().Add(s.options().FinishTimeout))
+	defer ctx.cancel()
+	return s.tx.Finish(ctx)
+}
+
+// releaseTx gives the connection back, after a reset if a transaction has changed
+// its state.
+func (s *session) releaseTx(clean bool) {
+	if s.tx == nil {
+		return
+	}
+	s.mu.Lock()
+	s.active = nil
+	clean = clean && !s.cancelled
+	s.mu.Unlock()
+	if clean && s.dirty && !s.forwarded {
+		clean = s.resetConn()
+	}
+	if !clean {
+		s.conn.Close()
+	}
+	s.tx.Release(clean)
+	s.tx = nil
+	s.conn = nil
+	s.forwarded = false
+	s.explicit = false
+	s.executed = false
+	s.midUnit = false
+	s.dirty = false
+	s.changed = nil
+	s.txKey = ""
+	s.tags = s.tags[:0]
+	s.lastCommit = false
+	s.lastRollback = false
+	s.sessionState = ""
+}
+
+func (s *session) resetConn() bool {
+	ctx, cancel := context.WithTimeout(s.ctx, s.options().ResetTimeout)
+	defer cancel()
+	if err := s.conn.Reset(ctx); err != nil {
+		s.options().Log.WithError(err).WithField("database", s.database).Warn("connection_reset_failed")
+		return false
+	}
+	return true
+}
+
+// deadlineOf returns when the request is no longer begun again.
+func (s *session) deadlineOf(r route.Request) time.Time {
+	if !r.Deadline.IsZero() {
+		return r.Deadline
+	}
+	return r.Arrived.Add(s.options().RequestTimeout)
+}
+
+// firstUnit runs the unit that begins a transaction. It begins again as long as
+// that cannot run the unit twice.
+func (s *session) firstUnit(u *unit) error {
+	r := s.request(u)
+	deadline := s.deadlineOf(r)
+	delay := defaultRetryDelay
+	sent := false
+	for {
+		if err := s.begin(r, deadline); err != nil {
+			var cancelled *refusal
+			if sent && r.Key != "" && !errors.As(err, &cancelled) && s.pause(&delay, deadline) {
+				continue
+			}
+			return s.refuse(u, beginRefusal(err, sent))
+		}
+		err := s.attempt(u, r, deadline)
+		if err == nil {
+			return nil
+		}
+		lost, err := s.firstFailure(u, err)
+		if lost == nil {
+			return err
+		}
+		again := s.out.sent == 0 && s.repeatable(u, r, lost)
+		s.releaseTx(false)
+		sent = sent || lost.sent && u.executed > 0
+		if again && errors.Is(lost.err, errStale) && time.Now().Before(deadline) {
+			// The pool may hold more connections that ended with this one.
+			continue
+		}
+		if !again || !s.pause(&delay, deadline) {
+			return s.refuse(u, s.lostRefusal(u, lost, sent))
+		}
+		s.out.withdrawAll()
+	}
+}
+
+// firstFailure sorts the failures of a first unit. It returns the loss of the
+// connection, or else reports a refusal and returns what ends the session.
+func (s *session) firstFailure(u *unit, err error) (*lostError, error) {
+	var lost *lostError
+	if errors.As(err, &lost) {
+		return lost, nil
+	}
+	var refused *refusal
+	if errors.As(err, &refused) {
+		s.releaseTx(false)
+		return nil, s.refuse(u, refused)
+	}
+	return nil, err
+}
+
+// repeatable reports whether the unit may be begun again after its connection
+// was lost without an answer to the caller.
+func (s *session) repeatable(u *unit, r route.Request, lost *lostError) bool {
+	if !lost.sent || r.Key != "" || !u.writes() {
+		return true
+	}
+	return s.tx.MayRepeat()
+}
+
+// writes reports whether running the unit can have an effect.
+func (u *unit) writes() bool {
+	if u.executed == 0 {
+		return false
+	}
+	sql, ok := u.single()
+	if !ok {
+		return true
+	}
+	begin, _ := isBegin(sql)
+	return !begin
+}
+
+// beginRefusal is the error of a request that got no connection.
+func beginRefusal(err error, sent bool) *refusal {
+	var cancelled *refusal
+	if sent {
+		err = &route.UnknownOutcomeError{Reason: "an earlier attempt got no answer", Err: errors.New(err.Error())}
+	} else if _, ok := route.Code(err); !ok && !errors.As(err, &cancelled) {
+		err = &route.NotRunError{Reason: "no connection", Err: err}
+	}
+	return refusalOf(err)
+}
+
+// lostRefusal is the error of a first unit whose connection was lost.
+func (s *session) lostRefusal(u *unit, lost *lostError, sent bool) *refusal {
+	switch {
+	case !sent && !lost.sent:
+		return refusalOf(&route.NotRunError{Reason: "connection failed", Err: lost.err})
+	case !u.writes():
+		return &refusal{code: codeConnectionFailure, message: "connection failed: " + lost.err.Error()}
+	default:
+		return refusalOf(&route.UnknownOutcomeError{Reason: "connection failed", Err: lost.err})
+	}
+}
+
+// pause waits before a further attempt and reports whether there is time for one.
+func (s *session) pause(delay *time.Duration, deadline time.Time) bool {
+	if time.Until(deadline) <= *delay {
+		return false
+	}
+	t := time.NewTimer(*delay)
+	defer t.Stop()
+	*delay = min(2**delay, maxRetryDelay)
+	select {
+	case <-t.C:
+		return true
+	case <-s.ctx.Done():
+		return false
+	}
+}
+
+// attempt runs a first unit once.
+func (s *session) attempt(u *unit, r route.Request, deadline time.Time) error {
+	if s.conn.Stale() {
+		return &lostError{err: errStale}
+	}
+	if err := s.applyParameters(); err != nil {
+		return err
+	}
+	if r.Key != "" && !s.forwarded {
+		return s.attemptKeyed(u, r, deadline)
+	}
+	prologue := ""
+	if s.forwarded {
+		var err error
+		if prologue, err = s.prologue(r, deadline); err != nil {
+			return err
+		}
+	}
+	if err := s.build(u, prologue); err != nil {
+		return err
+	}
+	ready, err := s.exchange(u, relayMode{})
+	if err != nil {
+		return err
+	}
+	return s.answered(u, ready)
+}
+
+// prologue is the statement that tells an owner about the request.
+func (s *session) prologue(r route.Request, deadline time.Time) (string, error) {
+	f := forward{
+		User:       r.User,
+		Class:      r.Class,
+		Token:      r.Token,
+		Key:        r.Key,
+		DeadlineMS: max(time.Until(deadline).Milliseconds(), 1),
+		Hops:       r.Hops + 1,
+		Parameters: s.wanted,
+	}
+	return f.statement()
+}
+
+// continueTx runs a further unit of a transaction.
+func (s *session) continueTx(u *unit) error {
+	err := s.continueOnce(u)
+	if err == nil {
+		return nil
+	}
+	var lost *lostError
+	var refused *refusal
+	switch {
+	case errors.As(err, &lost):
+		return s.lostInTx(u, lost)
+	case errors.As(err, &refused):
+		s.releaseTx(false)
+		return s.refuse(u, refused)
+	default:
+		return err
+	}
+}
+
+func (s *session) continueOnce(u *unit) error {
+	if key := parseComment(u.sql).key; key != "" && key != s.begunKey {
+		// Ignoring the key would break the promise that it makes.
+		s.failed = s.explicit
+		return &refusal{
+			code:    codeFeatureNotSupported,
+			message: "a request key must be given with the statement that begins the transaction",
+		}
+	}
+	if err := s.recordTags(u); err != nil {
+		return err
+	}
+	if err := s.build(u, ""); err != nil {
+		return err
+	}
+	ready, err := s.exchange(u, relayMode{})
+	if err != nil {
+		return err
+	}
+	return s.answered(u, ready)
+}
+
+// lostInTx reports the loss of the connection inside a transaction. Unless the
+// unit may have asked for the commit, the transaction has been rolled back.
+func (s *session) lostInTx(u *unit, lost *lostError) error {
+	sql, single := u.single()
+	commit := single && isCommit(sql)
+	if commit && s.txKey != "" && lost.sent {
+		return s.settleCommit(u, lost)
+	}
+	asked := !u.partial
+	if s.explicit {
+		asked = u.mayEnd()
+	}
+	explicit := s.explicit
+	s.releaseTx(false)
+	s.failed = explicit && !commit
+	if lost.sent && asked {
+		return s.refuse(u, refusalOf(&route.UnknownOutcomeError{Reason: "connection failed", Err: lost.err}))
+	}
+	return s.refuse(u, &refusal{
+		code:    codeConnectionFailure,
+		message: "connection failed and the transaction was rolled back: " + lost.err.Error(),
+	})
+}
+
+// answered ends a unit whose answers have been relayed. Without ready the caller
+// asked for a Flush only.
+func (s *session) answered(u *unit, ready bool) error {
+	if !ready {
+		s.midUnit = true
+		if err := s.beforeNext(); err != nil {
+			return err
+		}
+		s.out.flush()
+		return nil
+	}
+	s.midUnit = false
+	return s.complete(u)
+}
+
+// complete passes on what was held at the end of a unit.
+func (s *session) complete(u *unit) error {
+	over := s.status == upstream.StatusIdle
+	if !s.forwarded {
+		if err := s.completeHeld(over); err != nil {
+			return err
+		}
+	}
+	if !over {
+		s.explicit = true
+		s.reportToken()
+		s.ready()
+		s.out.flush()
+		return nil
+	}
+	s.restoreParameters()
+	s.reportToken()
+	s.out.released()
+	if s.dirty && !s.forwarded {
+		s.out.append(&pgproto3.ReadyForQuery{TxStatus: upstream.StatusIdle})
+		s.out.flush()
+		s.releaseTx(true)
+		s.portals = nil
+		return nil
+	}
+	// A caller that does not read must not keep the connection.
+	s.releaseTx(true)
+	s.ready()
+	s.out.flush()
+	return nil
+}
+
+// completeHeld asks for the transaction's outcome and replaces the held
+// completion if that is not a success. It fails with *lostError if the outcome is
+// unknown and can be settled by the transaction's request key.
+func (s *session) completeHeld(over bool) error {
+	if over && !s.explicit && !s.unitFailed && s.completed == 1 && s.sessionState != "" {
+		s.out.withdraw()
+		s.out.append(lostSetting(s.sessionState).response())
+		return nil
+	}
+	ended := over && !s.unitFailed && (s.executed || s.explicit)
+	if !ended && !s.lastCommit {
+		return nil
+	}
+	s.lastCommit = false
+	err := s.finish()
+	if err == nil {
+		return nil
+	}
+	if s.txKey != "" && !s.lastRollback && over {
+		return s.keyedInDoubt(err)
+	}
+	s.out.withdraw()
+	s.out.append(refusalOf(err).response())
+	return nil
+}
+
+// lostSetting refuses a statement whose effect would end with its transaction.
+func lostSetting(word string) *refusal {
+	return &refusal{
+		code:    codeFeatureNotSupported,
+		message: word + " outside a transaction block has no effect: server connections are shared between callers",
+		hint:    "Use it inside a transaction block, for which it lasts.",
+	}
+}
+
+// restoreParameters tells the caller the values that the reset brings back.
+func (s *session) restoreParameters() {
+	if len(s.changed) == 0 {
+		return
+	}
+	for _, p := range s.announced() {
+		if _, ok := s.changed[p.Name]; ok {
+			s.out.append(&p)
+			delete(s.changed, p.Name)
+		}
+	}
+	for name := range s.changed {
+		if value, ok := s.conn.Parameter(name); ok {
+			s.out.append(&pgproto3.ParameterStatus{Name: name, Value: value})
+		}
+	}
+}
+
+func (s *session) reportToken() {
+	if !s.tokenDue {
+		return
+	}
+	s.tokenDue = false
+	s.out.append(&pgproto3.ParameterStatus{Name: tokenParameter, Value: s.token})
+}
