Leave an owner host that stopped answering

Cause: with the owner of a database paused for 8 s, callers on all hosts had no write accepted for 8035 ms. Open connections to the paused process stay silent, and pooled ones were handed out again. Ruled out: the failover, as the primary was healthy, and the platform, which was not asked. A host that is down is used again only after it answered a probe.

--- a/daemon/internal/host/host.go
+++ b/daemon/internal/host/host.go
@@ -29,8 +29,7 @@
 )
 
 const (
-	maintainInterval = time.Second
-	headerTimeout    = 5 * time.Second
+	headerTimeout = 5 * time.Second
 	// leaveDelay lets the other hosts learn that this one leaves before it
 	// stops taking statements from them.
 	leaveDelay = 2 * time.Second
@@ -231,7 +230,7 @@
 }
 
 func (h *Host) maintain(ctx context.Context) {
-	ticker := time.NewTicker(maintainInterval)
+	ticker := time.NewTicker(route.MaintainInterval)
 	defer ticker.Stop()
 	for {
 		select {
--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -16,8 +16,13 @@
 // happens while hosts differ on who owns a database; more would be a loop.
 const maxHops = 2
 
+// MaintainInterval is how often EntryRouter.Maintain is to be called.
+const MaintainInterval = 100 * time.Millisecond
+
 const (
-	// ownerRetry is how long the other owner is used after a failed connect.
+	// ownerRetry is how often an owner that is down is probed. Requests use the
+	// other owner until a probe is answered, so that none of them waits for one
+	// that is not.
 	ownerRetry = time.Second
 	// noOwnerRetry is how often owners are tried while none is reachable.
 	noOwnerRetry = 50 * time.Millisecond
@@ -83,6 +88,11 @@
 	unlisted  *entryDatabase // of databases whose service is not known here
 	noPolicy  *Policy
 
+	watch   *ownerWatch
+	probes  sync.WaitGroup
+	closing context.Context
+	stop    context.CancelFunc
+
 	mu   sync.Mutex
 	down map[string]outage
 }
@@ -94,8 +104,9 @@
 
 // outage is what is remembered of an owner that could not be reached.
 type outage struct {
-	until time.Time // the other owner is preferred until then
-	probe time.Time // not tried before then, even if no owner is reachable
+	target Target
+	probe  time.Time // of the next probe
+	try    time.Time // not tried before then, even if no owner is reachable
 }
 
 // NewEntryRouter returns a router for all databases. It must be closed.
@@ -109,8 +120,10 @@
 	e := &EntryRouter{
 		cfg:      cfg,
 		noPolicy: NewPolicy(&config.Service{}),
+		watch:    newOwnerWatch(),
 		down:     make(map[string]outage),
 	}
+	e.closing, e.stop = context.WithCancel(context.Background())
 	e.unlisted = e.newDatabase()
 	e.pools = NewPools(PoolsConfig{
 		Dial:        cfg.Dial,
@@ -144,12 +157,18 @@
 	for _, l := range e.owners.Range {
 		l.(*admission.Limiter).Close()
 	}
+	e.stop()
+	e.probes.Wait()
 	e.pools.Close()
 }
 
-// Maintain closes connections that were idle too long. The owner of the router
-// calls it every second or so.
-func (e *EntryRouter) Maintain() { e.pools.Maintain() }
+// Maintain probes owner hosts whose answers are overdue and closes connections
+// that were idle too long. The owner of the router calls it every
+// MaintainInterval.
+func (e *EntryRouter) Maintain() {
+	e.probeOwners()
+	e.pools.Maintain()
+}
 
 // lookup returns the policy and the state of a database.
 func (e *EntryRouter) lookup(name string) (*Policy, *entryDatabase) {
@@ -289,11 +308,12 @@
 	if err != nil {
 		limiter.Cancel(&t.placed)
 		if ctx.Err() == nil && !errors.Is(err, ErrPeerClosed) {
-			e.markDown(h.Name)
+			e.markDown(target)
 		}
 		return err
 	}
 	e.markUp(h.Name)
+	e.watch.began(target)
 	t.conn = conn
 	t.owner = limiter
 	return nil
@@ -304,25 +324,41 @@
 func (e *EntryRouter) mayTry(name string, lastResort bool) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	now := time.Now()
 	o, down := e.down[name]
-	if !down {
-		return !lastResort
+	if !down || !lastResort {
+		return !down && !lastResort
 	}
-	if now.Before(o.until) && !lastResort || now.Before(o.probe) {
+	now := time.Now()
+	if now.Before(o.try) {
 		return false
 	}
-	o.probe = now.Add(noOwnerRetry)
+	o.try = now.Add(noOwnerRetry)
 	e.down[name] = o
 	return true
 }
 
-// markDown makes requests use another owner for a while.
-func (e *EntryRouter) markDown(name string) {
+// markDown makes requests use another owner until this one answers a probe.
+func (e *EntryRouter) markDown(t Target) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.down[name] = outage{until: now.Add(ownerRetry), probe: now.Add(noOwnerRetry)}
+	e.down[t.Peer] = outage{target: t, probe: now.Add(ownerRetry), try: now.Add(noOwnerRetry)}
+}
+
+// downOwners returns the owners that are down and due for a probe.
+func (e *EntryRouter) downOwners(now time.Time) []Target {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	var targets []Target
+	for name, o := range e.down {
+		if now.Before(o.probe) {
+			continue
+		}
+		o.probe = now.Add(ownerRetry)
+		e.down[name] = o
+		targets = append(targets, o.target)
+	}
+	return targets
 }
 
 func (e *EntryRouter) markUp(name string) {
@@ -372,6 +408,7 @@
 	if !t.released.CompareAndSwap(false, true) {
 		return
 	}
+	t.router.watch.ended(t.conn.pool.target.Peer, clean)
 	t.router.pools.put(t.conn, clean)
 	giveBack(t.owner, &t.placed, clean)
 	giveBack(t.database.limiter, &t.admitted, clean)
