Close gaps in the session tests that changed copies of the code showed

Of 16 faults put into a scratch copy, three passed: names of skipped Parses that stay recorded (after Sync and after Flush), and a token that one caller of a forwarding connection hides from the next.

--- a/daemon/internal/session/session_test.go
+++ b/daemon/internal/session/session_test.go
@@ -173,12 +173,36 @@
 			_, err := c.PgConn().Prepare(ctx, "bad", "SYNTAX", nil)
 			wantState(t, err, "42601")
 		}
-		batch := &pgconn.Batch{}
-		batch.ExecParams("FAIL 22012", nil, nil, nil, nil)
-		batch.ExecParams("SELECT later", nil, nil, nil, nil)
-		_, err := c.PgConn().ExecBatch(ctx, batch).ReadAll()
-		wantState(t, err, "22012")
-		wantRow(t, c, "later", "SELECT later")
+		other := w.connect(t, "")
+		_, err := other.PgConn().Prepare(ctx, "also bad", "SYNTAX", nil)
+		wantState(t, err, "42601")
+		for i, flush := range []bool{false, true} {
+			sql := fmt.Sprintf("SELECT later%d", i)
+			pipeline := c.PgConn().StartPipeline(ctx)
+			pipeline.SendQueryParams("FAIL 22012", nil, nil, nil, nil)
+			pipeline.SendPrepare("st", sql, nil)
+			if flush {
+				pipeline.SendFlushRequest()
+			}
+			if err := pipeline.Sync(); err != nil {
+				t.Fatal(err)
+			}
+			// The pipeline reports the failure that it was made to have.
+			_ = pipeline.Close()
+			for _, x := range []*pgx.Conn{other, c} {
+				name := fmt.Sprint("st", i)
+				if _, err := x.Prepare(ctx, name, sql); err != nil {
+					t.Fatal(err)
+				}
+				wantRow(t, x, fmt.Sprint("later", i), name)
+			}
+			if _, err := c.PgConn().Prepare(ctx, "st", sql, nil); err != nil {
+				t.Fatal(err)
+			}
+			if err := c.Deallocate(ctx, "st"); err != nil {
+				t.Fatal(err)
+			}
+		}
 	})
 }
 
@@ -727,6 +751,13 @@
 				t.Fatalf("token %q", got)
 			}
 		}
+		owner.router.finish = func(int) (string, error) { return "werkplaats-1-a/1:9", nil }
+		for _, c := range []*pgx.Conn{a, b} {
+			mustExec(t, c, "SELECT 1")
+			if got := c.PgConn().ParameterStatus(tokenParameter); got != "werkplaats-1-a/1:9" {
+				t.Fatalf("token %q", got)
+			}
+		}
 		if entry.finishes != 0 {
 			t.Fatal("entry host held a completion that the owner has held already")
 		}
@@ -793,6 +824,26 @@
 	}
 }
 
+// Guards against an entry host that gives up on a keyed request, or drops its key,
+// when the connection to the owner is lost, and against one that repeats others.
+func TestLostOwner(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world, c *pgx.Conn) {
+		w.router.forwarded = true
+		w.backends[0].fail("INSERT a", dropBefore, noFault, dropBefore)
+		mustExec(t, c, "INSERT a /*request_key='k1'*/")
+		wantCode(t, c, route.CodeUnknownOutcome, "INSERT a")
+		prologues := 0
+		for _, sql := range w.backends[0].statements() {
+			if strings.Contains(sql, settingPrefix+settingForward) && strings.Contains(sql, `"key":"k1"`) {
+				prologues++
+			}
+		}
+		if prologues != 2 {
+			t.Fatalf("%d forwarded requests carried the key, want 2", prologues)
+		}
+	})
+}
+
 // Guards against a cancel request that is lost, or that hits the next user of
 // the connection.
 func TestCancel(t *testing.T) {
