--- a/standin/cmd/gypsumgap-demo/main.go
+++ b/standin/cmd/gypsumgap-demo/main.go
@@ -58,6 +58,7 @@
 	for _, gap := range summary.Gaps {
 		fmt.Println(gap)
 	}
+	fmt.Println(summary.Failures())
 	fmt.Println(summary)
 	if !summary.OK() {
 		return 1
--- /dev/null
+++ b/standin/demo/balancer.go
@@ -0,0 +1,62 @@
+package demo
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// checkInterval and checkMisses are those of a usual balancer.
+	checkInterval = 500 * time.Millisecond
+	readyzTimeout = 400 * time.Millisecond
+	checkMisses   = 2
+)
+
+// balancer stands for the platform's balancer: it takes hosts that fail their
+// health check out of the choice for new connections.
+type balancer struct {
+	hosts []hostPlan
+
+	mu     sync.Mutex
+	misses map[string]int
+}
+
+func newBalancer(l *layout) *balancer { return &balancer{hosts: l.hosts, misses: map[string]int{}} }
+
+func (b *balancer) run(ctx context.Context) {
+	client := &http.Client{Timeout: readyzTimeout}
+	var checks sync.WaitGroup
+	for sleep(ctx, checkInterval) == nil {
+		for _, h := range b.hosts {
+			checks.Go(func() { b.check(ctx, client, h) })
+		}
+		checks.Wait()
+	}
+}
+
+func (b *balancer) check(ctx context.Context, client *http.Client, h hostPlan) {
+	ok := false
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+h.admin+"/readyz", nil)
+	if err == nil {
+		var resp *http.Response
+		if resp, err = client.Do(req); err == nil {
+			resp.Body.Close()
+			ok = resp.StatusCode == http.StatusOK
+		}
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if ok {
+		b.misses[h.listen] = 0
+	} else {
+		b.misses[h.listen]++
+	}
+}
+
+func (b *balancer) healthy(address string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.misses[address] < checkMisses
+}
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -33,6 +33,8 @@
 	sessions     = 8
 	statusPages  = 4
 	callerPause  = 5 * time.Millisecond
+	// callerTimeout is how long a caller waits before it gives a connection up.
+	callerTimeout = 3 * time.Second
 )
 
 // Options set a demo up.
@@ -58,6 +60,8 @@
 	if err != nil {
 		return nil, err
 	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	p := &processes{bin: o.Bin, logs: &lockedWriter{w: o.Logs}}
 	defer p.stop()
 	if err := start(ctx, p, l); err != nil {
@@ -117,6 +121,8 @@
 }
 
 func startLoads(ctx context.Context, l *layout, seed uint64) ([]loadRun, error) {
+	healthy := newBalancer(l)
+	go healthy.run(ctx)
 	var addresses []string
 	for _, h := range l.hosts {
 		addresses = append(addresses, h.listen)
@@ -127,7 +133,7 @@
 		record, wait, err := load.Start(loadCtx, load.Options{
 			Addresses: addresses, Database: dep.database, User: dep.caller, Password: callerPassword,
 			Run: "demo", Sessions: sessions, StatusPages: statusPages, ReadClass: "own-read",
-			Pause: callerPause, Seed: seed,
+			Pause: callerPause, Seed: seed, Timeout: callerTimeout, Healthy: healthy.healthy,
 		})
 		if err != nil {
 			cancel()
--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -32,8 +32,12 @@
 	OtherFaults int
 	Unknown     int
 	Refused     int
-	Examples    []string
-	Gaps        []Gap
+	// Aborted counts writes that failed before their commit was asked for.
+	Aborted        int
+	ReadsFailed    int
+	ConnectsFailed int
+	Examples       []string
+	Gaps           []Gap
 }
 
 // Gap is the longest time without an accepted write on a database.
@@ -68,6 +72,12 @@
 		s.Lost, s.Doubled, s.Stale)
 }
 
+// Failures formats what callers saw besides answers, which breaks no promise.
+func (s *Summary) Failures() string {
+	return fmt.Sprintf("failures unknown=%d refused=%d aborted=%d reads_failed=%d connects_failed=%d",
+		s.Unknown, s.Refused, s.Aborted, s.ReadsFailed, s.ConnectsFailed)
+}
+
 // summarise checks what each load recorded against the database's primary.
 func summarise(l *layout, runs []loadRun) (*Summary, error) {
 	s := &Summary{}
@@ -110,6 +120,9 @@
 	s.OtherFaults += r.RefusedPresent + r.AbortedPresent
 	s.Unknown += r.Unknown
 	s.Refused += r.Refused
+	s.Aborted += r.Aborted
+	s.ReadsFailed += r.ReadsFailed + r.ReadsRefused
+	s.ConnectsFailed += r.ConnectsFailed
 	s.Examples = append(s.Examples, r.Examples...)
 }
 
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -126,7 +126,7 @@
 func (c *caller) connect(parent context.Context) error {
 	ctx, cancel := context.WithTimeout(parent, c.opts.Timeout)
 	defer cancel()
-	c.address = c.opts.Addresses[c.random.IntN(len(c.opts.Addresses))]
+	c.address = c.choose()
 	config, err := c.config()
 	if err != nil {
 		return err
@@ -139,6 +139,18 @@
 	return nil
 }
 
+// choose picks one of the healthy addresses, or any if none is.
+func (c *caller) choose() string {
+	first := c.random.IntN(len(c.opts.Addresses))
+	for i := range c.opts.Addresses {
+		address := c.opts.Addresses[(first+i)%len(c.opts.Addresses)]
+		if c.opts.Healthy == nil || c.opts.Healthy(address) {
+			return address
+		}
+	}
+	return c.opts.Addresses[first]
+}
+
 func (c *caller) config() (*pgx.ConnConfig, error) {
 	host, portText, err := net.SplitHostPort(c.address)
 	if err != nil {
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -56,6 +56,9 @@
 	ReadClass string
 	// Pause is the time between the operations of a caller.
 	Pause time.Duration
+	// Healthy reports whether an address takes callers, as a balancer in front
+	// of the proxies knows it; nil takes all for healthy.
+	Healthy func(address string) bool
 	// Timeout bounds each operation and each connect; 0 means 10 s.
 	Timeout time.Duration
 	// Seed fixes the choices of the callers.
