Test isolation of slow owners and changes of owner and primary

An admission that was not used no longer counts against the gradual release: a request that found no idle connection waited a whole step of 50 ms.

--- a/core/admission/limiter.go
+++ b/core/admission/limiter.go
@@ -66,7 +66,7 @@
 	l.end()
 }
 
-// Cancel ends a ticket that waits, or was admitted but not used.
+// Cancel ends a ticket that waits, or was admitted but not used or failed.
 func (l *Limiter) Cancel(t *Ticket) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/core/admission/state.go
+++ b/core/admission/state.go
@@ -206,6 +206,13 @@
 	}
 }
 
+// restore gives back an admission of the present step that was not used.
+func (r *ramp) restore(admitted time.Time) {
+	if r.active && !admitted.Before(r.ends.Add(-RampStep)) {
+		r.left++
+	}
+}
+
 // State is the limiter as a state machine. It is not safe for concurrent use.
 // Times passed to its methods must not decrease.
 type State struct {
@@ -433,7 +440,7 @@
 	s.giveBack(now, t)
 }
 
-// Cancel ends a ticket that waits, or is admitted but was not used.
+// Cancel ends a ticket that waits, or is admitted but was not used or failed.
 func (s *State) Cancel(now time.Time, t *Ticket) {
 	switch t.status {
 	case Waiting:
@@ -445,6 +452,8 @@
 		s.ramp.advance(now)
 		s.dispatch(now)
 	case Admitted:
+		s.ramp.advance(now)
+		s.ramp.restore(t.admitted)
 		s.giveBack(now, t)
 	}
 }
--- a/core/admission/state_test.go
+++ b/core/admission/state_test.go
@@ -154,6 +154,9 @@
 
 func (m *machine) CancelAdmitted(t *rapid.T) {
 	ticket := m.admitted.draw(t)
+	if step := m.now.Sub(m.resumed) / RampStep * RampStep; !ticket.admitted.Before(m.resumed.Add(step)) {
+		m.released--
+	}
 	m.state.Cancel(m.now, ticket)
 	m.collect(t)
 }
--- a/daemon/internal/route/entry_test.go
+++ b/daemon/internal/route/entry_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -49,8 +50,8 @@
 			}
 			tx.Release(true)
 		}
-		if net.dials != 2 {
-			t.Errorf("%d dials, want 2", net.dials)
+		if net.dialCount() != 2 {
+			t.Errorf("%d dials, want 2", net.dialCount())
 		}
 	})
 }
@@ -71,8 +72,8 @@
 		if _, err := e.Begin(t.Context(), Request{Database: "own", Hops: 2}); err != nil || served != 1 {
 			t.Errorf("owned database: %v, served %d", err, served)
 		}
-		if net.dials != 0 {
-			t.Errorf("%d dials", net.dials)
+		if net.dialCount() != 0 {
+			t.Errorf("%d dials", net.dialCount())
 		}
 	})
 }
@@ -105,3 +106,155 @@
 		tx.Release(true)
 	})
 }
+
+// Guards against one slow database that takes all connections to its owner,
+// one slow owner that takes all connections of a host, and a first class that
+// waits behind lower ones on the entry host.
+func TestEntryIsolatesSlowOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		e := NewEntryRouter(EntryConfig{
+			Owners: ownersFunc(func(database string) []Host {
+				if database == "other" {
+					return []Host{hostOf("h2")}
+				}
+				return []Host{hostOf("h1")}
+			}),
+			Policy:        func(string) *Policy { return NewPolicy(testService()) },
+			Dial:          net.dial,
+			DatabaseLimit: 4,
+			OwnerLimit:    8,
+			TotalLimit:    16,
+		})
+		defer e.Close()
+		var wg sync.WaitGroup
+		begin := func(database, class string, hold time.Duration) {
+			wg.Go(func() { runTx(t.Context(), e, Request{Database: database, Class: class}, hold) })
+		}
+		at := func(database, class string) time.Duration {
+			start := time.Now()
+			if _, err := runTx(t.Context(), e, Request{Database: database, Class: class}, 0); err != nil {
+				t.Error(err)
+			}
+			return time.Since(start)
+		}
+		for range 40 {
+			begin("slow", "stock", 10*time.Second)
+		}
+		time.Sleep(100 * time.Millisecond)
+		if waited := at("sibling", "stock"); waited != net.latency {
+			t.Errorf("another database of the same owner waited %v", waited)
+		}
+		if waited := at("slow", "pay"); waited != net.latency {
+			t.Errorf("the first class of the slow database waited %v", waited)
+		}
+		for _, database := range []string{"slow2", "slow3"} {
+			for range 40 {
+				begin(database, "stock", 10*time.Second)
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+		if waited := at("other", "stock"); waited != net.latency {
+			t.Errorf("a database of another owner waited %v", waited)
+		}
+		if _, peak := net.count("h1"); peak > 8 {
+			t.Errorf("%d connections to one owner, limit 8", peak)
+		}
+		wg.Wait()
+	})
+}
+
+// Guards against requests that wait for a remembered outage to end although
+// the only owner is back, and against all of them dialing while it is down.
+func TestEntryProbesTheOnlyOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		net.setRefuse("h1", true)
+		e := newEntry(fakeOwners{"d": {hostOf("h1")}}, net, nil)
+		defer e.Close()
+		counts := newTally()
+		e.cfg.Recorder = counts
+		start := time.Now()
+		time.AfterFunc(600*time.Millisecond, func() { net.setRefuse("h1", false) })
+		var wg sync.WaitGroup
+		for range 20 {
+			wg.Go(func() {
+				if _, err := runTx(t.Context(), e, Request{Database: "d", Class: "pay"}, 0); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		wg.Wait()
+		if elapsed := time.Since(start); elapsed > 800*time.Millisecond {
+			t.Errorf("the owner was back after 600 ms, the last request got there after %v", elapsed)
+		}
+		if net.dialCount() > 60 {
+			t.Errorf("%d dials by 20 requests", net.dialCount())
+		}
+		if counts.began[PathForward] != 20 || counts.finished != 20 {
+			t.Errorf("began %v, finished %d", counts.began, counts.finished)
+		}
+	})
+}
+
+// Guards against a request that waits for other hosts after this host became
+// an owner itself, and against counting it twice.
+func TestEntryBecomesOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		net.setRefuse("h1", true)
+		start := time.Now()
+		o := newOwner(newFakeGate(), newFakeNet())
+		defer o.Close()
+		e := newEntry(ownersFunc(func(string) []Host {
+			if time.Since(start) < 300*time.Millisecond {
+				return []Host{hostOf("h1")}
+			}
+			return []Host{{Name: "me", Self: true}}
+		}), net, o)
+		defer e.Close()
+		counts := newTally()
+		e.cfg.Recorder = counts
+		tx, err := e.Begin(t.Context(), Request{Database: "d", Class: "pay"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if tx.Forwarded() || len(counts.began) != 0 {
+			t.Errorf("forwarded %v, counted %v", tx.Forwarded(), counts.began)
+		}
+		tx.Release(true)
+		_, database := e.lookup("d")
+		if n, waiting := database.limiter.Load(); n != 0 || waiting != 0 {
+			t.Errorf("%d admitted and %d waiting at the end", n, waiting)
+		}
+	})
+}
+
+// Guards against repeating a request on another connection to an owner that
+// just failed.
+func TestEntryDropsConnectionsOfAFailedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		e := newEntry(fakeOwners{"d": {hostOf("h1"), hostOf("h2")}}, net, nil)
+		defer e.Close()
+		request := Request{Database: "d", Class: "book"}
+		first, _ := e.Begin(t.Context(), request)
+		second, _ := e.Begin(t.Context(), request)
+		time.Sleep(time.Millisecond)
+		first.Release(true)
+		time.Sleep(time.Millisecond)
+		net.setRefuse("h1", true)
+		if !second.MayRepeat() {
+			t.Error("a repeatable request may not be repeated")
+		}
+		second.Release(false)
+		tx, err := e.Begin(t.Context(), request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := tx.(*forwardTx).conn.pool.target.Peer; got != "h2" {
+			t.Errorf("repeated at %s", got)
+		}
+		tx.Release(true)
+	})
+}
--- a/daemon/internal/route/owner_test.go
+++ b/daemon/internal/route/owner_test.go
@@ -135,8 +135,8 @@
 				t.Errorf("%s with a token newer than anything known: %v after %v", class, err, time.Since(start))
 			}
 		}
-		if net.dials != 0 {
-			t.Errorf("%d connections opened for refused requests", net.dials)
+		if net.dialCount() != 0 {
+			t.Errorf("%d connections opened for refused requests", net.dialCount())
 		}
 	})
 }
@@ -346,8 +346,8 @@
 		if counts.refused[RefusedQueue] != 10 || counts.refused[RefusedDeadline] != 50 {
 			t.Errorf("refusals %v, want 10 for the queue limit of 50 and 50 for the deadline", counts.refused)
 		}
-		if time.Since(start) != time.Second || net.dials != 0 {
-			t.Errorf("ended after %v with %d dials", time.Since(start), net.dials)
+		if time.Since(start) != time.Second || net.dialCount() != 0 {
+			t.Errorf("ended after %v with %d dials", time.Since(start), net.dialCount())
 		}
 	})
 }
@@ -480,3 +480,41 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against transactions that hang on a replaced primary and keep the
+// connections of the new one unused.
+func TestHungTransactionsDoNotBlockNewPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		o := newOwner(g, newFakeNet())
+		defer o.Close()
+		for range 4 {
+			tx, err := o.Begin(t.Context(), Request{Class: "pay"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer tx.Release(false)
+		}
+		g.promote("r", 4)
+		start := time.Now()
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(start); waited > 12*time.Millisecond {
+			t.Errorf("a payment waited %v on the new primary, want one connect", waited)
+		}
+	})
+}
+
+// Guards against a read that is confirmed although the group has not reached
+// the position in its token.
+func TestTokenBeyondTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(newFakeGate(), newFakeNet())
+		defer o.Close()
+		var stale *StaleReadError
+		if _, err := runTx(t.Context(), o, Request{Class: "stock", Token: "d/3:101"}, 0); !errors.As(err, &stale) {
+			t.Errorf("read of a position that does not exist: %v", err)
+		}
+	})
+}
--- a/daemon/internal/route/pool_test.go
+++ b/daemon/internal/route/pool_test.go
@@ -59,6 +59,12 @@
 	return n.open[peer], n.peak[peer]
 }
 
+func (n *fakeNet) dialCount() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.dials
+}
+
 func (c *fakeConn) isClosed() bool {
 	c.net.mu.Lock()
 	defer c.net.mu.Unlock()
@@ -137,8 +143,8 @@
 			})
 		}
 		wg.Wait()
-		if net.peak["a"] != 3 || net.dials != 3 {
-			t.Errorf("peak %d, dials %d; want 3, 3", net.peak["a"], net.dials)
+		if net.peak["a"] != 3 || net.dialCount() != 3 {
+			t.Errorf("peak %d, dials %d; want 3, 3", net.peak["a"], net.dialCount())
 		}
 		s.Close()
 	})
