--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -226,6 +226,9 @@
 	deadline := t.class.deadlineOf(&t.request, t.start)
 	t.admitted = admission.Ticket{Class: &t.class.primary, Deadline: deadline}
 	t.placed = t.admitted
+	if e.connectAtOnce(owners, t) {
+		return t, nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := t.database.limiter.Acquire(ctx, &t.admitted); err != nil {
@@ -238,6 +241,27 @@
 	return tx, err
 }
 
+// connectAtOnce reports whether the preferred owner is up and the request need
+// not wait. It spares the common case the context with a deadline.
+func (e *EntryRouter) connectAtOnce(owners []Host, t *forwardTx) bool {
+	if len(owners) == 0 || owners[0].Self || !e.isUp(owners[0].Name) {
+		return false
+	}
+	if !t.database.limiter.TryAcquire(&t.admitted) {
+		return false
+	}
+	t.owner = e.owner(owners[0].Name)
+	if t.owner.TryAcquire(&t.placed) {
+		t.conn = e.pools.tryGet(t.target(owners[0]))
+		if t.conn != nil {
+			return true
+		}
+		t.owner.Cancel(&t.placed)
+	}
+	t.database.limiter.Cancel(&t.admitted)
+	return false
+}
+
 func (e *EntryRouter) waitOwner(ctx context.Context, owners []Host, t *forwardTx) (Tx, error) {
 	for {
 		reached, err := e.tryOwners(ctx, owners, t)
@@ -284,8 +308,7 @@
 	if err := limiter.Acquire(ctx, &t.placed); err != nil {
 		return err
 	}
-	target := Target{Peer: h.Name, Address: h.ForwardAddress, User: t.request.User, Database: t.request.Database}
-	conn, err := e.pools.get(ctx, target)
+	conn, err := e.pools.get(ctx, t.target(h))
 	if err != nil {
 		limiter.Cancel(&t.placed)
 		if ctx.Err() == nil && !errors.Is(err, ErrPeerClosed) {
@@ -299,6 +322,13 @@
 	return nil
 }
 
+func (e *EntryRouter) isUp(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, down := e.down[name]
+	return !down
+}
+
 // mayTry reports whether a host is not known to be down. As a last resort one
 // request at a time tries a host that is.
 func (e *EntryRouter) mayTry(name string, lastResort bool) bool {
@@ -345,6 +375,10 @@
 	released atomic.Bool
 }
 
+func (t *forwardTx) target(h Host) Target {
+	return Target{Peer: h.Name, Address: h.ForwardAddress, User: t.request.User, Database: t.request.Database}
+}
+
 // Conn implements Tx.
 func (t *forwardTx) Conn() Conn { return t.conn.conn }
 
