--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -19,6 +20,8 @@
 const (
 	// ownerRetry is how long the other owner is used after a failed connect.
 	ownerRetry = time.Second
+	// outageMemory is how long a host that is not tried again is remembered.
+	outageMemory = time.Minute
 	// noOwnerRetry is how often owners are tried while none is reachable.
 	noOwnerRetry = 50 * time.Millisecond
 	// ownerDialTimeout leaves time for four round trips between regions.
@@ -147,9 +150,26 @@
 	e.pools.Close()
 }
 
-// Maintain closes connections that were idle too long. The owner of the router
-// calls it every second or so.
-func (e *EntryRouter) Maintain() { e.pools.Maintain() }
+// Maintain closes connections that were idle too long, and forgets hosts and
+// databases that are no longer used; hosts are replaced by the thousand a day.
+// The owner of the router calls it every second or so.
+func (e *EntryRouter) Maintain() {
+	e.pools.Maintain()
+	for name, l := range e.owners.Range {
+		n, waiting := l.(*admission.Limiter).Load()
+		if n+waiting+e.pools.Open(name.(string)) == 0 {
+			e.owners.Delete(name)
+		}
+	}
+	for name := range e.databases.Range {
+		if e.cfg.Policy(name.(string)) == nil {
+			e.databases.Delete(name)
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.down, func(_ string, o outage) bool { return time.Since(o.until) > outageMemory })
+}
 
 // lookup returns the policy and the state of a database.
 func (e *EntryRouter) lookup(name string) (*Policy, *entryDatabase) {
--- a/daemon/internal/route/entry_test.go
+++ b/daemon/internal/route/entry_test.go
@@ -258,3 +258,28 @@
 		tx.Release(true)
 	})
 }
+
+// Guards against memory that grows with each host that was ever an owner.
+func TestEntryForgetsHosts(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		net.setRefuse("h1", true)
+		e := newEntry(fakeOwners{"d": {hostOf("h1"), hostOf("h2")}}, net, nil)
+		defer e.Close()
+		if _, err := runTx(t.Context(), e, Request{Database: "d", Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		e.Maintain()
+		if _, ok := e.owners.Load("h2"); !ok {
+			t.Error("a host with open connections was forgotten")
+		}
+		time.Sleep(2 * time.Minute)
+		e.Maintain()
+		for name := range e.owners.Range {
+			t.Errorf("%s is remembered", name)
+		}
+		if len(e.down) != 0 || len(e.pools.peers) != 0 || len(e.pools.pools) != 0 {
+			t.Errorf("outages %v, peers %v, pools %v are remembered", e.down, e.pools.peers, e.pools.pools)
+		}
+	})
+}
--- a/daemon/internal/route/follow.go
+++ b/daemon/internal/route/follow.go
@@ -1,6 +1,8 @@
 package route
 
 import (
+	"context"
+	"fmt"
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/admission"
@@ -12,6 +14,7 @@
 	// warmSpare is the number of free connections of each active user that are
 	// kept on every slot, as any replica may become the primary.
 	warmSpare = 2
+	holdPoll  = 2 * time.Millisecond
 )
 
 // observe returns the primary, and follows a change of it.
@@ -51,7 +54,38 @@
 		return
 	}
 	o.moveTo(slot, term)
-	o.primary.Resume()
+	if !o.held {
+		o.primary.Resume()
+	}
+}
+
+// Hold admits no transaction to the primary until Resume, and waits until
+// those that run have ended, for a planned change of primary. Requests wait in
+// their queues meanwhile. It fails with the context's error if transactions
+// still run then; the hold stays in force.
+func (o *OwnerRouter) Hold(ctx context.Context) error {
+	o.mu.Lock()
+	o.held = true
+	o.primary.Pause()
+	o.mu.Unlock()
+	for {
+		if running, _ := o.primary.Load(); running == 0 {
+			return nil
+		}
+		if err := sleep(ctx, holdPoll); err != nil {
+			return fmt.Errorf("wait for transactions on the primary to end: %w", err)
+		}
+	}
+}
+
+// Resume ends a Hold and begins the gradual release.
+func (o *OwnerRouter) Resume() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.held = false
+	if !o.watching {
+		o.primary.Resume()
+	}
 }
 
 // moveTo closes the connections to the old primary, whose commits can no longer
@@ -100,9 +134,7 @@
 		return
 	}
 	users := o.pools.users(string(slot.ID))
-	o.mu.Lock()
-	slots := o.slots
-	o.mu.Unlock()
+	slots := o.staying()
 	for user := range users {
 		for _, s := range slots {
 			o.pools.Warm(o.slotTarget(s, user), warmSpare)
@@ -111,12 +143,26 @@
 	o.pools.coolOthers(users)
 }
 
-// SetSlots replaces the list of slots. Connections to slots that are gone or
-// have a new address are closed.
+// staying returns the slots that are not leaving.
+func (o *OwnerRouter) staying() []group.Slot {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	slots := make([]group.Slot, 0, len(o.slots))
+	for _, s := range o.slots {
+		if !o.leaving[s.ID] {
+			slots = append(slots, s)
+		}
+	}
+	return slots
+}
+
+// SetSlots replaces the list of slots, none of which is taken to be leaving.
+// Connections to slots that are gone or have a new address are closed.
 func (o *OwnerRouter) SetSlots(slots []group.Slot) {
 	o.mu.Lock()
 	old := o.slots
 	o.slots = slots
+	clear(o.leaving)
 	o.mu.Unlock()
 	addresses := make(map[group.SlotID]string, len(slots))
 	for _, s := range slots {
@@ -131,8 +177,13 @@
 }
 
 // DrainSlot closes the idle connections to a slot that is leaving; those in
-// use are closed when they are released.
-func (o *OwnerRouter) DrainSlot(id group.SlotID) { o.pools.DrainPeer(string(id)) }
+// use are closed when they are released. No more are opened ahead of need.
+func (o *OwnerRouter) DrainSlot(id group.SlotID) {
+	o.mu.Lock()
+	o.leaving[id] = true
+	o.mu.Unlock()
+	o.pools.DrainPeer(string(id))
+}
 
 // CloseSlot closes all connections to a slot that is dead, also those in use.
 func (o *OwnerRouter) CloseSlot(id group.SlotID) { o.pools.ClosePeer(string(id)) }
--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -69,6 +69,8 @@
 	slots    []group.Slot
 	seen     group.Slot // the primary that was seen last
 	watching bool       // a goroutine waits for a primary
+	held     bool       // Hold was called
+	leaving  map[group.SlotID]bool
 }
 
 // pending is a request on its way to a connection.
@@ -85,6 +87,14 @@
 // reads reports whether the request changes nothing.
 func (q *pending) reads() bool { return q.class.read || q.request.ReadOnly }
 
+// maxAge is the age of data that the request accepts; 0 for no age.
+func (q *pending) maxAge() time.Duration {
+	if !q.class.read {
+		return 0
+	}
+	return q.class.maxAge
+}
+
 // refusal is a reason to refuse a request, with its kind for counting.
 type refusal struct {
 	kind   Refusal
@@ -111,6 +121,7 @@
 		primary: admission.NewLimiter(cfg.Limit),
 		budget:  admission.NewRetryBudget(),
 		slots:   cfg.Slots,
+		leaving: make(map[group.SlotID]bool),
 	}
 	o.policy.Store(cfg.Policy)
 	o.pools = NewPools(PoolsConfig{
@@ -242,7 +253,7 @@
 	if !q.known {
 		return nil
 	}
-	slot, ok := o.cfg.Gate.PickReplica(q.need, q.class.maxAge)
+	slot, ok := o.cfg.Gate.PickReplica(q.need, q.maxAge())
 	if !ok {
 		return nil
 	}
@@ -331,9 +342,9 @@
 // replica does not go to the primary, which is not to be loaded by reads when
 // replicas are.
 func (o *OwnerRouter) beginReplica(ctx context.Context, q *pending) (*ownerTx, error) {
-	wait := q.class.maxAge / ageDivisor
+	wait := q.maxAge() / ageDivisor
 	for range replicaAttempts {
-		slot, err := o.waitReplica(ctx, q, q.class.maxAge-wait)
+		slot, err := o.waitReplica(ctx, q, q.maxAge()-wait)
 		if err != nil {
 			return nil, err
 		}
--- a/daemon/internal/route/owner_test.go
+++ b/daemon/internal/route/owner_test.go
@@ -518,3 +518,80 @@
 		}
 	})
 }
+
+// Guards against a planned change of primary that starts while transactions
+// run, admits others meanwhile, or loses those that wait.
+func TestHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		o := newOwner(g, newFakeNet())
+		defer o.Close()
+		running, err := o.Begin(t.Context(), Request{Class: "pay"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(100*time.Millisecond, func() { running.Release(true) })
+		var wg sync.WaitGroup
+		start := time.Now()
+		time.AfterFunc(10*time.Millisecond, func() {
+			wg.Go(func() {
+				if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+					t.Error(err)
+				}
+				if waited := time.Since(start); waited < 120*time.Millisecond {
+					t.Errorf("a transaction ended %v after the hold began, during it", waited)
+				}
+			})
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if err := o.Hold(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("hold while a transaction runs: %v", err)
+		}
+		if err := o.Hold(t.Context()); err != nil || time.Since(start) < 100*time.Millisecond {
+			t.Errorf("hold ended after %v: %v", time.Since(start), err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		g.promote("r", 4)
+		o.Resume()
+		wg.Wait()
+	})
+}
+
+// Guards against a leaving slot to which connections are opened again ahead of
+// need, and against connections kept to a slot that was replaced.
+func TestLeavingAndReplacedSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		slots := []group.Slot{slotOf("p"), slotOf("r")}
+		o := NewOwnerRouter(OwnerConfig{
+			Database: "d",
+			Slots:    slots,
+			Policy:   NewPolicy(testService()),
+			Gate:     newFakeGate(),
+			Dial:     net.dial,
+			Limit:    limitOf(4),
+		})
+		defer o.Close()
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		o.DrainSlot("r")
+		time.Sleep(3 * time.Second)
+		if n, _ := net.count("r"); n != 0 {
+			t.Errorf("%d connections to a leaving slot", n)
+		}
+		moved := slotOf("r")
+		moved.Address = "other:5432"
+		o.SetSlots([]group.Slot{slots[0], moved})
+		time.Sleep(time.Second)
+		if n, _ := net.count("r"); n != warmSpare {
+			t.Errorf("%d connections to the slot that came back, want %d", n, warmSpare)
+		}
+		o.SetSlots(slots[:1])
+		if n, _ := net.count("r"); n != 0 {
+			t.Errorf("%d connections to a slot that is gone", n)
+		}
+	})
+}
--- a/daemon/internal/route/policy.go
+++ b/daemon/internal/route/policy.go
@@ -122,6 +122,12 @@
 	return p.unclassified
 }
 
+// Deadline returns when an answer to the request is no longer of use, for
+// example to tell it to the host that the request is forwarded to.
+func (p *Policy) Deadline(r Request) time.Time {
+	return p.class(r.Class).deadlineOf(&r, time.Now())
+}
+
 // deadlineOf returns when an answer to the request is no longer of use.
 func (c *classPolicy) deadlineOf(r *Request, now time.Time) time.Time {
 	if !r.Deadline.IsZero() {
