--- /dev/null
+++ b/daemon/internal/route/owner_read.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/admission"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/replication"
+)
+
+func (o *OwnerRouter) replica(id group.SlotID) *admission.Limiter {
+	if l, ok := o.replicas.Load(id); ok {
+		return l.(*admission.Limiter)
+	}
+	l, _ := o.replicas.LoadOrStore(id, admission.NewLimiter(o.cfg.Limit))
+	return l.(*admission.Limiter)
+}
+
+// beginKnownRead serves a read whose session says what it has seen.
+func (o *OwnerRouter) beginKnownRead(ctx context.Context, q *pending) (*ownerTx, error) {
+	tx, err := o.beginReplica(ctx, q)
+	if err != nil || tx != nil {
+		return tx, err
+	}
+	return o.beginPrimary(ctx, q, 0, PathPrimaryRead)
+}
+
+// beginBarrierRead serves a read of a session that may have written anywhere:
+// the barrier covers every commit acknowledged so far. The primary serves it
+// only if the barrier is of its own term; otherwise a change of primary is
+// under way and a new barrier is needed.
+func (o *OwnerRouter) beginBarrierRead(ctx context.Context, q *pending) (*ownerTx, error) {
+	for {
+		barrier, err := o.barrier(ctx)
+		if err == nil {
+			q.need = barrier
+			tx, err := o.beginCovering(ctx, q)
+			if !errors.Is(err, errRebarrier) {
+				return tx, err
+			}
+		} else if !errors.Is(err, replication.ErrTermChanged) {
+			return nil, fmt.Errorf("read barrier: %w", err)
+		}
+		if err := sleep(ctx, connectRetry); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func (o *OwnerRouter) barrier(ctx context.Context) (group.Position, error) {
+	defer o.barriers.Add(-1)
+	if o.barriers.Add(1) > maxBarrierReads {
+		return group.Position{}, &refusal{kind: RefusedQueue, reason: "too many reads wait for a read barrier"}
+	}
+	return o.cfg.Gate.Barrier(ctx)
+}
+
+// beginCovering serves a read from a slot that has applied the barrier. It
+// fails with errRebarrier if the barrier is not of the primary's term.
+func (o *OwnerRouter) beginCovering(ctx context.Context, q *pending) (*ownerTx, error) {
+	tx, err := o.beginReplica(ctx, q)
+	if err != nil || tx != nil {
+		return tx, err
+	}
+	return o.beginPrimary(ctx, q, q.need.Term, PathPrimaryRead)
+}
+
+// beginReplica returns nil if no replica qualifies within the replica wait, or
+// none that does can be reached. A read that is refused by the limiter of its
+// replica does not go to the primary, which is not to be loaded by reads when
+// replicas are.
+func (o *OwnerRouter) beginReplica(ctx context.Context, q *pending) (*ownerTx, error) {
+	wait := q.maxAge() / ageDivisor
+	for range replicaAttempts {
+		slot, err := o.waitReplica(ctx, q, q.maxAge()-wait)
+		if err != nil {
+			return nil, err
+		}
+		if slot.ID == "" {
+			return nil, nil
+		}
+		tx, err := o.startReplica(ctx, wait, q, slot)
+		var refused *admission.RefusedError
+		switch {
+		case err == nil:
+			return tx, nil
+		case errors.As(err, &refused), errors.Is(err, ErrPoolClosed):
+			return nil, err
+		case ctx.Err() != nil:
+			return nil, err
+		}
+	}
+	return nil, nil
+}
+
+// startReplica waits for admission and a connection, for at most wait unless
+// that is 0.
+func (o *OwnerRouter) startReplica(ctx context.Context, wait time.Duration, q *pending, slot group.Slot) (*ownerTx, error) {
+	if wait != 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, wait)
+		defer cancel()
+	}
+	tx := o.newTx(q, o.replica(slot.ID), PathReplica)
+	if err := tx.limiter.Acquire(ctx, &tx.ticket); err != nil {
+		return nil, err
+	}
+	if err := o.connect(ctx, q, tx, slot); err != nil {
+		return nil, err
+	}
+	return tx, nil
+}
+
+// waitReplica returns the zero slot if none qualifies within the replica wait.
+func (o *OwnerRouter) waitReplica(ctx context.Context, q *pending, maxAge time.Duration) (group.Slot, error) {
+	if slot, ok := o.cfg.Gate.PickReplica(q.need, maxAge); ok {
+		return slot, nil
+	}
+	waitCtx, cancel := context.WithTimeout(ctx, q.policy.replicaWait)
+	defer cancel()
+	slot, err := o.cfg.Gate.WaitReplica(waitCtx, q.need, maxAge)
+	switch {
+	case err == nil:
+		return slot, nil
+	case errors.Is(err, replication.ErrStopped):
+		return group.Slot{}, err
+	default:
+		return group.Slot{}, ctx.Err()
+	}
+}
--- /dev/null
+++ b/daemon/internal/route/owner_tx.go
@@ -0,0 +1,116 @@
+package route
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/admission"
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// ownerTx implements Tx on a connection to a backend server.
+type ownerTx struct {
+	router   *OwnerRouter
+	limiter  *admission.Limiter
+	ticket   admission.Ticket
+	conn     *pooled
+	slot     group.SlotID
+	term     group.Term // of the primary; 0 on a replica
+	need     group.Position
+	class    *classPolicy
+	policy   *Policy
+	reads    bool
+	keyed    bool
+	path     Path
+	start    time.Time
+	failed   bool // Finish failed
+	released atomic.Bool
+}
+
+// Conn implements Tx.
+func (t *ownerTx) Conn() Conn { return t.conn.conn }
+
+// Forwarded implements Tx.
+func (t *ownerTx) Forwarded() bool { return false }
+
+// Finish implements Tx. It waits at most the service's commit timeout. A read
+// on a replica needs no confirmation, as the replica's position was known
+// before the read began.
+func (t *ownerTx) Finish(ctx context.Context) (string, error) {
+	o := t.router
+	if t.path == PathReplica {
+		o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
+		return "", nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, t.policy.commitTimeout)
+	defer cancel()
+	p, err := o.cfg.Gate.WaitDurable(ctx, t.term)
+	if err == nil && t.reads && !p.Covers(t.need) {
+		err = fmt.Errorf("the group's position %v is behind %v, which the session has seen", p, t.need)
+	}
+	if err != nil {
+		t.failed = true
+		return "", t.unconfirmed(err)
+	}
+	o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
+	if t.reads {
+		return "", nil
+	}
+	return FormatToken(o.cfg.Database, p), nil
+}
+
+func (t *ownerTx) unconfirmed(err error) error {
+	rec := t.router.cfg.Recorder
+	if t.reads {
+		rec.StaleRead(t.class.labels)
+		return &StaleReadError{Reason: "the primary could not be confirmed after the read", Err: err}
+	}
+	rec.OutcomeUnknown(t.class.labels)
+	return &UnknownOutcomeError{Reason: "the commit is not known to be durable", Err: err}
+}
+
+// MayRepeat implements Tx. It also reports the failure of the connection.
+func (t *ownerTx) MayRepeat() bool {
+	t.router.cfg.Gate.ReportFailure(t.slot)
+	return mayRepeat(t.class, t.reads, t.keyed, t.router.budget)
+}
+
+// mayRepeat draws on the budget unless the request has a key: running it again
+// under its key is how its outcome is found out.
+func mayRepeat(c *classPolicy, reads, keyed bool, budget *admission.RetryBudget) bool {
+	if keyed {
+		return true
+	}
+	return (c.repeatable || reads) && budget.Withdraw()
+}
+
+// Release implements Tx.
+func (t *ownerTx) Release(clean bool) {
+	if !t.released.CompareAndSwap(false, true) {
+		return
+	}
+	if clean {
+		t.router.cfg.Gate.ReportAnswer(t.slot)
+	}
+	t.router.pools.put(t.conn, clean)
+	giveBack(t.limiter, &t.ticket, clean && !t.failed)
+}
+
+// giveBack ends an admission. The time of a transaction that failed says
+// nothing about the service time: many wait for a timeout while a primary is
+// replaced, and requests would be refused because of them.
+func giveBack(l *admission.Limiter, t *admission.Ticket, learn bool) {
+	if learn {
+		l.Release(t)
+		return
+	}
+	l.Cancel(t)
+}
+
+// giveUp gives back a connection that was not used.
+func (t *ownerTx) giveUp() {
+	t.router.pools.put(t.conn, true)
+	t.limiter.Cancel(&t.ticket)
+}
--- a/daemon/internal/route/route.go
+++ b/daemon/internal/route/route.go
@@ -1,5 +1,16 @@
 // Package route gives each transaction a connection: on an entry host to an
 // owner of the database, on an owner to a backend server.
+//
+// On an owner, what may write goes to the primary and is confirmed by the
+// commit gate in Finish. A read goes to a replica that has applied what its
+// session may have seen: the position in its token, or else a read barrier that
+// is asked for after the read has arrived. If none qualifies it goes to the
+// primary, whose term Finish then confirms. Requests wait for a connection in
+// the bounded queues of package admission, those for the primary also while
+// there is none, and are refused as not run if they cannot be in time.
+//
+// On an entry host, requests are admitted by database and by owner host and go
+// to the first owner that can be reached.
 package route
 
 import (
