--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -24,6 +25,8 @@
 	// other owner until a probe is answered, so that none of them waits for one
 	// that is not.
 	ownerRetry = time.Second
+	// outageMemory is how long a host that is not tried again is remembered.
+	outageMemory = time.Minute
 	// noOwnerRetry is how often owners are tried while none is reachable.
 	noOwnerRetry = 50 * time.Millisecond
 	// ownerDialTimeout leaves time for four round trips between regions.
@@ -162,12 +165,34 @@
 	e.pools.Close()
 }
 
+<<<<<<< HEAD
 // Maintain probes owner hosts whose answers are overdue and closes connections
 // that were idle too long. The owner of the router calls it every
 // MaintainInterval.
 func (e *EntryRouter) Maintain() {
 	e.probeOwners()
 	e.pools.Maintain()
+=======
+// Maintain closes connections that were idle too long, and forgets hosts and
+// databases that are no longer used; hosts are replaced by the thousand a day.
+// The owner of the router calls it every second or so.
+func (e *EntryRouter) Maintain() {
+	e.pools.Maintain()
+	for name, l := range e.owners.Range {
+		n, waiting := l.(*admission.Limiter).Load()
+		if n+waiting+e.pools.Open(name.(string)) == 0 {
+			e.owners.Delete(name)
+		}
+	}
+	for name := range e.databases.Range {
+		if e.cfg.Policy(name.(string)) == nil {
+			e.databases.Delete(name)
+		}
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	maps.DeleteFunc(e.down, func(_ string, o outage) bool { return time.Since(o.until) > outageMemory })
+>>>>>>> route
 }
 
 // lookup returns the policy and the state of a database.
@@ -245,6 +270,9 @@
 	deadline := t.class.deadlineOf(&t.request, t.start)
 	t.admitted = admission.Ticket{Class: &t.class.primary, Deadline: deadline}
 	t.placed = t.admitted
+	if e.connectAtOnce(owners, t) {
+		return t, nil
+	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	if err := t.database.limiter.Acquire(ctx, &t.admitted); err != nil {
@@ -257,6 +285,27 @@
 	return tx, err
 }
 
+// connectAtOnce reports whether the preferred owner is up and the request need
+// not wait. It spares the common case the context with a deadline.
+func (e *EntryRouter) connectAtOnce(owners []Host, t *forwardTx) bool {
+	if len(owners) == 0 || owners[0].Self || !e.isUp(owners[0].Name) {
+		return false
+	}
+	if !t.database.limiter.TryAcquire(&t.admitted) {
+		return false
+	}
+	t.owner = e.owner(owners[0].Name)
+	if t.owner.TryAcquire(&t.placed) {
+		t.conn = e.pools.tryGet(t.target(owners[0]))
+		if t.conn != nil {
+			return true
+		}
+		t.owner.Cancel(&t.placed)
+	}
+	t.database.limiter.Cancel(&t.admitted)
+	return false
+}
+
 func (e *EntryRouter) waitOwner(ctx context.Context, owners []Host, t *forwardTx) (Tx, error) {
 	for {
 		reached, err := e.tryOwners(ctx, owners, t)
@@ -303,8 +352,7 @@
 	if err := limiter.Acquire(ctx, &t.placed); err != nil {
 		return err
 	}
-	target := Target{Peer: h.Name, Address: h.ForwardAddress, User: t.request.User, Database: t.request.Database}
-	conn, err := e.pools.get(ctx, target)
+	conn, err := e.pools.get(ctx, t.target(h))
 	if err != nil {
 		limiter.Cancel(&t.placed)
 		if ctx.Err() == nil && !errors.Is(err, ErrPeerClosed) {
@@ -319,6 +367,13 @@
 	return nil
 }
 
+func (e *EntryRouter) isUp(name string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	_, down := e.down[name]
+	return !down
+}
+
 // mayTry reports whether a host is not known to be down. As a last resort one
 // request at a time tries a host that is.
 func (e *EntryRouter) mayTry(name string, lastResort bool) bool {
@@ -381,6 +436,10 @@
 	released atomic.Bool
 }
 
+func (t *forwardTx) target(h Host) Target {
+	return Target{Peer: h.Name, Address: h.ForwardAddress, User: t.request.User, Database: t.request.Database}
+}
+
 // Conn implements Tx.
 func (t *forwardTx) Conn() Conn { return t.conn.conn }
 
--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -69,6 +69,8 @@
 	slots    []group.Slot
 	seen     group.Slot // the primary that was seen last
 	watching bool       // a goroutine waits for a primary
+	held     bool       // Hold was called
+	leaving  map[group.SlotID]bool
 }
 
 // pending is a request on its way to a connection.
@@ -85,6 +87,14 @@
 // reads reports whether the request changes nothing.
 func (q *pending) reads() bool { return q.class.read || q.request.ReadOnly }
 
+// maxAge is the age of data that the request accepts; 0 for no age.
+func (q *pending) maxAge() time.Duration {
+	if !q.class.read {
+		return 0
+	}
+	return q.class.maxAge
+}
+
 // refusal is a reason to refuse a request, with its kind for counting.
 type refusal struct {
 	kind   Refusal
@@ -111,6 +121,7 @@
 		primary: admission.NewLimiter(cfg.Limit),
 		budget:  admission.NewRetryBudget(),
 		slots:   cfg.Slots,
+		leaving: make(map[group.SlotID]bool),
 	}
 	o.policy.Store(cfg.Policy)
 	o.pools = NewPools(PoolsConfig{
@@ -149,14 +160,6 @@
 	o.cfg.Gate.ReportFailure(group.SlotID(t.Peer))
 }
 
-func (o *OwnerRouter) replica(id group.SlotID) *admission.Limiter {
-	if l, ok := o.replicas.Load(id); ok {
-		return l.(*admission.Limiter)
-	}
-	l, _ := o.replicas.LoadOrStore(id, admission.NewLimiter(o.cfg.Limit))
-	return l.(*admission.Limiter)
-}
-
 // Begin implements Router.
 func (o *OwnerRouter) Begin(ctx context.Context, r Request) (Tx, error) {
 	now := time.Now()
@@ -242,7 +245,7 @@
 	if !q.known {
 		return nil
 	}
-	slot, ok := o.cfg.Gate.PickReplica(q.need, q.class.maxAge)
+	slot, ok := o.cfg.Gate.PickReplica(q.need, q.maxAge())
 	if !ok {
 		return nil
 	}
@@ -277,119 +280,6 @@
 	return nil
 }
 
-// beginKnownRead serves a read whose session says what it has seen.
-func (o *OwnerRouter) beginKnownRead(ctx context.Context, q *pending) (*ownerTx, error) {
-	tx, err := o.beginReplica(ctx, q)
-	if err != nil || tx != nil {
-		return tx, err
-	}
-	return o.beginPrimary(ctx, q, 0, PathPrimaryRead)
-}
-
-// beginBarrierRead serves a read of a session that may have written anywhere:
-// the barrier covers every commit acknowledged so far. The primary serves it
-// only if the barrier is of its own term; otherwise a change of primary is
-// under way and a new barrier is needed.
-func (o *OwnerRouter) beginBarrierRead(ctx context.Context, q *pending) (*ownerTx, error) {
-	for {
-		barrier, err := o.barrier(ctx)
-		if err == nil {
-			q.need = barrier
-			tx, err := o.beginCovering(ctx, q)
-			if !errors.Is(err, errRebarrier) {
-				return tx, err
-			}
-		} else if !errors.Is(err, replication.ErrTermChanged) {
-			return nil, fmt.Errorf("read barrier: %w", err)
-		}
-		if err := sleep(ctx, connectRetry); err != nil {
-			return nil, err
-		}
-	}
-}
-
-func (o *OwnerRouter) barrier(ctx context.Context) (group.Position, error) {
-	defer o.barriers.Add(-1)
-	if o.barriers.Add(1) > maxBarrierReads {
-		return group.Position{}, &refusal{kind: RefusedQueue, reason: "too many reads wait for a read barrier"}
-	}
-	return o.cfg.Gate.Barrier(ctx)
-}
-
-// beginCovering serves a read from a slot that has applied the barrier. It
-// fails with errRebarrier if the barrier is not of the primary's term.
-func (o *OwnerRouter) beginCovering(ctx context.Context, q *pending) (*ownerTx, error) {
-	tx, err := o.beginReplica(ctx, q)
-	if err != nil || tx != nil {
-		return tx, err
-	}
-	return o.beginPrimary(ctx, q, q.need.Term, PathPrimaryRead)
-}
-
-// beginReplica returns nil if no replica qualifies within the replica wait, or
-// none that does can be reached. A read that is refused by the limiter of its
-// replica does not go to the primary, which is not to be loaded by reads when
-// replicas are.
-func (o *OwnerRouter) beginReplica(ctx context.Context, q *pending) (*ownerTx, error) {
-	wait := q.class.maxAge / ageDivisor
-	for range replicaAttempts {
-		slot, err := o.waitReplica(ctx, q, q.class.maxAge-wait)
-		if err != nil {
-			return nil, err
-		}
-		if slot.ID == "" {
-			return nil, nil
-		}
-		tx, err := o.startReplica(ctx, wait, q, slot)
-		var refused *admission.RefusedError
-		switch {
-		case err == nil:
-			return tx, nil
-		case errors.As(err, &refused), errors.Is(err, ErrPoolClosed):
-			return nil, err
-		case ctx.Err() != nil:
-			return nil, err
-		}
-	}
-	return nil, nil
-}
-
-// startReplica waits for admission and a connection, for at most wait unless
-// that is 0.
-func (o *OwnerRouter) startReplica(ctx context.Context, wait time.Duration, q *pending, slot group.Slot) (*ownerTx, error) {
-	if wait != 0 {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithTimeout(ctx, wait)
-		defer cancel()
-	}
-	tx := o.newTx(q, o.replica(slot.ID), PathReplica)
-	if err := tx.limiter.Acquire(ctx, &tx.ticket); err != nil {
-		return nil, err
-	}
-	if err := o.connect(ctx, q, tx, slot); err != nil {
-		return nil, err
-	}
-	return tx, nil
-}
-
-// waitReplica returns the zero slot if none qualifies within the replica wait.
-func (o *OwnerRouter) waitReplica(ctx context.Context, q *pending, maxAge time.Duration) (group.Slot, error) {
-	if slot, ok := o.cfg.Gate.PickReplica(q.need, maxAge); ok {
-		return slot, nil
-	}
-	waitCtx, cancel := context.WithTimeout(ctx, q.policy.replicaWait)
-	defer cancel()
-	slot, err := o.cfg.Gate.WaitReplica(waitCtx, q.need, maxAge)
-	switch {
-	case err == nil:
-		return slot, nil
-	case errors.Is(err, replication.ErrStopped):
-		return group.Slot{}, err
-	default:
-		return group.Slot{}, ctx.Err()
-	}
-}
-
 // beginPrimary waits for a primary and a connection to it. The primary's term
 // must be that of the barrier if one is given, and at least the token's. While
 // nothing was sent, the request may wait for another primary.
@@ -487,108 +377,3 @@
 		start:   q.start,
 	}
 }
-
-// ownerTx implements Tx on a connection to a backend server.
-type ownerTx struct {
-	router   *OwnerRouter
-	limiter  *admission.Limiter
-	ticket   admission.Ticket
-	conn     *pooled
-	slot     group.SlotID
-	term     group.Term // of the primary; 0 on a replica
-	need     group.Position
-	class    *classPolicy
-	policy   *Policy
-	reads    bool
-	keyed    bool
-	path     Path
-	start    time.Time
-	failed   bool // Finish failed
-	released atomic.Bool
-}
-
-// Conn implements Tx.
-func (t *ownerTx) Conn() Conn { return t.conn.conn }
-
-// Forwarded implements Tx.
-func (t *ownerTx) Forwarded() bool { return false }
-
-// Finish implements Tx. It waits at most the service's commit timeout. A read
-// on a replica needs no confirmation, as the replica's position was known
-// before the read began.
-func (t *ownerTx) Finish(ctx context.Context) (string, error) {
-	o := t.router
-	if t.path == PathReplica {
-		o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
-		return "", nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, t.policy.commitTimeout)
-	defer cancel()
-	p, err := o.cfg.Gate.WaitDurable(ctx, t.term)
-	if err == nil && t.reads && !p.Covers(t.need) {
-		err = fmt.Errorf("the group's position %v is behind %v, which the session has seen", p, t.need)
-	}
-	if err != nil {
-		t.failed = true
-		return "", t.unconfirmed(err)
-	}
-	o.cfg.Recorder.Finished(t.class.labels, time.Since(t.start))
-	if t.reads {
-		return "", nil
-	}
-	return FormatToken(o.cfg.Database, p), nil
-}
-
-func (t *ownerTx) unconfirmed(err error) error {
-	rec := t.router.cfg.Recorder
-	if t.reads {
-		rec.StaleRead(t.class.labels)
-		return &StaleReadError{Reason: "the primary could not be confirmed after the read", Err: err}
-	}
-	rec.OutcomeUnknown(t.class.labels)
-	return &UnknownOutcomeError{Reason: "the commit is not known to be durable", Err: err}
-}
-
-// MayRepeat implements Tx. It also reports the failure of the connection.
-func (t *ownerTx) MayRepeat() bool {
-	t.router.cfg.Gate.ReportFailure(t.slot)
-	return mayRepeat(t.class, t.reads, t.keyed, t.router.budget)
-}
-
-// mayRepeat draws on the budget unless the request has a key: running it again
-// under its key is how its outcome is found out.
-func mayRepeat(c *classPolicy, reads, keyed bool, budget *admission.RetryBudget) bool {
-	if keyed {
-		return true
-	}
-	return (c.repeatable || reads) && budget.Withdraw()
-}
-
-// Release implements Tx.
-func (t *ownerTx) Release(clean bool) {
-	if !t.released.CompareAndSwap(false, true) {
-		return
-	}
-	if clean {
-		t.router.cfg.Gate.ReportAnswer(t.slot)
-	}
-	t.router.pools.put(t.conn, clean)
-	giveBack(t.limiter, &t.ticket, clean && !t.failed)
-}
-
-// giveBack ends an admission. The time of a transaction that failed says
-// nothing about the service time: many wait for a timeout while a primary is
-// replaced, and requests would be refused because of them.
-func giveBack(l *admission.Limiter, t *admission.Ticket, learn bool) {
-	if learn {
-		l.Release(t)
-		return
-	}
-	l.Cancel(t)
-}
-
-// giveUp gives back a connection that was not used.
-func (t *ownerTx) giveUp() {
-	t.router.pools.put(t.conn, true)
-	t.limiter.Cancel(&t.ticket)
-}
--- a/daemon/internal/route/owner_test.go
+++ b/daemon/internal/route/owner_test.go
@@ -135,8 +135,8 @@
 				t.Errorf("%s with a token newer than anything known: %v after %v", class, err, time.Since(start))
 			}
 		}
-		if net.dials != 0 {
-			t.Errorf("%d connections opened for refused requests", net.dials)
+		if net.dialCount() != 0 {
+			t.Errorf("%d connections opened for refused requests", net.dialCount())
 		}
 	})
 }
@@ -346,8 +346,8 @@
 		if counts.refused[RefusedQueue] != 10 || counts.refused[RefusedDeadline] != 50 {
 			t.Errorf("refusals %v, want 10 for the queue limit of 50 and 50 for the deadline", counts.refused)
 		}
-		if time.Since(start) != time.Second || net.dials != 0 {
-			t.Errorf("ended after %v with %d dials", time.Since(start), net.dials)
+		if time.Since(start) != time.Second || net.dialCount() != 0 {
+			t.Errorf("ended after %v with %d dials", time.Since(start), net.dialCount())
 		}
 	})
 }
@@ -480,3 +480,118 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against transactions that hang on a replaced primary and keep the
+// connections of the new one unused.
+func TestHungTransactionsDoNotBlockNewPrimary(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		o := newOwner(g, newFakeNet())
+		defer o.Close()
+		for range 4 {
+			tx, err := o.Begin(t.Context(), Request{Class: "pay"})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer tx.Release(false)
+		}
+		g.promote("r", 4)
+		start := time.Now()
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		if waited := time.Since(start); waited > 12*time.Millisecond {
+			t.Errorf("a payment waited %v on the new primary, want one connect", waited)
+		}
+	})
+}
+
+// Guards against a read that is confirmed although the group has not reached
+// the position in its token.
+func TestTokenBeyondTheLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		o := newOwner(newFakeGate(), newFakeNet())
+		defer o.Close()
+		var stale *StaleReadError
+		if _, err := runTx(t.Context(), o, Request{Class: "stock", Token: "d/3:101"}, 0); !errors.As(err, &stale) {
+			t.Errorf("read of a position that does not exist: %v", err)
+		}
+	})
+}
+
+// Guards against a planned change of primary that starts while transactions
+// run, admits others meanwhile, or loses those that wait.
+func TestHold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := newFakeGate()
+		o := newOwner(g, newFakeNet())
+		defer o.Close()
+		running, err := o.Begin(t.Context(), Request{Class: "pay"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		time.AfterFunc(100*time.Millisecond, func() { running.Release(true) })
+		var wg sync.WaitGroup
+		start := time.Now()
+		time.AfterFunc(10*time.Millisecond, func() {
+			wg.Go(func() {
+				if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+					t.Error(err)
+				}
+				if waited := time.Since(start); waited < 120*time.Millisecond {
+					t.Errorf("a transaction ended %v after the hold began, during it", waited)
+				}
+			})
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+		defer cancel()
+		if err := o.Hold(ctx); !errors.Is(err, context.DeadlineExceeded) {
+			t.Errorf("hold while a transaction runs: %v", err)
+		}
+		if err := o.Hold(t.Context()); err != nil || time.Since(start) < 100*time.Millisecond {
+			t.Errorf("hold ended after %v: %v", time.Since(start), err)
+		}
+		time.Sleep(20 * time.Millisecond)
+		g.promote("r", 4)
+		o.Resume()
+		wg.Wait()
+	})
+}
+
+// Guards against a leaving slot to which connections are opened again ahead of
+// need, and against connections kept to a slot that was replaced.
+func TestLeavingAndReplacedSlots(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		net := newFakeNet()
+		slots := []group.Slot{slotOf("p"), slotOf("r")}
+		o := NewOwnerRouter(OwnerConfig{
+			Database: "d",
+			Slots:    slots,
+			Policy:   NewPolicy(testService()),
+			Gate:     newFakeGate(),
+			Dial:     net.dial,
+			Limit:    limitOf(4),
+		})
+		defer o.Close()
+		if _, err := runTx(t.Context(), o, Request{Class: "pay"}, 0); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(time.Second)
+		o.DrainSlot("r")
+		time.Sleep(3 * time.Second)
+		if n, _ := net.count("r"); n != 0 {
+			t.Errorf("%d connections to a leaving slot", n)
+		}
+		moved := slotOf("r")
+		moved.Address = "other:5432"
+		o.SetSlots([]group.Slot{slots[0], moved})
+		time.Sleep(time.Second)
+		if n, _ := net.count("r"); n != warmSpare {
+			t.Errorf("%d connections to the slot that came back, want %d", n, warmSpare)
+		}
+		o.SetSlots(slots[:1])
+		if n, _ := net.count("r"); n != 0 {
+			t.Errorf("%d connections to a slot that is gone", n)
+		}
+	})
+}
