failover: add fault scripts in virtual time against Runner and Driver

Scripts of 10 to 25 faults run against three owners with traffic and readers on each. A Hold that a worker applied after the Release left new transactions held for ever; Hold is now called from Step, and only the wait for running transactions is left to a worker. Links get distinct latencies, because ties made the order of messages depend on the scheduler.

--- /dev/null
+++ b/core/failover/chaos_test.go
@@ -0,0 +1,295 @@
+package failover_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/failover"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/group/grouptest"
+	"pgregory.net/rapid"
+)
+
+// primarySlot stands for the slot that was promoted last.
+const primarySlot = -1
+
+// step is one fault of a script and the time until the next.
+type step struct {
+	fault      string
+	slot, host int
+	wait       time.Duration
+}
+
+// faults lists the faults; the frequent ones come twice.
+var faults = []string{
+	"kill", "kill", "restart", "freeze", "freeze", "thaw", "thaw", "cut host", "cut host", "cut peers", "mute host",
+	"isolate", "isolate", "heal", "lag", "stall", "resume", "leave", "stay", "switchover",
+}
+
+func drawScript(t *rapid.T, slots, hosts int) []step {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) step {
+		return step{
+			fault: rapid.SampledFrom(faults).Draw(t, "fault"),
+			slot:  max(primarySlot, rapid.IntRange(-slots, slots-1).Draw(t, "slot")),
+			host:  rapid.IntRange(0, hosts-1).Draw(t, "host"),
+			wait:  time.Duration(rapid.IntRange(0, 1500).Draw(t, "wait")) * time.Millisecond,
+		}
+	}), 10, 25).Draw(t, "script")
+}
+
+// apply brings about the fault.
+func (c *cluster) apply(ctx context.Context, s step) {
+	if s.slot == primarySlot {
+		p := c.Promotions()
+		s.slot = p[len(p)-1].Slot
+	}
+	host, id := c.owners[s.host].host.Name, string(c.slots[s.slot].ID)
+	switch s.fault {
+	case "kill":
+		c.Kill(s.slot)
+	case "restart":
+		c.Restart(s.slot)
+	case "freeze":
+		c.Freeze(s.slot)
+	case "thaw":
+		c.Thaw(s.slot)
+	case "cut host":
+		c.CutBoth(host, id)
+	case "mute host":
+		c.Cut(id, host)
+	case "cut peers":
+		c.CutBoth(c.owners[0].host.Name, c.owners[1].host.Name)
+	case "isolate":
+		c.isolate(s.slot, s.host%2 == 0)
+	case "heal":
+		c.HealAll()
+	case "lag":
+		c.SetLag(s.slot, s.wait)
+	case "stall", "resume":
+		c.SetStalled(s.slot, s.fault == "stall")
+	case "leave", "stay":
+		c.SetLeaving(s.slot, s.fault == "leave")
+	case "switchover":
+		c.owners[s.host].driver.Post(failover.SwitchoverRequest{})
+	}
+}
+
+// isolate cuts the slot off from the other slots, and from the hosts too if told.
+func (c *cluster) isolate(slot int, hosts bool) {
+	id := string(c.slots[slot].ID)
+	for i, o := range c.slots {
+		if i != slot {
+			c.CutBoth(id, string(o.ID))
+		}
+	}
+	for _, o := range c.owners {
+		if hosts {
+			c.CutBoth(id, o.host.Name)
+		}
+	}
+}
+
+func (c *cluster) endFaults() {
+	c.HealAll()
+	for i := range c.slots {
+		c.Restart(i)
+		c.Thaw(i)
+		c.SetLag(i, 0)
+		c.SetStalled(i, false)
+		c.SetLeaving(i, false)
+	}
+}
+
+// checker reads from random hosts and compares with the acknowledged writes.
+type checker struct {
+	c     *cluster
+	rand  *rand.Rand
+	mu    sync.Mutex
+	fault string
+	reads map[string]int
+}
+
+func (k *checker) fail(format string, args ...any) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.fault == "" {
+		k.fault = fmt.Sprintf(format, args...)
+	}
+}
+
+// run reads every interval until ctx ends.
+func (k *checker) run(ctx context.Context, interval time.Duration) {
+	var wg sync.WaitGroup
+	for i := 0; ctx.Err() == nil; i++ {
+		o := k.c.owners[k.rand.IntN(len(k.c.owners))]
+		age := time.Duration(1+k.rand.IntN(3000)) * time.Millisecond
+		wg.Go(func() {
+			c, cancel := context.WithTimeout(ctx, time.Second)
+			defer cancel()
+			switch i % 4 {
+			case 0:
+				k.barrierRead(c, o)
+			case 1:
+				k.primaryRead(c, o)
+			case 2:
+				k.tokenRead(c, o)
+			case 3:
+				k.agedRead(c, o, age)
+			}
+		})
+		time.Sleep(interval)
+	}
+	wg.Wait()
+}
+
+func (k *checker) barrierRead(ctx context.Context, o *owner) {
+	due := k.c.acks()
+	need, err := o.runner.Barrier(ctx)
+	if err != nil {
+		return
+	}
+	k.readReplica(ctx, o, need, 0, due, "barrier")
+}
+
+// primaryRead reads on the primary with a barrier in parallel.
+func (k *checker) primaryRead(ctx context.Context, o *owner) {
+	s, term, ok := o.runner.Primary()
+	if !ok {
+		return
+	}
+	due := k.c.acks()
+	var barrier group.Position
+	var failed error
+	var wg sync.WaitGroup
+	wg.Go(func() { barrier, failed = o.runner.Barrier(ctx) })
+	log, err := k.c.Read(ctx, o.host, s.ID)
+	wg.Wait()
+	if err == nil && failed == nil && barrier.Term <= term {
+		k.check(log, due, "primary")
+	}
+}
+
+func (k *checker) tokenRead(ctx context.Context, o *owner) {
+	acks := k.c.acks()
+	if len(acks) == 0 {
+		return
+	}
+	last := acks[len(acks)-1]
+	k.readReplica(ctx, o, last.durable, 0, []ack{last}, "token")
+}
+
+func (k *checker) agedRead(ctx context.Context, o *owner, age time.Duration) {
+	now := time.Now()
+	var due []ack
+	for _, a := range k.c.acks() {
+		if a.at.Before(now.Add(-age)) {
+			due = append(due, a)
+		}
+	}
+	if s, ok := o.runner.PickReplica(group.Position{}, age); ok {
+		k.readSlot(ctx, o, s, due, fmt.Sprintf("age %v", age))
+	}
+}
+
+func (k *checker) readReplica(ctx context.Context, o *owner, need group.Position, age time.Duration, due []ack, kind string) {
+	ctx, cancel := context.WithTimeout(ctx, 20*time.Millisecond)
+	defer cancel()
+	if s, err := o.runner.WaitReplica(ctx, need, age); err == nil {
+		k.readSlot(ctx, o, s, due, kind)
+	}
+}
+
+func (k *checker) readSlot(ctx context.Context, o *owner, s group.Slot, due []ack, kind string) {
+	if log, err := k.c.Read(ctx, o.host, s.ID); err == nil {
+		k.check(log, due, kind)
+	}
+}
+
+func (k *checker) check(log []grouptest.Record, due []ack, kind string) {
+	for _, a := range due {
+		if !grouptest.Holds(log, a.position) {
+			k.fail("%s read misses write %s, acknowledged at %v", kind, a.value, a.position)
+			return
+		}
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.reads[kind[:3]]++
+}
+
+// fatal turns failures of checkHistory into the checker's.
+type fatal struct{ k *checker }
+
+func (fatal) Helper()                        {}
+func (f fatal) Fatalf(s string, args ...any) { f.k.fail(s, args...) }
+
+// runScript runs the faults against a group under traffic from every owner, ends
+// them, and returns what went wrong.
+func runScript(t *testing.T, l layout, script []step, tally map[string]int) (fault string) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, l)
+		defer c.stop()
+		k := &checker{c: c, rand: rand.New(rand.NewPCG(l.seed, 9)), reads: tally}
+		ctx, cancel := context.WithCancel(t.Context())
+		var wg sync.WaitGroup
+		for _, o := range c.owners {
+			wg.Go(func() { o.traffic(ctx, o.host.Name, 60*time.Millisecond) })
+		}
+		wg.Go(func() { k.run(ctx, 20*time.Millisecond) })
+		time.Sleep(time.Second)
+		for _, s := range script {
+			c.apply(ctx, s)
+			time.Sleep(s.wait)
+		}
+		c.endFaults()
+		time.Sleep(20 * time.Second)
+		cancel()
+		wg.Wait()
+		k.checkConverged(t.Context())
+		c.checkHistory(fatal{k})
+		fault = k.fault
+		tally["acks"] += len(c.acks())
+		tally["promotions"] += len(c.Promotions())
+	})
+	return fault
+}
+
+// checkConverged checks that every owner can write and that all slots follow one primary.
+func (k *checker) checkConverged(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, commitTimeout)
+	defer cancel()
+	for _, o := range k.c.owners {
+		if err := o.write(ctx, "last/"+o.host.Name); err != nil {
+			k.fail("write through %s after the faults ended: %v", o.host.Name, err)
+		}
+	}
+	time.Sleep(time.Second)
+	p := k.c.Promotions()
+	last := p[len(p)-1]
+	for i := range k.c.slots {
+		if st := k.c.Status(i); st.Received != k.c.Status(last.Slot).Received {
+			k.fail("slot %d is at %+v after the faults ended, primary %d at %+v", i, st, last.Slot, k.c.Status(last.Slot))
+		}
+	}
+}
+
+// Guards against lost acknowledged writes, stale reads and drivers that do not
+// converge, under faults that strike together and twice, with three owners, and
+// with no store at all.
+func TestFaultsTogetherAndTwice(t *testing.T) {
+	tally := map[string]int{}
+	rapid.Check(t, func(rt *rapid.T) {
+		l := rapid.SampledFrom([]layout{paardvast, pwani, paardvastRegions}).Draw(rt, "layout")
+		l.owners, l.seed = 3, rapid.Uint64().Draw(rt, "seed")
+		script := drawScript(rt, l.slots, l.owners)
+		if fault := runScript(t, l, script, tally); fault != "" {
+			rt.Fatalf("%s", fault)
+		}
+	})
+	t.Logf("%v", tally)
+}
--- a/core/failover/cluster_test.go
+++ b/core/failover/cluster_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -17,6 +18,9 @@
 
 const (
 	commitTimeout = 5 * time.Second
+	// hostOffset separates the starts of hosts. Without it their timers fire at
+	// the same instant, in an order that differs from run to run.
+	hostOffset = 7193117 * time.Nanosecond
 	// overdue is when a host reports a statement without an answer.
 	overdue = 250 * time.Millisecond
 )
@@ -58,10 +62,11 @@
 
 // ack is an acknowledged write.
 type ack struct {
-	value    string
-	term     group.Term
-	position group.Position
-	at       time.Time
+	value string
+	term  group.Term
+	// position is that of the write's record, durable what the gate reported.
+	position, durable group.Position
+	at                time.Time
 }
 
 type owner struct {
@@ -105,11 +110,14 @@
 	g.notify()
 }
 
-func (g *gate) hold(ctx context.Context) {
+func (g *gate) hold() {
 	g.mu.Lock()
+	defer g.mu.Unlock()
 	g.held = true
 	g.notify()
-	g.mu.Unlock()
+}
+
+func (g *gate) drain(ctx context.Context) {
 	_ = g.until(ctx, func() bool { return g.running == 0 })
 }
 
@@ -169,6 +177,7 @@
 		wg.Go(func() { _ = o.runner.Run(ctx) })
 		wg.Go(func() { _ = o.driver.Run(ctx) })
 		o.driver.Post(failover.Owner{Rank: i, Peer: l.owners > 1})
+		time.Sleep(hostOffset)
 	}
 	c.stop = func() {
 		cancel()
@@ -186,6 +195,7 @@
 		Hooks: failover.Hooks{
 			AskPeer:    o.askPeer,
 			Hold:       o.gate.hold,
+			Drain:      o.gate.drain,
 			Release:    o.gate.release,
 			Refresh:    func() { o.runner.Refresh() },
 			Record:     c.record,
@@ -234,7 +244,8 @@
 	if err != nil {
 		return err
 	}
-	if err := o.commit(ctx, s.ID, value); err != nil {
+	at, err := o.commit(ctx, s.ID, value)
+	if err != nil {
 		return err
 	}
 	p, err := o.runner.WaitDurable(ctx, term)
@@ -243,26 +254,26 @@
 	}
 	o.c.mu.Lock()
 	defer o.c.mu.Unlock()
-	o.c.acked = append(o.c.acked, ack{value: value, term: term, position: p, at: time.Now()})
+	o.c.acked = append(o.c.acked, ack{value: value, term: term, position: at, durable: p, at: time.Now()})
 	return nil
 }
 
-func (o *owner) commit(ctx context.Context, slot group.SlotID, value string) error {
+func (o *owner) commit(ctx context.Context, slot group.SlotID, value string) (group.Position, error) {
 	ctx, cancel := context.WithTimeout(ctx, overdue)
 	defer cancel()
-	err := o.c.Write(ctx, o.host, slot, value)
+	p, err := o.c.Write(ctx, o.host, slot, value)
 	switch {
 	case err == nil:
 		o.runner.ReportAnswer(slot)
-		return nil
+		return p, nil
 	case errors.Is(err, group.ErrRefused):
-		return err
+		return p, err
 	}
 	o.runner.ReportFailure(slot)
 	if errors.Is(err, group.ErrNoAnswer) {
-		return fmt.Errorf("%w: %w", errUnknownOutcome, err)
+		return p, fmt.Errorf("%w: %w", errUnknownOutcome, err)
 	}
-	return err
+	return p, err
 }
 
 // traffic writes from the owner every interval until ctx ends; each write has
@@ -283,7 +294,7 @@
 func (c *cluster) acks() []ack {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]ack(nil), c.acked...)
+	return slices.Clip(c.acked)
 }
 
 // checkHistory fails the test if an acknowledged write is missing from a later
@@ -302,12 +313,8 @@
 		terms[p.Term] = p.Slot
 	}
 	for _, p := range promotions {
-		held := map[string]bool{}
-		for _, r := range p.Log {
-			held[r.Value] = true
-		}
 		for _, a := range c.acks() {
-			if a.term < p.Term && !held[a.value] {
+			if a.term < p.Term && !grouptest.Holds(p.Log, a.position) {
 				t.Fatalf("write %s, acknowledged at %v of term %d, is missing from the log of slot %d promoted at term %d",
 					a.value, a.position, a.term, p.Slot, p.Term)
 			}
--- a/core/failover/driver.go
+++ b/core/failover/driver.go
@@ -19,14 +19,15 @@
 )
 
 // Hooks connect a Driver to the rest of the host. They are called from worker
-// goroutines, except Refresh, Release and Record, which are called from Step and
-// must not block. Each may be nil.
+// goroutines, except Hold, Release, Refresh and Record, which are called from
+// Step, in the order of the decisions, and must not block. Each may be nil.
 type Hooks struct {
 	// AskPeer asks the other owner how it sees the primary; see Driver.SeePrimary.
 	AskPeer func(context.Context) (PeerView, error)
-	// Hold stops new transactions on the primary and returns when the running
-	// ones have ended or ctx has.
-	Hold func(context.Context)
+	// Hold stops new transactions on the primary.
+	Hold func()
+	// Drain returns when the running transactions have ended or ctx has.
+	Drain func(context.Context)
 	// Release ends Hold.
 	Release func()
 	// Refresh asks the tracker to read all positions again.
@@ -187,7 +188,8 @@
 	case Send:
 		d.workers.Go(func() { d.send(ctx, c) })
 	case Hold:
-		d.workers.Go(func() { d.hold(ctx, c) })
+		call(d.opts.Hooks.Hold)
+		d.workers.Go(func() { d.drain(ctx, c) })
 	case Release:
 		call(d.opts.Hooks.Release)
 	case Refresh:
@@ -258,11 +260,11 @@
 	d.Post(r)
 }
 
-func (d *Driver) hold(ctx context.Context, c Hold) {
-	if d.opts.Hooks.Hold != nil {
+func (d *Driver) drain(ctx context.Context, c Hold) {
+	if d.opts.Hooks.Drain != nil {
 		ctx, cancel := context.WithTimeout(ctx, c.Bound)
 		defer cancel()
-		d.opts.Hooks.Hold(ctx)
+		d.opts.Hooks.Drain(ctx)
 	}
 	d.Post(Drained{Attempt: c.Attempt})
 }
--- a/core/failover/failover_test.go
+++ b/core/failover/failover_test.go
@@ -9,7 +9,23 @@
 	_ "github.com/gypsumgap/gypsumgap/core/testseed"
 )
 
-var paardvast = layout{slots: 3, zones: []string{"randstad-a", "gelderland-a", "brabant-a"}, remote: 1500 * time.Microsecond, owners: 2}
+// The deployments of section 2 of the design page.
+var (
+	paardvast = layout{slots: 3, zones: []string{"randstad-a", "gelderland-a", "brabant-a"}, remote: 1500 * time.Microsecond, owners: 2}
+	pwani     = layout{slots: 5, zones: []string{"tanga-a", "dar-a", "kilwa-a"}, remote: 1500 * time.Microsecond, owners: 2}
+	// The variants have one zone of three in another region.
+	paardvastRegions = layout{slots: 3, zones: paardvast.zones, remote: paardvast.remote, far: 20 * time.Millisecond, region: lastZoneFar("brabant-a"), owners: 2}
+	pwaniRegions     = layout{slots: 5, zones: pwani.zones, remote: pwani.remote, far: 12 * time.Millisecond, region: lastZoneFar("kilwa-a"), owners: 2}
+)
+
+func lastZoneFar(zone string) func(string) string {
+	return func(z string) string {
+		if z == zone {
+			return "far"
+		}
+		return "home"
+	}
+}
 
 // settle lets the hosts learn the group's state.
 const settle = 3 * time.Second
--- a/core/group/grouptest/fake.go
+++ b/core/group/grouptest/fake.go
@@ -12,6 +12,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/fnv"
+	"io"
 	"slices"
 	"sync"
 	"time"
@@ -24,7 +26,8 @@
 
 var errKilled = fmt.Errorf("%w: connection reset", group.ErrNoAnswer)
 
-// Record is one record of a log. A record without a value starts a term.
+// Record is one record of a log. A record without a value starts a term. The
+// record at index i has offset i+1.
 type Record struct {
 	Position group.Position
 	Value    string
@@ -175,18 +178,18 @@
 	return call(ctx, c.g, c.host, slot, func(i int) (group.Status, error) { return c.g.follow(i, t, primary) })
 }
 
-// Write commits a record on the slot, as a statement from the host would. It
-// fails with the errors of group.Client.
-func (g *Group) Write(ctx context.Context, h Host, slot group.SlotID, value string) error {
-	_, err := call(ctx, g, h, g.slotOf(slot), func(i int) (struct{}, error) {
+// Write commits a record on the slot, as a statement from the host would, and
+// returns its position, which a real server would not tell. It fails with the
+// errors of group.Client.
+func (g *Group) Write(ctx context.Context, h Host, slot group.SlotID, value string) (group.Position, error) {
+	return call(ctx, g, h, g.slotOf(slot), func(i int) (group.Position, error) {
 		s := g.servers[i]
 		if s.role != group.Primary {
-			return struct{}{}, ErrNotPrimary
+			return group.Position{}, ErrNotPrimary
 		}
 		g.append(i, value)
-		return struct{}{}, nil
+		return position(s.log, len(s.log)), nil
 	})
-	return err
 }
 
 // Read returns the records that are applied on the slot.
@@ -221,7 +224,8 @@
 func call[T any](ctx context.Context, g *Group, h Host, slot group.Slot, execute func(int) (T, error)) (T, error) {
 	i := g.indexOf(slot.ID)
 	s := g.servers[i]
-	there, back := g.opts.Latency(h.Zone, s.slot.Zone), g.opts.Latency(s.slot.Zone, h.Zone)
+	there := g.latency(h.Zone, s.slot.Zone, h.Name, string(slot.ID))
+	back := g.latency(s.slot.Zone, h.Zone, string(slot.ID), h.Name)
 	reply := make(chan result[T], 1)
 	answer := func(r result[T]) {
 		time.AfterFunc(back, func() {
@@ -261,6 +265,15 @@
 	}
 }
 
+// latency adds less than a microsecond that depends on the link. Messages over
+// different links then arrive at different instants, so that their order does
+// not depend on the scheduler.
+func (g *Group) latency(fromZone, toZone, from, to string) time.Duration {
+	h := fnv.New32a()
+	_, _ = io.WriteString(h, from+">"+to)
+	return g.opts.Latency(fromZone, toZone) + time.Duration(h.Sum32()%1000)*time.Nanosecond
+}
+
 // receive runs the message, or keeps it until the server thaws.
 func (g *Group) receive(s *server, m message) {
 	if s.frozen {
@@ -352,14 +365,14 @@
 	g.touch()
 	s.role, s.upstream = group.Primary, noUpstream
 	g.append(i, "")
-	g.promotions = append(g.promotions, Promotion{Slot: i, Term: s.accepted, Log: s.log})
+	g.promotions = append(g.promotions, Promotion{Slot: i, Term: s.accepted, Log: slices.Clip(s.log)})
 }
 
 // append adds a record to the primary's log and sends it to the replicas.
 func (g *Group) append(i int, value string) {
 	s := g.servers[i]
 	next := group.Position{Term: s.accepted, Offset: position(s.log, len(s.log)).Offset + 1}
-	s.log = append(slices.Clip(s.log), Record{Position: next, Value: value})
+	s.log = append(s.log, Record{Position: next, Value: value})
 	s.applied = len(s.log)
 	for r := range g.servers {
 		if r != i {
@@ -374,8 +387,8 @@
 	if r.upstream != from || !g.streams(p, r) {
 		return
 	}
-	term, log := p.accepted, p.log
-	delay := g.opts.Latency(p.slot.Zone, r.slot.Zone) + r.lag
+	term, log := p.accepted, slices.Clip(p.log)
+	delay := g.latency(p.slot.Zone, r.slot.Zone, string(p.slot.ID), string(r.slot.ID)) + r.lag
 	time.AfterFunc(delay, func() {
 		g.mu.Lock()
 		defer g.mu.Unlock()
@@ -548,6 +561,11 @@
 	return g.status(i)
 }
 
+// Holds reports whether the log contains the record at the position.
+func Holds(log []Record, p group.Position) bool {
+	return p.Offset <= uint64(len(log)) && log[p.Offset-1].Position == p
+}
+
 // IsKilled reports whether an error means that the server was killed while it
 // handled the request.
 func IsKilled(err error) bool { return errors.Is(err, errKilled) }
--- a/core/replication/runner_test.go
+++ b/core/replication/runner_test.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		t.Fatalf("wait for a primary: %v", err)
 	}
-	if err := g.Write(ctx, host, s.ID, value); err != nil {
+	if _, err := g.Write(ctx, host, s.ID, value); err != nil {
 		t.Fatalf("write: %v", err)
 	}
 	p, err := r.WaitDurable(ctx, term)
@@ -115,7 +115,7 @@
 		mustWrite(t, g, r, "w1")
 		g.SetStalled(1, true)
 		g.SetStalled(2, true)
-		if err := g.Write(t.Context(), host, "db/0", "w2"); err != nil {
+		if _, err := g.Write(t.Context(), host, "db/0", "w2"); err != nil {
 			t.Fatal(err)
 		}
 		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
@@ -133,7 +133,7 @@
 // Guards against idle databases that cost more than a request per slot and second.
 func TestIdleRunnerAsksOncePerInterval(t *testing.T) {
 	withRunner(t, 3, func(t *testing.T, g *grouptest.Group, r *replication.Runner) {
-		time.Sleep(10 * time.Second)
+		time.Sleep(10*time.Second + 500*time.Millisecond) // between two rounds
 		before := g.Counts()
 		time.Sleep(60 * time.Second)
 		if n := g.Counts().Status - before.Status; n > 180 {
