--- a/core/failover/attempt.go
+++ b/core/failover/attempt.go
@@ -211,12 +211,11 @@
 			m.follow(now, i, a.chosen, a.term)
 		}
 	}
-	m.emit(Refresh{})
+	m.emit(Refresh{Term: a.term})
 	m.wantAll()
 	if m.change != nil {
-		m.completeChange(now, a)
+		m.completeChange(a)
 	}
-	m.release()
 }
 
 // abandon gives the attempt up and waits a random time, so that rivals do not
--- a/core/failover/cluster_test.go
+++ b/core/failover/cluster_test.go
@@ -34,6 +34,8 @@
 	remote, far time.Duration
 	owners      int
 	seed        uint64
+	// driverless leaves the failover to the test.
+	driverless bool
 }
 
 func (l layout) latency(from, to string) time.Duration {
@@ -57,6 +59,7 @@
 
 	mu      sync.Mutex
 	acked   []ack
+	failed  []error
 	records []failover.Record
 }
 
@@ -176,7 +179,9 @@
 	for i, o := range c.owners {
 		wg.Go(func() { _ = o.runner.Run(ctx) })
 		wg.Go(func() { _ = o.driver.Run(ctx) })
-		o.driver.Post(failover.Owner{Rank: i, Peer: l.owners > 1})
+		if !l.driverless {
+			o.driver.Post(failover.Owner{Rank: i, Peer: l.owners > 1})
+		}
 		time.Sleep(hostOffset)
 	}
 	c.stop = func() {
@@ -197,7 +202,7 @@
 			Hold:       o.gate.hold,
 			Drain:      o.gate.drain,
 			Release:    o.gate.release,
-			Refresh:    func() { o.runner.Refresh() },
+			Refresh:    func(ctx context.Context, t group.Term) error { return o.runner.Refresh(ctx, t) },
 			Record:     c.record,
 			LastAnswer: func(slot int) time.Time { return o.runner.LastAnswer(slot) },
 		},
@@ -282,9 +287,13 @@
 	var wg sync.WaitGroup
 	for i := 0; ctx.Err() == nil; i++ {
 		wg.Go(func() {
-			c, cancel := context.WithTimeout(ctx, commitTimeout)
+			c, cancel := context.WithTimeout(context.WithoutCancel(ctx), commitTimeout)
 			defer cancel()
-			_ = o.write(c, fmt.Sprintf("%s/%d", name, i))
+			if err := o.write(c, fmt.Sprintf("%s/%d", name, i)); err != nil {
+				o.c.mu.Lock()
+				defer o.c.mu.Unlock()
+				o.c.failed = append(o.c.failed, err)
+			}
 		})
 		time.Sleep(interval)
 	}
--- a/core/failover/driver.go
+++ b/core/failover/driver.go
@@ -19,7 +19,7 @@
 )
 
 // Hooks connect a Driver to the rest of the host. They are called from worker
-// goroutines, except Hold, Release, Refresh and Record, which are called from
+// goroutines, except Hold, Release and Record, which are called from
 // Step, in the order of the decisions, and must not block. Each may be nil.
 type Hooks struct {
 	// AskPeer asks the other owner how it sees the primary; see Driver.SeePrimary.
@@ -30,8 +30,9 @@
 	Drain func(context.Context)
 	// Release ends Hold.
 	Release func()
-	// Refresh asks the tracker to read all positions again.
-	Refresh func()
+	// Refresh makes the tracker read all positions again and returns when it
+	// knows a primary of at least the term, or ctx has ended; see Runner.Refresh.
+	Refresh func(context.Context, group.Term) error
 	// Record tells what was done and why.
 	Record func(Record)
 	// LastAnswer returns when the slot of that index last answered anything;
@@ -193,7 +194,7 @@
 	case Release:
 		call(d.opts.Hooks.Release)
 	case Refresh:
-		call(d.opts.Hooks.Refresh)
+		d.workers.Go(func() { d.refresh(ctx, c) })
 	case Record:
 		if d.opts.Hooks.Record != nil {
 			d.opts.Hooks.Record(c)
@@ -269,6 +270,17 @@
 	d.Post(Drained{Attempt: c.Attempt})
 }
 
+func (d *Driver) refresh(ctx context.Context, c Refresh) {
+	if d.opts.Hooks.Refresh != nil {
+		ctx, cancel := context.WithTimeout(ctx, holdLimit)
+		defer cancel()
+		if err := d.opts.Hooks.Refresh(ctx, c.Term); err != nil {
+			return // the machine releases transactions at its own bound
+		}
+	}
+	d.Post(Refreshed(c))
+}
+
 // Observe passes on what the tracker of the database sees.
 func (d *Driver) Observe(o replication.Observation) {
 	switch {
--- a/core/failover/events.go
+++ b/core/failover/events.go
@@ -71,6 +71,9 @@
 // that its bound has passed.
 type Drained struct{ Attempt uint64 }
 
+// Refreshed says that the tracker knows a primary of at least the term.
+type Refreshed struct{ Term group.Term }
+
 // SwitchoverRequest asks for a planned change of primary.
 type SwitchoverRequest struct {
 	// ID is returned in the Finish command.
@@ -99,6 +102,7 @@
 func (PeerView) event()          {}
 func (Ordered) event()           {}
 func (Drained) event()           {}
+func (Refreshed) event()         {}
 func (SwitchoverRequest) event() {}
 func (Owner) event()             {}
 
@@ -141,8 +145,9 @@
 // Release ends a Hold.
 type Release struct{}
 
-// Refresh asks that the positions of all slots be read again.
-type Refresh struct{}
+// Refresh asks that the positions of all slots be read again; its result is
+// Refreshed. Held transactions are released then, lest they go to the old primary.
+type Refresh struct{ Term group.Term }
 
 // Record states what was done and why, for status output and logs.
 type Record struct {
--- a/core/failover/machine.go
+++ b/core/failover/machine.go
@@ -95,8 +95,10 @@
 	leavingSince time.Time
 	autoAt       time.Time
 	heldAt       time.Time
-	out          []Command
-	deadline     time.Time
+	// finished answers the switchover request once transactions are released.
+	finished *Finish
+	out      []Command
+	deadline time.Time
 }
 
 // slotInfo is what the machine knows of one slot.
@@ -177,6 +179,10 @@
 		m.ordered(now, e)
 	case Drained:
 		m.drained(now, e)
+	case Refreshed:
+		if m.change == nil && m.attempt == nil && e.Term >= m.watchedTerm {
+			m.release(now)
+		}
 	case SwitchoverRequest:
 		m.request(now, e)
 	case Owner:
--- a/core/failover/model_test.go
+++ b/core/failover/model_test.go
@@ -218,6 +218,8 @@
 			m.probe(f, c.Slot)
 		case failover.Send:
 			m.send(f, c)
+		case failover.Refresh:
+			m.bag = append(m.bag, modelMessage{run: func() { m.step(f, failover.Refreshed(c)) }})
 		case failover.Hold:
 			m.bag = append(m.bag, modelMessage{run: func() { m.step(f, failover.Drained{Attempt: c.Attempt}) }})
 		}
--- a/core/failover/repair.go
+++ b/core/failover/repair.go
@@ -52,7 +52,7 @@
 // the primary's, as a driver without a quorum leaves it. Such a slot refuses to
 // follow, so the group would lack a replica.
 func (m *Machine) repairStray(now time.Time) {
-	if m.newer(m.watchedTerm) == 0 || m.change != nil {
+	if m.newer(m.watchedTerm) == 0 || !m.heldAt.IsZero() {
 		m.straySince = time.Time{}
 		return
 	}
--- a/core/failover/switchover.go
+++ b/core/failover/switchover.go
@@ -37,7 +37,7 @@
 	if m.rank == NotOwner {
 		return ErrNotOwner
 	}
-	if m.attempt != nil || m.change != nil {
+	if m.attempt != nil || m.change != nil || !m.heldAt.IsZero() {
 		return ErrBusy
 	}
 	if m.watched < 0 || !m.suspicion.since.IsZero() {
@@ -79,6 +79,9 @@
 
 // leave replaces a primary that is about to stop.
 func (m *Machine) leave(now time.Time) {
+	if !m.heldAt.IsZero() {
+		return
+	}
 	if !m.slots[m.watched].status.Leaving || !m.reachable(now, m.watched) {
 		m.leavingSince = time.Time{}
 		return
@@ -149,12 +152,12 @@
 	return !from.sent.Before(c.drained) && to.status.Received.Covers(from.status.Received)
 }
 
-// completeChange reports the promotion that ended the change.
-func (m *Machine) completeChange(now time.Time, a *attempt) {
+// completeChange prepares the answer to the request; transactions are still held.
+func (m *Machine) completeChange(a *attempt) {
 	c := m.change
 	m.change = nil
 	if c.asked {
-		m.emit(Finish{ID: c.id, Slot: m.cfg.Slots[a.chosen].ID, Term: a.term, Paused: now.Sub(m.heldAt)})
+		m.finished = &Finish{ID: c.id, Slot: m.cfg.Slots[a.chosen].ID, Term: a.term}
 	}
 }
 
@@ -168,22 +171,26 @@
 		m.emit(Finish{ID: c.id, Err: err})
 	}
 	if !errors.Is(err, ErrSwitchoverUnsettled) {
-		m.release()
+		m.release(now)
 	}
 }
 
 // release lets the held transactions start.
-func (m *Machine) release() {
+func (m *Machine) release(now time.Time) {
 	if m.heldAt.IsZero() {
 		return
 	}
-	m.heldAt = time.Time{}
+	if m.finished != nil {
+		m.finished.Paused = now.Sub(m.heldAt)
+		m.emit(*m.finished)
+	}
+	m.heldAt, m.finished = time.Time{}, nil
 	m.emit(Release{})
 }
 
 // limitHold releases transactions that were held for too long.
 func (m *Machine) limitHold(now time.Time) {
 	if !m.heldAt.IsZero() && m.passed(now, m.heldAt.Add(holdLimit)) {
-		m.release()
+		m.release(now)
 	}
 }
--- a/core/replication/runner.go
+++ b/core/replication/runner.go
@@ -377,13 +377,20 @@
 		a.Leaving == b.Leaving && a.Upstream == b.Upstream
 }
 
-// Refresh asks every slot at once, for example after a promotion.
-func (r *Runner) Refresh() {
+// Refresh asks every slot at once and returns when a primary of at least the
+// term is known. It fails with the context's error or ErrStopped.
+func (r *Runner) Refresh(ctx context.Context, term group.Term) error {
 	r.post(func() {
 		for i := range r.polls {
 			r.polls[i].kicked = true
 		}
 	})
+	return r.waitView(ctx, func(v *View, _ time.Time) int {
+		if v.Term < term {
+			return -1
+		}
+		return v.Primary
+	}).err
 }
 
 // View returns the latest summary. It does not block.
