failover: act if the other owner does not answer

An owner whose peer was cut off asked again before it judged, so a question was always outstanding and it never acted: TestRivalsConverge saw no promotion in 4 s. The wait is now for one ended question per suspicion.

--- a/core/failover/detect.go
+++ b/core/failover/detect.go
@@ -24,9 +24,11 @@
 	lastRefusal time.Time
 	// raised is when the evidence became sufficient.
 	raised time.Time
-	// asked is when the other owner was last asked; view is its latest answer if viewed.
+	// asked is when the other owner was last asked, tried says that one question
+	// has ended, and view is the latest answer if viewed.
 	asked  time.Time
 	asking bool
+	tried  bool
 	viewed bool
 	view   PeerView
 }
@@ -231,7 +233,7 @@
 	if p.raised.IsZero() {
 		return false
 	}
-	if m.peer && !p.viewed && p.asking {
+	if m.peer && !p.tried {
 		return false
 	}
 	if p.viewed && p.view.Reachable {
@@ -325,7 +327,7 @@
 
 func (m *Machine) viewed(e PeerView) {
 	p := &m.suspicion
-	p.asking, p.viewed, p.view = false, e.OK, e
+	p.asking, p.tried, p.viewed, p.view = false, true, e.OK, e
 	if e.Term > m.seen {
 		m.wantAll()
 	}
