--- a/ctl/internal/burn/history.go
+++ b/ctl/internal/burn/history.go
@@ -30,6 +30,8 @@
 	Events Counters  `json:"events"`
 }
 
+func (p Point) middle() time.Time { return p.From.Add(p.To.Sub(p.From) / 2) }
+
 // ReadHistory reads a history file; one that does not exist is empty.
 func ReadHistory(file string) (*History, error) {
 	data, err := os.ReadFile(file)
@@ -109,8 +111,7 @@
 	var events Events
 	var covered time.Duration
 	for _, p := range h.Points {
-		middle := p.From.Add(p.To.Sub(p.From) / 2)
-		if now.Sub(middle) > window {
+		if now.Sub(p.middle()) > window {
 			continue
 		}
 		e := p.Events[service][o]
--- a/ctl/internal/burn/report.go
+++ b/ctl/internal/burn/report.go
@@ -1,6 +1,8 @@
 package burn
 
 import (
+	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/config"
@@ -47,6 +49,28 @@
 	Burn *float64 `json:"burn"`
 }
 
+// String formats the rate, "-" if there were no events, with a mark if the
+// history covers the window in part.
+func (r Rate) String() string {
+	if r.Burn == nil {
+		return "-"
+	}
+	s := strconv.FormatFloat(*r.Burn, 'f', 2, 64)
+	// Scrapes don't meet the edge of a window exactly.
+	if r.Covered.Std() < r.Window.Std()*9/10 {
+		s += "*"
+	}
+	return s
+}
+
+// WindowName formats a window of whole hours or minutes.
+func WindowName(d time.Duration) string {
+	if d >= time.Hour {
+		return fmt.Sprintf("%dh", d/time.Hour)
+	}
+	return fmt.Sprintf("%dm", d/time.Minute)
+}
+
 // Line is one objective of one service.
 type Line struct {
 	Service   string    `json:"service"`
--- a/ctl/internal/cli/burn.go
+++ b/ctl/internal/cli/burn.go
@@ -1,11 +1,13 @@
 package cli
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"time"
@@ -26,11 +28,12 @@
 	History   string   `arg:"--history,required" placeholder:"FILE" help:"file that keeps earlier scrapes; made if it does not exist"`
 	Metrics   []string `arg:"--metrics,separate" placeholder:"HOST:PORT" help:"admin address of a host; may be repeated; without it the platform's host list is used"`
 	AdminPort int      `arg:"--admin-port" default:"9432" placeholder:"PORT" help:"port of the admin addresses of the platform's hosts"`
+	HTML      string   `arg:"--html" placeholder:"FILE" help:"write the report as one HTML page as well"`
 	Folder    string   `arg:"--folder" placeholder:"FOLDER" help:"take the objectives from a folder instead of the platform"`
 }
 
 func (*burnCommand) example() string {
-	return "gypsumctl report burn --history burn.json --platform http://127.0.0.1:5000"
+	return "gypsumctl report burn --history burn.json --html burn.html --platform http://127.0.0.1:5000"
 }
 
 // burnReport is the outcome of a scrape and the burn rates with it.
@@ -63,7 +66,22 @@
 		return nil, err
 	}
 	rep.Objectives = history.Report(rep.At, snapshot)
-	return rep, nil
+	return rep, cmd.writeHTML(history, rep)
+}
+
+func (cmd *burnCommand) writeHTML(history *burn.History, rep *burnReport) error {
+	if cmd.HTML == "" {
+		return nil
+	}
+	var page bytes.Buffer
+	if err := history.WriteHTML(&page, rep.At, rep.Objectives); err != nil {
+		return err
+	}
+	const mode = 0o644
+	if err := os.WriteFile(cmd.HTML, page.Bytes(), mode); err != nil {
+		return fmt.Errorf("report: %w", err)
+	}
+	return nil
 }
 
 func (cmd *burnCommand) objectives(ctx context.Context, c *call) (*config.Snapshot, error) {
@@ -149,13 +167,13 @@
 	table := newTable(w)
 	fmt.Fprint(table, "SERVICE\tOBJECTIVE\tPROMISED\tLEVEL")
 	for _, window := range burn.Windows {
-		fmt.Fprintf(table, "\t%s", shortDuration(window))
+		fmt.Fprintf(table, "\t%s", burn.WindowName(window))
 	}
 	fmt.Fprintln(table)
 	for _, l := range r.Objectives {
 		fmt.Fprintf(table, "%s\t%s\t%v\t%s", l.Service, l.Objective, l.Promised, l.Level)
 		for _, rate := range l.Rates {
-			fmt.Fprintf(table, "\t%s", burnText(rate))
+			fmt.Fprintf(table, "\t%s", rate)
 		}
 		fmt.Fprintln(table)
 	}
@@ -165,23 +183,3 @@
 		fmt.Fprintf(w, "%s gave no metrics\n", address)
 	}
 }
-
-func burnText(r burn.Rate) string {
-	if r.Burn == nil {
-		return "-"
-	}
-	s := strconv.FormatFloat(*r.Burn, 'f', 2, 64)
-	// Scrapes don't meet the edge of a window exactly.
-	if r.Covered.Std() < r.Window.Std()*9/10 {
-		s += "*"
-	}
-	return s
-}
-
-// shortDuration formats whole hours or minutes.
-func shortDuration(d time.Duration) string {
-	if d >= time.Hour {
-		return fmt.Sprintf("%dh", d/time.Hour)
-	}
-	return fmt.Sprintf("%dm", d/time.Minute)
-}
--- a/ctl/internal/cli/burn_test.go
+++ b/ctl/internal/cli/burn_test.go
@@ -1,6 +1,7 @@
 package cli_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
+
 	"github.com/gypsumgap/gypsumgap/ctl/internal/cli"
 )
 
@@ -86,6 +89,7 @@
 		s.out.Reset()
 		wantStatus(t, s.run(argv...), cli.Done)
 	}
+	checkPage(t, s, argv)
 	wantStatus(t, s.run(append(argv, "--output=json")...), cli.Done)
 	wantStatus(t, s.run(append(argv, "--metrics", closedAddress(t))...), cli.Done)
 	out := s.out.String()
@@ -99,6 +103,32 @@
 	s.assert(t, "burn")
 }
 
+// checkPage checks the HTML report but for the embedded script.
+func checkPage(t *testing.T, s *session, argv []string) {
+	t.Helper()
+	file := filepath.Join(t.TempDir(), "burn.html")
+	before := s.out.String()
+	wantStatus(t, s.run(append(argv, "--html", file)...), cli.Done)
+	s.out.Reset()
+	s.out.WriteString(before)
+	page, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	start := bytes.Index(page, []byte("<script>"))
+	end := bytes.Index(page, []byte("</script>"))
+	if end-start < 100_000 {
+		t.Error("the page does not hold the script of the charts")
+	}
+	rest := append(page[:start:start], page[end:]...)
+	for _, loaded := range []string{"src=", "href=", "url(", "//"} {
+		if bytes.Contains(rest, []byte(loaded)) {
+			t.Errorf("the page may load something: it contains %s", loaded)
+		}
+	}
+	goldie.New(t).Assert(t, "burn-page", rest)
+}
+
 // Guards against an outage of all hosts that spoils the history.
 func TestReportBurnWithoutHosts(t *testing.T) {
 	s := &session{now: time.Now}
