--- /dev/null
+++ b/core/membership/ownership.go
@@ -0,0 +1,335 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Database is what the owners of a database depend on besides the hosts.
+type Database struct {
+	Name string
+	// Region is the region whose hosts own the database if it has any.
+	Region string
+}
+
+// Ownership keeps the owners of many databases up to date while hosts and
+// databases come and go. Its results equal those of Owners.
+//
+// A change costs work in proportion to what it may affect. A host that goes
+// can change only the databases that it owns, which are indexed by host. A
+// host that comes is scored once for each database of its region and can
+// change only those for which it ranks before the second owner. Only the
+// databases found in this way are ranked again.
+//
+// An Ownership is not safe for concurrent use; an Assignment is.
+type Ownership struct {
+	hosts      map[string]*candidate
+	all        []*candidate
+	regions    map[string]*region
+	placements map[string]*placement
+	dirty      map[*placement]struct{}
+	// ranked counts the databases ranked and scored the hosts scored, as
+	// measures of the work done.
+	ranked, scored uint64
+	// assignment is the published state; nil if it is out of date.
+	assignment *Assignment
+	// key and scores are buffers.
+	key    []byte
+	scores []uint64
+}
+
+// Assignment is the owners of all databases at one moment. It is immutable.
+type Assignment struct {
+	owners map[string][]Member
+}
+
+// Owners returns the owners of a database, best first. It is nil for a
+// database that is not known. The result must not be changed.
+func (a *Assignment) Owners(database string) []Member {
+	if a == nil {
+		return nil
+	}
+	return a.owners[database]
+}
+
+// candidate is a host that may own databases.
+type candidate struct {
+	Member
+	owned map[*placement]struct{}
+}
+
+// region holds the candidates and databases of one region.
+type region struct {
+	hosts      []*candidate
+	placements map[*placement]struct{}
+}
+
+// placement is a database with its owners.
+type placement struct {
+	Database
+	first, second *candidate
+	// secondScore is the score of second.
+	secondScore uint64
+	owners      []Member
+}
+
+// NewOwnership returns an Ownership without hosts and databases.
+func NewOwnership() *Ownership {
+	return &Ownership{
+		hosts:      map[string]*candidate{},
+		regions:    map[string]*region{},
+		placements: map[string]*placement{},
+		dirty:      map[*placement]struct{}{},
+	}
+}
+
+// SetDatabases replaces the databases, whose names must be unique.
+func (o *Ownership) SetDatabases(databases []Database) {
+	listed := make(map[string]struct{}, len(databases))
+	for _, d := range databases {
+		listed[d.Name] = struct{}{}
+		if p, ok := o.placements[d.Name]; ok {
+			if p.Region == d.Region {
+				continue
+			}
+			o.removeDatabase(p)
+		}
+		o.addDatabase(d)
+	}
+	if len(listed) != len(o.placements) {
+		for name, p := range o.placements {
+			if _, ok := listed[name]; !ok {
+				o.removeDatabase(p)
+			}
+		}
+	}
+	o.settle()
+}
+
+func (o *Ownership) addDatabase(d Database) {
+	p := &placement{Database: d}
+	o.placements[d.Name] = p
+	o.region(d.Region).placements[p] = struct{}{}
+	o.dirty[p] = struct{}{}
+}
+
+func (o *Ownership) removeDatabase(p *placement) {
+	o.disown(p)
+	delete(o.placements, p.Name)
+	delete(o.region(p.Region).placements, p)
+	o.assignment = nil
+}
+
+// SetMembers replaces the members, as Table.Members returns them.
+func (o *Ownership) SetMembers(members []Member) {
+	listed := make(map[string]struct{}, len(members))
+	var added []Member
+	for _, m := range members {
+		if m.State != Alive && m.State != Suspect {
+			continue
+		}
+		listed[m.Name] = struct{}{}
+		h, ok := o.hosts[m.Name]
+		switch {
+		case !ok:
+			added = append(added, m)
+		case h.Zone != m.Zone || h.Region != m.Region:
+			o.removeHost(h)
+			added = append(added, m)
+		case h.Member != m:
+			h.Member = m
+			for p := range h.owned {
+				o.write(p)
+			}
+		}
+	}
+	if len(listed) != len(o.hosts)+len(added) {
+		for name, h := range o.hosts {
+			if _, ok := listed[name]; !ok {
+				o.removeHost(h)
+			}
+		}
+	}
+	for _, m := range added {
+		o.addHost(m)
+	}
+	o.settle()
+}
+
+func (o *Ownership) removeHost(h *candidate) {
+	delete(o.hosts, h.Name)
+	o.all = without(o.all, h)
+	r := o.region(h.Region)
+	r.hosts = without(r.hosts, h)
+	for p := range h.owned {
+		o.dirty[p] = struct{}{}
+	}
+}
+
+// without removes h and does not keep the order.
+func without(list []*candidate, h *candidate) []*candidate {
+	i := slices.Index(list, h)
+	last := len(list) - 1
+	list[i] = list[last]
+	list[last] = nil
+	return list[:last]
+}
+
+func (o *Ownership) addHost(m Member) {
+	h := &candidate{Member: m, owned: map[*placement]struct{}{}}
+	o.hosts[m.Name] = h
+	o.all = append(o.all, h)
+	own := o.region(m.Region)
+	own.hosts = append(own.hosts, h)
+	for _, r := range o.regions {
+		switch {
+		case r == own && len(own.hosts) == 1:
+			// The region had none, so its databases were with other regions.
+			for p := range r.placements {
+				o.dirty[p] = struct{}{}
+			}
+		case r == own || len(r.hosts) == 0:
+			o.markAffected(r, h)
+		}
+	}
+}
+
+// markAffected marks the databases whose owners the new candidate may change.
+func (o *Ownership) markAffected(r *region, h *candidate) {
+	for p := range r.placements {
+		if _, ok := o.dirty[p]; ok {
+			continue
+		}
+		if p.second == nil || p.first.Zone == p.second.Zone || o.ranksBefore(p, h) {
+			o.dirty[p] = struct{}{}
+		}
+	}
+}
+
+// ranksBefore reports whether the host ranks before the second owner.
+func (o *Ownership) ranksBefore(p *placement, h *candidate) bool {
+	s := o.score(p, h)
+	return s > p.secondScore || s == p.secondScore && h.Name < p.second.Name
+}
+
+// score is that of function score, without an allocation for each call.
+func (o *Ownership) score(p *placement, h *candidate) uint64 {
+	o.scored++
+	o.key = append(o.key[:0], p.Name...)
+	o.key = append(o.key, 0)
+	o.key = append(o.key, h.Name...)
+	return xxhash.Sum64(o.key)
+}
+
+// settle ranks the marked databases again.
+func (o *Ownership) settle() {
+	for p := range o.dirty {
+		if o.placements[p.Name] == p {
+			o.rank(p)
+		}
+	}
+	clear(o.dirty)
+}
+
+// choice is the best candidate seen.
+type choice struct {
+	host  *candidate
+	score uint64
+}
+
+func (c *choice) offer(h *candidate, score uint64) {
+	if c.host == nil || score > c.score || score == c.score && h.Name < c.host.Name {
+		c.host, c.score = h, score
+	}
+}
+
+func (o *Ownership) rank(p *placement) {
+	o.ranked++
+	o.disown(p)
+	hosts := o.region(p.Region).hosts
+	if len(hosts) == 0 {
+		hosts = o.all
+	}
+	var first, second, elsewhere choice
+	o.scores = o.scores[:0]
+	for _, h := range hosts {
+		s := o.score(p, h)
+		o.scores = append(o.scores, s)
+		first.offer(h, s)
+	}
+	for i, h := range hosts {
+		if h == first.host {
+			continue
+		}
+		second.offer(h, o.scores[i])
+		if h.Zone != first.host.Zone {
+			elsewhere.offer(h, o.scores[i])
+		}
+	}
+	if elsewhere.host != nil {
+		second = elsewhere
+	}
+	p.first, p.second, p.secondScore = first.host, second.host, second.score
+	for _, h := range []*candidate{p.first, p.second} {
+		if h != nil {
+			h.owned[p] = struct{}{}
+		}
+	}
+	o.write(p)
+}
+
+func (o *Ownership) disown(p *placement) {
+	for _, h := range []*candidate{p.first, p.second} {
+		if h != nil {
+			delete(h.owned, p)
+		}
+	}
+	p.first, p.second = nil, nil
+}
+
+// write renews the owners that are published. Published slices are immutable.
+func (o *Ownership) write(p *placement) {
+	p.owners = nil
+	for _, h := range []*candidate{p.first, p.second} {
+		if h != nil {
+			p.owners = append(p.owners, h.Member)
+		}
+	}
+	o.assignment = nil
+}
+
+func (o *Ownership) region(name string) *region {
+	r, ok := o.regions[name]
+	if !ok {
+		r = &region{placements: map[*placement]struct{}{}}
+		o.regions[name] = r
+	}
+	return r
+}
+
+// Assignment returns the current owners.
+func (o *Ownership) Assignment() *Assignment {
+	if o.assignment == nil {
+		owners := make(map[string][]Member, len(o.placements))
+		for name, p := range o.placements {
+			owners[name] = p.owners
+		}
+		o.assignment = &Assignment{owners: owners}
+	}
+	return o.assignment
+}
+
+// OwnedBy returns the names of the databases that a host owns, in order.
+func (o *Ownership) OwnedBy(host string) []string {
+	h, ok := o.hosts[host]
+	if !ok {
+		return nil
+	}
+	names := make([]string, 0, len(h.owned))
+	for p := range h.owned {
+		names = append(names, p.Name)
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/core/membership/ownership_test.go
@@ -0,0 +1,160 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"reflect"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// checkOwnership compares an Ownership with the full computation.
+func checkOwnership(t *rapid.T, o *Ownership, databases []Database, members []Member) {
+	owned := map[string][]string{}
+	assignment := o.Assignment()
+	for _, d := range databases {
+		want := Owners(d.Name, d.Region, members)
+		if got := assignment.Owners(d.Name); !reflect.DeepEqual(got, want) && len(got)+len(want) > 0 {
+			t.Fatalf("%s: owners %v, the full computation gives %v", d.Name, got, want)
+		}
+		for _, m := range want {
+			owned[m.Name] = append(owned[m.Name], d.Name)
+		}
+	}
+	for _, m := range members {
+		slices.Sort(owned[m.Name])
+		if got := o.OwnedBy(m.Name); !slices.Equal(got, owned[m.Name]) {
+			t.Fatalf("%s owns %v, the full computation gives %v", m.Name, got, owned[m.Name])
+		}
+	}
+	if len(assignment.owners) != len(databases) {
+		t.Fatalf("%d databases are assigned, want %d", len(assignment.owners), len(databases))
+	}
+}
+
+// Guards against owners that differ between a host that has followed many
+// changes and one that has just started.
+func TestOwnershipEqualsFullComputation(t *testing.T) {
+	regions := []string{"north", "south", "west"}
+	drawMember := func(t *rapid.T) Member {
+		region := rapid.SampledFrom(regions).Draw(t, "region")
+		return Member{
+			Name:           fmt.Sprintf("e%d", rapid.IntRange(0, 19).Draw(t, "host")),
+			ForwardAddress: fmt.Sprintf("a%d", rapid.IntRange(0, 1).Draw(t, "address")),
+			Zone:           fmt.Sprintf("%s-%d", region, rapid.IntRange(0, 2).Draw(t, "zone")),
+			Region:         region,
+			State:          rapid.SampledFrom([]State{Alive, Alive, Suspect, Leaving, Dead}).Draw(t, "state"),
+			Incarnation:    rapid.Uint64Range(1, 3).Draw(t, "incarnation"),
+		}
+	}
+	rapid.Check(t, func(t *rapid.T) {
+		o := NewOwnership()
+		var databases []Database
+		var members []Member
+		var old *Assignment
+		var oldOwners []Member
+		t.Repeat(map[string]func(*rapid.T){
+			"databases": func(t *rapid.T) {
+				databases = nil
+				for i := range rapid.IntRange(0, 30).Draw(t, "databases") {
+					if rapid.Bool().Draw(t, "present") {
+						databases = append(databases, Database{fmt.Sprintf("db%d", i), rapid.SampledFrom(regions).Draw(t, "home")})
+					}
+				}
+				o.SetDatabases(databases)
+			},
+			"members": func(t *rapid.T) {
+				byName := map[string]Member{}
+				for _, m := range members {
+					byName[m.Name] = m
+				}
+				for _, m := range rapid.SliceOfN(rapid.Custom(drawMember), 1, 10).Draw(t, "changes") {
+					if rapid.IntRange(0, 4).Draw(t, "forget") == 0 {
+						delete(byName, m.Name)
+						continue
+					}
+					byName[m.Name] = m
+				}
+				members = nil
+				for _, m := range byName {
+					members = append(members, m)
+				}
+				o.SetMembers(members)
+			},
+			"": func(t *rapid.T) {
+				checkOwnership(t, o, databases, members)
+				if old != nil && !slices.Equal(old.Owners("db0"), oldOwners) {
+					t.Fatal("a published assignment changed")
+				}
+				old = o.Assignment()
+				oldOwners = slices.Clone(old.Owners("db0"))
+			},
+		})
+	})
+}
+
+// targetHosts makes n live hosts in four regions with three zones each.
+func targetHosts(n int) []Member {
+	members := make([]Member, n)
+	for i := range members {
+		region := fmt.Sprintf("region-%d", i%4)
+		members[i] = Member{
+			Name:           fmt.Sprintf("host-%05d", i),
+			PeerAddress:    fmt.Sprintf("10.%d.%d.1:8432", i>>8, i&255),
+			ForwardAddress: fmt.Sprintf("10.%d.%d.1:7432", i>>8, i&255),
+			Zone:           fmt.Sprintf("%s-%d", region, i/4%3),
+			Region:         region,
+			State:          Alive,
+			Incarnation:    1_764_000_000_000_000 + uint64(i),
+		}
+	}
+	return members
+}
+
+func targetDatabases(n int) []Database {
+	databases := make([]Database, n)
+	for i := range databases {
+		databases[i] = Database{Name: fmt.Sprintf("service-%d-db-%d", i/3, i%3), Region: fmt.Sprintf("region-%d", i%4)}
+	}
+	return databases
+}
+
+// Guards against a change of one host that ranks all databases again. The
+// bounds are counts with room for the spread of the hash, not times.
+func TestOneHostRanksFewDatabases(t *testing.T) {
+	const hosts, databases = 400, 4000
+	members := targetHosts(hosts)
+	o := NewOwnership()
+	o.SetDatabases(targetDatabases(databases))
+	o.SetMembers(members)
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 20 {
+		i := rng.IntN(hosts)
+		gone := slices.Delete(slices.Clone(members), i, i+1)
+		owned := uint64(len(o.OwnedBy(members[i].Name)))
+		o.ranked, o.scored = 0, 0
+		o.SetMembers(gone)
+		if o.ranked != owned {
+			t.Errorf("the loss of a host with %d databases ranked %d", owned, o.ranked)
+		}
+		o.ranked, o.scored = 0, 0
+		o.SetMembers(members)
+		// A host ranks among the first two of about 20 databases, and before a
+		// second owner in another zone than the first of somewhat more.
+		if o.ranked > 100 {
+			t.Errorf("a new host ranked %d databases", o.ranked)
+		}
+		if limit := uint64(databases/4 + 100*hosts/4); o.scored > limit {
+			t.Errorf("a new host caused %d scores, the limit is %d", o.scored, limit)
+		}
+	}
+	o.ranked = 0
+	refuted := slices.Clone(members)
+	refuted[7].Incarnation++
+	o.SetMembers(refuted)
+	if o.ranked != 0 {
+		t.Errorf("a refuted suspicion ranked %d databases", o.ranked)
+	}
+}
