Forget hosts that left gracefully

A leaving host never became dead: suspicion only applied to alive hosts, so each replaced host stayed in every table for good and took its part of the probes. A leaving host that can't be reached is now dead and is forgotten as others are. TestReplacedHostIsForgotten fails on the previous code for all tables.

--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -361,12 +361,19 @@
 	delete(t.pending, target)
 }
 
+// suspect records that a host can't be reached. A leaving host is dead at once,
+// since it has said that it will stop; otherwise every replaced host would stay
+// in the table for good and take its part of the probes.
 func (t *Table) suspect(now time.Time, e *entry) {
-	if e.State != Alive {
+	m := e.Member
+	switch e.State {
+	case Alive:
+		m.State = Suspect
+	case Leaving:
+		m.State = Dead
+	default:
 		return
 	}
-	m := e.Member
-	m.State = Suspect
 	t.set(now, e, m)
 }
 
--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -168,6 +168,29 @@
 	}
 }
 
+// Guards against tables that grow, and probes that are spent on hosts that are
+// gone, with each host that is replaced.
+func TestReplacedHostIsForgotten(t *testing.T) {
+	f := newFleet(9, 6)
+	f.run(10 * time.Second)
+	f.tables["e0"].Leave(f.now)
+	f.run(15 * time.Second)
+	f.down["e0"] = true
+	var rest []platform.Host
+	for _, name := range f.names[1:] {
+		rest = append(rest, platform.Host{Name: name, Address: name, Zone: "z0", Region: "r", State: platform.HostLive})
+	}
+	for _, name := range f.names[1:] {
+		f.tables[name].MergePlatform(f.now, rest)
+	}
+	f.run(12 * time.Minute)
+	for _, name := range f.names[1:] {
+		if s := f.state(name, "e0"); s != 0 {
+			t.Errorf("%s still holds e0 for %s", name, s)
+		}
+	}
+}
+
 // Guards against ownership that moves for databases unrelated to a lost host,
 // and against both owners in one availability zone.
 func TestOwnersMoveLittleAndSpanZones(t *testing.T) {
