Follow changes of members at the cost of what they change

The control goroutine ranked all databases again on each change of members, and every entry host ranked each database again on its next use.

The interval between reads of the host list grows with the list, so that the fleet makes 5 reads a second instead of 300 at 3,000 hosts.

--- a/daemon/internal/board/board.go
+++ b/daemon/internal/board/board.go
@@ -4,7 +4,6 @@
 package board
 
 import (
-	"sync"
 	"sync/atomic"
 
 	"github.com/gypsumgap/gypsumgap/core/config"
@@ -33,6 +32,8 @@
 	Self    membership.Member
 	Config  *config.Snapshot
 	Members []membership.Member
+	// Owned holds the owners of all databases.
+	Owned *membership.Assignment
 	// Policies holds the routing policy by service.
 	Policies map[string]*route.Policy
 	// Groups holds the owned databases by name.
@@ -40,34 +41,29 @@
 	// ConfigReady says that the configuration is known to be current.
 	ConfigReady bool
 	Draining    bool
-
-	// owners caches ranked owners by database, since ranking looks at all members.
-	owners sync.Map
 }
 
-// Owners returns the hosts that own a database, the preferred one first.
+// Owners returns the hosts that own a database, the preferred one first. It is
+// nil for a database that is not configured. The result must not be changed.
 func (v *View) Owners(database string) []membership.Member {
-	if cached, ok := v.owners.Load(database); ok {
-		return cached.([]membership.Member)
-	}
-	ref, ok := v.Config.Database(database)
-	if !ok {
-		return nil
-	}
-	owners := membership.Owners(database, HomeRegion(ref.Database), v.Members)
-	v.owners.Store(database, owners)
-	return owners
+	return v.Owned.Owners(database)
 }
 
 // HomeRegion is the region that holds most slots of a database. It does not
 // follow the primary, so that a failover moves no ownership.
 func HomeRegion(db *config.Database) string {
-	count := map[string]int{}
-	best := ""
-	for _, s := range db.Slots {
-		count[s.Region]++
-		if best == "" || count[s.Region] > count[best] {
-			best = s.Region
+	best, most := "", 0
+	for i, s := range db.Slots {
+		// Counts the slots up to i, so that the first region to reach the
+		// greatest count wins, as it does for every host.
+		count := 0
+		for _, o := range db.Slots[:i+1] {
+			if o.Region == s.Region {
+				count++
+			}
+		}
+		if count > most {
+			best, most = s.Region, count
 		}
 	}
 	return best
--- a/daemon/internal/control/configuration.go
+++ b/daemon/internal/control/configuration.go
@@ -10,6 +10,7 @@
 	"github.com/gypsumgap/gypsumgap/core/confsync"
 	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/board"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
 )
 
@@ -110,14 +111,40 @@
 		WithField("version", snapshot.Version()).
 		WithField("previous", c.config.Version()).
 		Info("configuration is in force")
+	c.policies = nextPolicies(c.policies, c.config, snapshot)
 	c.config = snapshot
-	c.policies = make(map[string]*route.Policy, snapshot.Len())
-	for _, name := range snapshot.Names() {
-		c.policies[name] = route.NewPolicy(snapshot.Service(name))
-	}
+	c.ownership.SetDatabases(databases(snapshot))
 	c.stale = true
 }
 
+// nextPolicies keeps the policies of the services that two snapshots share.
+func nextPolicies(policies map[string]*route.Policy, previous, next *config.Snapshot) map[string]*route.Policy {
+	out := make(map[string]*route.Policy, next.Len())
+	next.EachDatabase(func(ref config.DatabaseRef) bool {
+		name := ref.Service.Name
+		if _, ok := out[name]; ok {
+			return true
+		}
+		policy, ok := policies[name]
+		if !ok || previous.Service(name) != ref.Service {
+			policy = route.NewPolicy(ref.Service)
+		}
+		out[name] = policy
+		return true
+	})
+	return out
+}
+
+// databases lists what ownership follows from.
+func databases(snapshot *config.Snapshot) []membership.Database {
+	out := make([]membership.Database, 0, snapshot.Databases())
+	snapshot.EachDatabase(func(ref config.DatabaseRef) bool {
+		out = append(out, membership.Database{Name: ref.Database.Name, Region: board.HomeRegion(ref.Database)})
+		return true
+	})
+	return out
+}
+
 // startWatch follows the configuration in the store, for this host and those
 // that learn from it.
 func (c *Controller) startWatch() {
@@ -138,7 +165,7 @@
 // syncMembers tells the machine which hosts live.
 func (c *Controller) syncMembers() {
 	var live []confsync.Member
-	for _, m := range c.table.Members() {
+	for _, m := range c.members {
 		if m.State == membership.Alive || m.State == membership.Suspect {
 			live = append(live, confsync.Member{Name: m.Name, Zone: m.Zone})
 		}
--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -28,9 +28,12 @@
 const (
 	// tickInterval is how often deadlines of the membership table are looked at.
 	tickInterval = 100 * time.Millisecond
-	// hostsInterval is how often a host reads the platform's host list. The
-	// list only names new hosts; probes tell which of them live.
+	// hostsInterval is the least time between two reads of the platform's host
+	// list. The list only names new hosts; probes tell which of them live.
 	hostsInterval = 10 * time.Second
+	// hostsIntervalPerHost makes the interval grow with the list, so that the
+	// fleet reads it five times a second and the bytes of a host stay bounded.
+	hostsIntervalPerHost = 200 * time.Millisecond
 	// hostsRetry is how often it is tried until the first success.
 	hostsRetry = 250 * time.Millisecond
 )
@@ -80,6 +83,9 @@
 	settled bool
 	// placed is the table's change count for which ownership was computed.
 	placed uint64
+	// members are the table's members at that count.
+	members   []membership.Member
+	ownership *membership.Ownership
 	// stale says that ownership or the view must be computed again.
 	stale bool
 
@@ -101,15 +107,16 @@
 	now := time.Now()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	c := &Controller{
-		opts:     o,
-		peers:    peer.NewClient(o.LocalIP),
-		slots:    pgcontrol.New(pgcontrol.Options{LocalIP: o.LocalIP, ApplicationName: "gypsumgap/" + o.Self.Name}),
-		log:      o.Log,
-		table:    membership.NewTable(o.Self, o.Members, rng, now),
-		config:   config.NewSnapshot(0, nil),
-		groups:   map[string]*ownedGroup{},
-		policies: map[string]*route.Policy{},
-		wake:     make(chan struct{}, 1),
+		opts:      o,
+		peers:     peer.NewClient(o.LocalIP),
+		slots:     pgcontrol.New(pgcontrol.Options{LocalIP: o.LocalIP, ApplicationName: "gypsumgap/" + o.Self.Name}),
+		log:       o.Log,
+		table:     membership.NewTable(o.Self, o.Members, rng, now),
+		config:    config.NewSnapshot(0, nil),
+		groups:    map[string]*ownedGroup{},
+		policies:  map[string]*route.Policy{},
+		ownership: membership.NewOwnership(),
+		wake:      make(chan struct{}, 1),
 	}
 	c.sync = confsync.New(confsync.Options{Self: o.Self.Name, Zone: o.Self.Zone, Rand: rng, Start: now})
 	c.published.Store(c.sync.Published())
@@ -178,19 +185,30 @@
 	if c.stale || c.settled != settled || c.placed != c.table.Changes() {
 		c.stale = false
 		c.settled = settled
-		c.placed = c.table.Changes()
-		c.syncMembers()
+		c.followMembers()
 		c.placeGroups()
 		c.publish()
 	}
 }
 
+// followMembers takes over the members if the table has changed.
+func (c *Controller) followMembers() {
+	if c.members != nil && c.placed == c.table.Changes() {
+		return
+	}
+	c.placed = c.table.Changes()
+	c.members = c.table.Members()
+	c.syncMembers()
+	c.ownership.SetMembers(c.members)
+}
+
 // publish puts the current state on the board.
 func (c *Controller) publish() {
 	v := &board.View{
 		Self:        c.table.Self(),
 		Config:      c.config,
-		Members:     c.table.Members(),
+		Members:     c.members,
+		Owned:       c.ownership.Assignment(),
 		Policies:    c.policies,
 		Groups:      make(map[string]*board.Group, len(c.groups)),
 		ConfigReady: c.configReady,
--- /dev/null
+++ b/daemon/internal/control/fleet_test.go
@@ -0,0 +1,247 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/confstore"
+	"github.com/gypsumgap/gypsumgap/core/confsync"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/membership"
+	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/core/platform/platformtest"
+)
+
+// shareStore counts the calls that concern connection shares.
+type shareStore struct {
+	*platformtest.Store
+	gets, puts atomic.Int64
+}
+
+func (s *shareStore) Get(ctx context.Context, key string) (platform.Object, error) {
+	if strings.HasPrefix(key, "shares/") {
+		s.gets.Add(1)
+	}
+	return s.Store.Get(ctx, key)
+}
+
+func (s *shareStore) Put(ctx context.Context, key string, value []byte, expected platform.Version) (platform.Version, error) {
+	if strings.HasPrefix(key, "shares/") {
+		s.puts.Add(1)
+	}
+	return s.Store.Put(ctx, key, value, expected)
+}
+
+// slotsPerDatabase is the least, since slots answer nothing here.
+const slotsPerDatabase = 1
+
+// testSnapshot makes databases in services of three. Their
+// addresses are empty, so that requests to slots fail without a network.
+func testSnapshot(version uint64, databases int) *config.Snapshot {
+	var services []config.Service
+	for i := range databases {
+		if i%3 == 0 {
+			services = append(services, config.Service{
+				Name:    fmt.Sprintf("service-%d", i/3),
+				Classes: []config.Class{{Name: "job-card"}, {Name: "inspection", Read: true}, {Name: "status-page", Read: true, Priority: 2}},
+				Callers: []config.Caller{{User: "mechanic", Verifier: strings.Repeat("v", 133)}},
+				// Seldom, because the requests are not what the tests look at.
+				Failover: config.FailoverPolicy{ProbeIdle: config.Duration(time.Minute), ProbeSuspect: config.Duration(30 * time.Second), Misses: 3},
+			})
+		}
+		db := config.Database{Name: fmt.Sprintf("service-%d-db-%d", i/3, i%3), ConnectionLimit: 45}
+		region := fmt.Sprintf("region-%d", i%4)
+		for j := range slotsPerDatabase {
+			db.Slots = append(db.Slots, group.Slot{
+				ID: group.SlotID(fmt.Sprintf("%s/%d", db.Name, j)), Zone: fmt.Sprintf("%s-%d", region, j), Region: region,
+			})
+		}
+		s := &services[len(services)-1]
+		s.Databases = append(s.Databases, db)
+	}
+	return config.NewSnapshot(version, services)
+}
+
+func testMember(i int) membership.Member {
+	region := fmt.Sprintf("region-%d", i%4)
+	return membership.Member{
+		Name: fmt.Sprintf("host-%05d", i), Zone: fmt.Sprintf("%s-%d", region, i/4%3),
+		Region: region, State: membership.Alive, Incarnation: 1_764_000_000_000_000,
+	}
+}
+
+// testController makes a controller that probes nobody in the time of a test.
+func testController(self membership.Member, store platform.Store) *Controller {
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	options := membership.DefaultOptions()
+	options.ProbeInterval, options.SuspicionTimeout = 24*time.Hour, 24*time.Hour
+	return New(Options{Self: self, Store: store, Members: options, Log: logrus.NewEntry(quiet)})
+}
+
+// fleet is a number of controllers in virtual time that are told the members.
+type fleet struct {
+	store       *shareStore
+	controllers map[string]*Controller
+	stops       map[string]context.CancelFunc
+	wg          sync.WaitGroup
+	members     []membership.Member
+	snapshot    *config.Snapshot
+}
+
+func newFleet(t *testing.T, hosts, databases int) *fleet {
+	f := &fleet{
+		store:       &shareStore{Store: platformtest.New(platformtest.Options{})},
+		controllers: map[string]*Controller{},
+		stops:       map[string]context.CancelFunc{},
+		snapshot:    testSnapshot(1, databases),
+	}
+	for i := range hosts {
+		f.members = append(f.members, testMember(i))
+	}
+	for _, m := range f.members {
+		f.start(t, m)
+	}
+	f.tell(f.members)
+	f.settle()
+	return f
+}
+
+func (f *fleet) start(t *testing.T, m membership.Member) {
+	ctx, stop := context.WithCancel(t.Context())
+	c := testController(m, f.store)
+	f.controllers[m.Name], f.stops[m.Name] = c, stop
+	f.wg.Go(func() { c.Run(ctx) })
+	c.post(configEvent{confsync.StoreUpdate{Update: confstore.Update{Snapshot: f.snapshot}}})
+}
+
+// tell gives changes of members to every controller.
+func (f *fleet) tell(changes []membership.Member) {
+	for _, c := range f.controllers {
+		c.post(probeAnswered{message: membership.Message{Updates: changes}})
+	}
+}
+
+// settle covers the delay after which a host that gave a database up releases
+// its share, and retries until then.
+func (f *fleet) settle() {
+	time.Sleep(retireDelay + shareRetryMax)
+	synctest.Wait()
+}
+
+// calls runs change and returns the calls for shares that follow.
+func (f *fleet) calls(change func()) (gets, puts int64) {
+	g, p := f.store.gets.Load(), f.store.puts.Load()
+	change()
+	f.settle()
+	return f.store.gets.Load() - g, f.store.puts.Load() - p
+}
+
+func (f *fleet) stop() {
+	for _, stop := range f.stops {
+		stop()
+	}
+	f.wg.Wait()
+	// Lets timers of the last calls end.
+	time.Sleep(time.Minute)
+}
+
+// joins adds a host, as one that starts in place of another.
+func (f *fleet) joins(t *testing.T) {
+	m := testMember(len(f.members))
+	f.start(t, m)
+	f.controllers[m.Name].post(probeAnswered{message: membership.Message{Updates: f.members}})
+	f.members = append(f.members, m)
+	f.tell([]membership.Member{m})
+}
+
+// leaves stops a host gracefully.
+func (f *fleet) leaves(name string) {
+	f.controllers[name].Leave()
+	f.remove(name, membership.Leaving)
+	time.Sleep(time.Second)
+	f.stops[name]()
+}
+
+// dies stops a host that releases nothing.
+func (f *fleet) dies(name string) {
+	f.store.SetFaults(platformtest.Faults{Down: true})
+	f.stops[name]()
+	synctest.Wait()
+	time.Sleep(3 * time.Second)
+	f.store.SetFaults(platformtest.Faults{})
+	f.remove(name, membership.Dead)
+}
+
+func (f *fleet) remove(name string, state membership.State) {
+	for i, m := range f.members {
+		if m.Name == name {
+			m.State = state
+			m.Incarnation++
+			f.members = append(f.members[:i:i], f.members[i+1:]...)
+			delete(f.controllers, name)
+			f.tell([]membership.Member{m})
+			return
+		}
+	}
+}
+
+// shareCost is the store calls for shares caused by one host.
+type shareCost struct{ joinGets, joinPuts, leaveGets, leavePuts, deathGets, deathPuts int64 }
+
+func measureShares(t *testing.T, hosts, databases int) (cost shareCost, unrelated int64) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFleet(t, hosts, databases)
+		defer f.stop()
+		gets, puts := f.calls(func() {
+			m := f.members[0]
+			m.Incarnation++
+			f.tell([]membership.Member{m})
+		})
+		unrelated = gets + puts
+		cost.joinGets, cost.joinPuts = f.calls(func() { f.joins(t) })
+		cost.leaveGets, cost.leavePuts = f.calls(func() { f.leaves(f.members[3].Name) })
+		cost.deathGets, cost.deathPuts = f.calls(func() { f.dies(f.members[5].Name) })
+	})
+	return cost, unrelated
+}
+
+// databasesPerHost is about that of the target: 19,000 databases over 3,000 hosts.
+const databasesPerHost = 6
+
+// Guards against store calls for shares that grow with the fleet or follow a
+// change of members that moves no ownership. Prints the calls of each size.
+func TestShareCallsPerHostAreBounded(t *testing.T) {
+	for _, hosts := range []int{12, 16, 24} {
+		cost, unrelated := measureShares(t, hosts, hosts*databasesPerHost)
+		t.Logf("capacity: hosts=%d %+v unrelated=%d", hosts, cost, unrelated)
+		if unrelated != 0 {
+			t.Errorf("%d hosts: a change that moves no ownership made %d store calls", hosts, unrelated)
+		}
+		total := cost.joinGets + cost.joinPuts + cost.leaveGets + cost.leavePuts + cost.deathGets + cost.deathPuts
+		if limit := int64(40 * databasesPerHost * 2); total > limit {
+			t.Errorf("%d hosts: %d store calls for three changes of a host, the limit is %d", hosts, total, limit)
+		}
+	}
+}
+
+// Guards against reads of the host list that grow with the fleet.
+func TestHostListReadsAreBounded(t *testing.T) {
+	for _, hosts := range []int{21, 250, 1000, 3000} {
+		perMinute := float64(hosts) * float64(time.Minute) / float64(hostsWait(hosts))
+		t.Logf("capacity: hosts=%d reads/s=%.2f", hosts, perMinute/60)
+		if perMinute > 5*60 {
+			t.Errorf("%d hosts read the list %.0f times a minute", hosts, perMinute)
+		}
+	}
+}
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,7 +30,11 @@
 type ownedGroup struct {
 	board.Group
 	database string
-	share    atomic.Int64
+	// owners are the hosts, and limit the connections, that the share was last
+	// looked at for.
+	owners []membership.Member
+	limit  int
+	share  atomic.Int64
 	// kick asks the share keeper to look at the allocation again.
 	kick   chan struct{}
 	cancel context.CancelFunc
@@ -71,16 +76,16 @@
 	if c.draining || !c.settled {
 		return places
 	}
-	members := c.table.Members()
-	c.config.EachDatabase(func(ref config.DatabaseRef) bool {
-		owners := membership.Owners(ref.Database.Name, board.HomeRegion(ref.Database), members)
-		for rank, o := range owners {
-			if o.Name == c.opts.Self.Name {
-				places[ref.Database.Name] = place{ref: ref, rank: rank, owners: owners}
-			}
+	assignment := c.ownership.Assignment()
+	for _, name := range c.ownership.OwnedBy(c.opts.Self.Name) {
+		ref, ok := c.config.Database(name)
+		if !ok {
+			continue
 		}
-		return true
-	})
+		owners := assignment.Owners(name)
+		rank := slices.IndexFunc(owners, func(o membership.Member) bool { return o.Name == c.opts.Self.Name })
+		places[name] = place{ref: ref, rank: rank, owners: owners}
+	}
 	return places
 }
 
@@ -105,7 +110,21 @@
 	if rankChanged {
 		c.logGroup(g).WithField("event", "own_database").WithField("rank", p.rank).Info("host owns the database")
 	}
-	g.wakeShares()
+	if g.sharesMove(p) {
+		g.wakeShares()
+	}
+}
+
+// sharesMove notes what the division of connections depends on, and reports
+// whether it has changed. A look at the division costs a store call, so it
+// must not follow each change of the members.
+func (g *ownedGroup) sharesMove(p place) bool {
+	sameHost := func(a, b membership.Member) bool { return a.Name == b.Name }
+	if slices.EqualFunc(g.owners, p.owners, sameHost) && g.limit == p.ref.Database.ConnectionLimit {
+		return false
+	}
+	g.owners, g.limit = p.owners, p.ref.Database.ConnectionLimit
+	return true
 }
 
 func (c *Controller) logGroup(g *ownedGroup) *logrus.Entry {
--- a/daemon/internal/control/hosts.go
+++ b/daemon/internal/control/hosts.go
@@ -14,16 +14,18 @@
 // listHosts reads the platform's host list from time to time.
 func (c *Controller) listHosts(ctx context.Context) {
 	listed := false
+	size := 0
 	for {
-		wait := hostsInterval
 		hosts, err := c.opts.Store.Hosts(ctx)
 		if err != nil && ctx.Err() == nil {
 			c.log.WithField("event", "host_list_failed").WithError(err).Warn("can't read the platform's host list")
 		}
 		if err == nil {
 			listed = true
+			size = len(hosts)
 			c.post(hostsListed(hosts))
 		}
+		wait := hostsWait(size)
 		if !listed {
 			wait = hostsRetry
 		}
@@ -35,6 +37,11 @@
 	}
 }
 
+// hostsWait returns the time until the next read of a list of that many hosts.
+func hostsWait(hosts int) time.Duration {
+	return max(hostsInterval, time.Duration(hosts)*hostsIntervalPerHost)
+}
+
 type hostsListed []platform.Host
 
 func (hosts hostsListed) apply(c *Controller, now time.Time) { c.table.MergePlatform(now, hosts) }
