Put the controller's calls to peers and backend servers behind interfaces

Cause: the controller made its own clients, so no test could run it without TCP. GroupClient and PeerClient name what it needs; nil options keep the clients over TCP, so the host's wiring is unchanged. Random choices come from one source, so that a test can fix them.

--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -17,11 +17,9 @@
 
 	"github.com/gypsumgap/gypsumgap/core/config"
 	"github.com/gypsumgap/gypsumgap/core/confsync"
-	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
 	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/platform"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/board"
-	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/route"
 )
 
@@ -41,7 +39,14 @@
 	Peers []string
 	// LocalIP is the source address of control connections.
 	LocalIP netip.Addr
-	Store   platform.Store
+	// PeerClient reaches other hosts; nil takes twirp over TCP.
+	PeerClient PeerClient
+	// GroupClient reaches backend servers; nil takes the PostgreSQL protocol.
+	GroupClient GroupClient
+	// Rand is the source of random choices, used by the control goroutine; nil
+	// takes a random seed.
+	Rand  *rand.Rand
+	Store platform.Store
 	// DialSlot opens connections to backend servers for traffic.
 	DialSlot route.DialFunc
 	Recorder route.Recorder
@@ -60,8 +65,8 @@
 type Controller struct {
 	opts  Options
 	board *board.Board
-	peers *peer.Client
-	slots *pgcontrol.Client
+	peers PeerClient
+	slots GroupClient
 	log   *logrus.Entry
 
 	// The rest is used by the control goroutine only.
@@ -99,25 +104,29 @@
 // configuration.
 func New(o Options) *Controller {
 	now := time.Now()
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	o = o.withDefaults()
 	c := &Controller{
 		opts:     o,
-		peers:    peer.NewClient(o.LocalIP),
-		slots:    pgcontrol.New(pgcontrol.Options{LocalIP: o.LocalIP, ApplicationName: "gypsumgap/" + o.Self.Name}),
+		peers:    o.PeerClient,
+		slots:    o.GroupClient,
 		log:      o.Log,
-		table:    membership.NewTable(o.Self, o.Members, rng, now),
+		table:    membership.NewTable(o.Self, o.Members, o.Rand, now),
 		config:   config.NewSnapshot(0, nil),
 		groups:   map[string]*ownedGroup{},
 		policies: map[string]*route.Policy{},
 		wake:     make(chan struct{}, 1),
 	}
-	c.sync = confsync.New(confsync.Options{Self: o.Self.Name, Zone: o.Self.Zone, Rand: rng, Start: now})
+	c.sync = confsync.New(confsync.Options{Self: o.Self.Name, Zone: o.Self.Zone, Rand: o.Rand, Start: now})
 	c.published.Store(c.sync.Published())
 	c.performer = confsync.Performer{Self: o.Self.Name, Peers: configPeers{c}, Store: o.Store}
 	c.board = board.New(&board.View{Self: o.Self, Config: c.config})
 	return c
 }
 
+func randomSource() *rand.Rand { return newRand(rand.Uint64(), rand.Uint64()) }
+
+func newRand(seed1, seed2 uint64) *rand.Rand { return rand.New(rand.NewPCG(seed1, seed2)) }
+
 // Board returns the board that the controller publishes on.
 func (c *Controller) Board() *board.Board { return c.board }
 
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -139,7 +138,7 @@
 			ProbeIdle:    policy.ProbeIdle.Std(),
 			ProbeSuspect: policy.ProbeSuspect.Std(),
 			Misses:       policy.Misses,
-			Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Rand:         newRand(c.opts.Rand.Uint64(), c.opts.Rand.Uint64()),
 		},
 		Client: c.slots,
 		Post:   func(ev failover.Event) { c.post(groupEvent{g, ev}) },
--- /dev/null
+++ b/daemon/internal/control/outside.go
@@ -0,0 +1,52 @@
+package control
+
+import (
+	"context"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
+)
+
+// GroupClient gives orders to backend servers and lists their connections. It
+// is safe for concurrent use.
+type GroupClient interface {
+	group.Client
+	// Connections lists the caller connections of a backend server. It fails
+	// as the methods of group.Client do.
+	Connections(ctx context.Context, slot group.Slot) ([]pgcontrol.Connection, error)
+	// Close ends the client; its calls fail afterwards.
+	Close()
+}
+
+// PeerClient sends control messages to other hosts. It is safe for concurrent
+// use.
+type PeerClient interface {
+	// Probe sends a heartbeat to the peer address. It fails if the host does
+	// not answer before ctx ends.
+	Probe(ctx context.Context, address string, r *peerapi.ProbeRequest) (*peerapi.ProbeResponse, error)
+	// Peer returns the stub of the host with that peer address.
+	Peer(address string) peerapi.Peer
+	// Close closes idle connections.
+	Close()
+}
+
+var (
+	_ GroupClient = (*pgcontrol.Client)(nil)
+	_ PeerClient  = (*peer.Client)(nil)
+)
+
+// withDefaults fills in the clients and the randomness that o leaves open.
+func (o Options) withDefaults() Options {
+	if o.PeerClient == nil {
+		o.PeerClient = peer.NewClient(o.LocalIP)
+	}
+	if o.GroupClient == nil {
+		o.GroupClient = pgcontrol.New(pgcontrol.Options{LocalIP: o.LocalIP, ApplicationName: "gypsumgap/" + o.Self.Name})
+	}
+	if o.Rand == nil {
+		o.Rand = randomSource()
+	}
+	return o
+}
