--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -3,8 +3,11 @@
 import (
 	"context"
 	"fmt"
+<<<<<<< HEAD
 	"math/rand/v2"
 	"slices"
+=======
+>>>>>>> control
 	"sync"
 	"sync/atomic"
 	"time"
@@ -158,7 +161,7 @@
 			ProbeIdle:    policy.ProbeIdle.Std(),
 			ProbeSuspect: policy.ProbeSuspect.Std(),
 			Misses:       policy.Misses,
-			Rand:         rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			Rand:         newRand(c.opts.Rand.Uint64(), c.opts.Rand.Uint64()),
 		},
 		Client: c.slots,
 		Post:   func(ev failover.Event) { c.post(groupEvent{g, ev}) },
