--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -112,28 +112,16 @@
 	now := time.Now()
 	o = o.withDefaults()
 	c := &Controller{
-<<<<<<< HEAD
 		opts:      o,
-		peers:     peer.NewClient(o.LocalIP),
-		slots:     pgcontrol.New(pgcontrol.Options{LocalIP: o.LocalIP, ApplicationName: "gypsumgap/" + o.Self.Name}),
+		peers:     o.PeerClient,
+		slots:     o.GroupClient,
 		log:       o.Log,
-		table:     membership.NewTable(o.Self, o.Members, rng, now),
+		table:     membership.NewTable(o.Self, o.Members, o.Rand, now),
 		config:    config.NewSnapshot(0, nil),
 		groups:    map[string]*ownedGroup{},
 		policies:  map[string]*route.Policy{},
 		ownership: membership.NewOwnership(),
 		wake:      make(chan struct{}, 1),
-=======
-		opts:     o,
-		peers:    o.PeerClient,
-		slots:    o.GroupClient,
-		log:      o.Log,
-		table:    membership.NewTable(o.Self, o.Members, o.Rand, now),
-		config:   config.NewSnapshot(0, nil),
-		groups:   map[string]*ownedGroup{},
-		policies: map[string]*route.Policy{},
-		wake:     make(chan struct{}, 1),
->>>>>>> control
 	}
 	c.sync = confsync.New(confsync.Options{Self: o.Self.Name, Zone: o.Self.Zone, Rand: o.Rand, Start: now})
 	c.published.Store(c.sync.Published())
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -3,11 +3,8 @@
 import (
 	"context"
 	"fmt"
-<<<<<<< HEAD
 	"math/rand/v2"
 	"slices"
-=======
->>>>>>> control
 	"sync"
 	"sync/atomic"
 	"time"
@@ -167,8 +164,8 @@
 		Post:   func(ev failover.Event) { c.post(groupEvent{g, ev}) },
 		Hooks: failover.Hooks{
 			AskPeer:    func(ctx context.Context) (failover.PeerView, error) { return c.askOtherOwner(ctx, g.database) },
-			Hold:       func(ctx context.Context) { g.Router.HoldPrimary(ctx) },
-			Release:    func() { g.Router.ReleasePrimary() },
+			Hold:       func(ctx context.Context) { _ = g.Router.Hold(ctx) },
+			Release:    func() { g.Router.Resume() },
 			Refresh:    func() { g.Tracker.Refresh() },
 			Record:     func(r failover.Record) { c.logRecord(g, r) },
 			LastAnswer: func(slot int) time.Time { return g.Tracker.LastAnswer(slot) },
--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -108,6 +108,7 @@
 // outage is what is remembered of an owner that could not be reached.
 type outage struct {
 	target Target
+	since  time.Time
 	probe  time.Time // of the next probe
 	try    time.Time // not tried before then, even if no owner is reachable
 }
@@ -165,19 +166,13 @@
 	e.pools.Close()
 }
 
-<<<<<<< HEAD
-// Maintain probes owner hosts whose answers are overdue and closes connections
-// that were idle too long. The owner of the router calls it every
-// MaintainInterval.
+// Maintain probes owner hosts whose answers are overdue, closes connections
+// that were idle too long, and forgets hosts and databases that are no longer
+// used; hosts are replaced by the thousand a day. The owner of the router calls
+// it every MaintainInterval.
 func (e *EntryRouter) Maintain() {
 	e.probeOwners()
 	e.pools.Maintain()
-=======
-// Maintain closes connections that were idle too long, and forgets hosts and
-// databases that are no longer used; hosts are replaced by the thousand a day.
-// The owner of the router calls it every second or so.
-func (e *EntryRouter) Maintain() {
-	e.pools.Maintain()
 	for name, l := range e.owners.Range {
 		n, waiting := l.(*admission.Limiter).Load()
 		if n+waiting+e.pools.Open(name.(string)) == 0 {
@@ -191,8 +186,7 @@
 	}
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	maps.DeleteFunc(e.down, func(_ string, o outage) bool { return time.Since(o.until) > outageMemory })
->>>>>>> route
+	maps.DeleteFunc(e.down, func(_ string, o outage) bool { return time.Since(o.since) > outageMemory })
 }
 
 // lookup returns the policy and the state of a database.
@@ -298,6 +292,7 @@
 	if t.owner.TryAcquire(&t.placed) {
 		t.conn = e.pools.tryGet(t.target(owners[0]))
 		if t.conn != nil {
+			e.watch.began(t.conn.pool.target)
 			return true
 		}
 		t.owner.Cancel(&t.placed)
@@ -356,12 +351,12 @@
 	if err != nil {
 		limiter.Cancel(&t.placed)
 		if ctx.Err() == nil && !errors.Is(err, ErrPeerClosed) {
-			e.markDown(target)
+			e.markDown(t.target(h))
 		}
 		return err
 	}
 	e.markUp(h.Name)
-	e.watch.began(target)
+	e.watch.began(t.target(h))
 	t.conn = conn
 	t.owner = limiter
 	return nil
@@ -397,7 +392,12 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	e.down[t.Peer] = outage{target: t, probe: now.Add(ownerRetry), try: now.Add(noOwnerRetry)}
+	o, down := e.down[t.Peer]
+	if !down {
+		o.since = now
+	}
+	o.target, o.probe, o.try = t, now.Add(ownerRetry), now.Add(noOwnerRetry)
+	e.down[t.Peer] = o
 }
 
 // downOwners returns the owners that are down and due for a probe.
--- a/daemon/internal/route/follow.go
+++ b/daemon/internal/route/follow.go
@@ -2,10 +2,7 @@
 
 import (
 	"context"
-<<<<<<< HEAD
-=======
 	"fmt"
->>>>>>> route
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/admission"
@@ -14,12 +11,11 @@
 
 const (
 	maintainInterval = 250 * time.Millisecond
-	// holdPoll is how often HoldPrimary looks for transactions that still run.
-	holdPoll = 5 * time.Millisecond
 	// warmSpare is the number of free connections of each active user that are
 	// kept on every slot, as any replica may become the primary.
 	warmSpare = 2
-	holdPoll  = 2 * time.Millisecond
+	// holdPoll is how often Hold looks for transactions that still run.
+	holdPoll = 2 * time.Millisecond
 )
 
 // observe returns the primary, and follows a change of it.
@@ -193,34 +189,6 @@
 // CloseSlot closes all connections to a slot that is dead, also those in use.
 func (o *OwnerRouter) CloseSlot(id group.SlotID) { o.pools.ClosePeer(string(id)) }
 
-// HoldPrimary stops admitting transactions to the primary and returns when the
-// running ones have ended or ctx has. The requests that arrive wait, until
-// ReleasePrimary or until a new primary is known.
-func (o *OwnerRouter) HoldPrimary(ctx context.Context) {
-	o.primary.Pause()
-	ticker := time.NewTicker(holdPoll)
-	defer ticker.Stop()
-	for {
-		if running, _ := o.primary.Load(); running == 0 {
-			return
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
-// ReleasePrimary ends HoldPrimary, unless admission waits for a primary.
-func (o *OwnerRouter) ReleasePrimary() {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	if !o.watching {
-		o.primary.Resume()
-	}
-}
-
 // Open returns the greatest number of connections open to any slot, which is
 // what a share of the connection limit must cover.
 func (o *OwnerRouter) Open() int {
