--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -13,6 +12,7 @@
 
 	"github.com/gypsumgap/gypsumgap/core/config"
 	"github.com/gypsumgap/gypsumgap/core/failover"
+	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/replication"
@@ -164,9 +164,10 @@
 		Post:   func(ev failover.Event) { c.post(groupEvent{g, ev}) },
 		Hooks: failover.Hooks{
 			AskPeer:    func(ctx context.Context) (failover.PeerView, error) { return c.askOtherOwner(ctx, g.database) },
-			Hold:       func(ctx context.Context) { _ = g.Router.Hold(ctx) },
+			Hold:       func() { g.Router.Pause() },
+			Drain:      func(ctx context.Context) { _ = g.Router.Hold(ctx) },
 			Release:    func() { g.Router.Resume() },
-			Refresh:    func() { g.Tracker.Refresh() },
+			Refresh:    func(ctx context.Context, t group.Term) error { return g.Tracker.Refresh(ctx, t) },
 			Record:     func(r failover.Record) { c.logRecord(g, r) },
 			LastAnswer: func(slot int) time.Time { return g.Tracker.LastAnswer(slot) },
 		},
--- a/daemon/internal/route/follow.go
+++ b/daemon/internal/route/follow.go
@@ -60,15 +60,19 @@
 	}
 }
 
-// Hold admits no transaction to the primary until Resume, and waits until
-// those that run have ended, for a planned change of primary. Requests wait in
-// their queues meanwhile. It fails with the context's error if transactions
-// still run then; the hold stays in force.
-func (o *OwnerRouter) Hold(ctx context.Context) error {
+// Pause admits no transaction to the primary until Resume. Requests wait in
+// their queues meanwhile.
+func (o *OwnerRouter) Pause() {
 	o.mu.Lock()
+	defer o.mu.Unlock()
 	o.held = true
 	o.primary.Pause()
-	o.mu.Unlock()
+}
+
+// Hold is Pause, and waits until the transactions that run have ended. It fails
+// with the context's error if some still run then; the pause stays in force.
+func (o *OwnerRouter) Hold(ctx context.Context) error {
+	o.Pause()
 	for {
 		if running, _ := o.primary.Load(); running == 0 {
 			return nil
@@ -79,7 +83,7 @@
 	}
 }
 
-// Resume ends a Hold and begins the gradual release.
+// Resume ends a Pause or Hold and begins the gradual release.
 func (o *OwnerRouter) Resume() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
