Find busy connections that went silent

Only idle connections were checked; an answer that never came on a busy one was waited for up to ten minutes. Ruled out: the failover, which rightly does nothing since new connections work. The owner now asks the backend server, on another connection, about each statement whose answer takes over 500 ms, and closes the connection when the statement is denied twice in a row. The interval doubles while the statement runs: at most 20 questions in a minute, against 120 at a fixed interval. In virtual time a silent connection is closed within 2 s.

Steps of the control goroutine that take over 125 ms are logged.

--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -26,6 +26,9 @@
 const (
 	// tickInterval is how often deadlines of the membership table are looked at.
 	tickInterval = 100 * time.Millisecond
+	// slowStep is half the interval of probes to a suspected primary; a slower
+	// step of the control goroutine delays failovers.
+	slowStep = 125 * time.Millisecond
 	// hostsInterval is the least time between two reads of the platform's host
 	// list. The list only names new hosts; probes tell which of them live.
 	hostsInterval = 10 * time.Second
@@ -52,6 +55,8 @@
 	Store platform.Store
 	// DialSlot opens connections to backend servers for traffic.
 	DialSlot route.DialFunc
+	// Running tells slow statements from silent connections; nil for no check.
+	Running  route.StatementCheck
 	Recorder route.Recorder
 	Members  membership.Options
 	// Drain is called when an operator asks for a graceful shutdown.
@@ -147,7 +152,11 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for ctx.Err() == nil {
-		c.step(time.Now())
+		began := time.Now()
+		c.step(began)
+		if took := time.Since(began); took > slowStep {
+			c.log.WithField("event", "control_slow").WithField("took", took).Warn("a step of the control goroutine was slow")
+		}
 		timer.Reset(c.untilDeadline(time.Now()))
 		select {
 		case <-ctx.Done():
--- a/daemon/internal/control/routing.go
+++ b/daemon/internal/control/routing.go
@@ -16,6 +16,7 @@
 		Gate:     g.Tracker,
 		Dial:     c.opts.DialSlot,
 		Limit:    g.Group.Share,
+		Running:  c.opts.Running,
 		Recorder: c.opts.Recorder,
 	})
 }
--- a/daemon/internal/host/host.go
+++ b/daemon/internal/host/host.go
@@ -17,6 +17,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
 	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/platform/httpstore"
@@ -48,6 +49,9 @@
 	forwards *session.Server
 	drain    chan time.Duration
 	store    *httpstore.Client
+	// checks asks backend servers about slow statements. It has connections of
+	// its own, so that probes of the primary never wait behind it.
+	checks *pgcontrol.Client
 }
 
 // New assembles a host; it starts nothing.
@@ -68,6 +72,7 @@
 		store:    store,
 	}
 	incarnation := uint64(time.Now().UnixMicro())
+	h.checks = pgcontrol.New(pgcontrol.Options{LocalIP: s.Listen.Addr(), ApplicationName: "gypsumgap/" + s.Host})
 	h.control = control.New(control.Options{
 		Self: membership.Member{
 			Name:           s.Host,
@@ -81,6 +86,7 @@
 		LocalIP:  s.Listen.Addr(),
 		Store:    store,
 		DialSlot: h.dialer(strconv.FormatUint(incarnation, 10)),
+		Running:  h.checks.Running,
 		Recorder: h.metrics,
 		Members:  membership.DefaultOptions(),
 		Drain:    h.requestDrain,
@@ -204,6 +210,7 @@
 	stopHTTP(peers, admin)
 	err = running.Wait()
 	h.store.Close()
+	h.checks.Close()
 	return errors.Join(err, h.metrics.Close())
 }
 
--- a/daemon/internal/route/follow.go
+++ b/daemon/internal/route/follow.go
@@ -128,6 +128,7 @@
 			l.(*admission.Limiter).Refresh()
 		}
 		o.pools.Maintain()
+		o.checkSilent(time.Now())
 		o.warm()
 	}
 }
--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -42,6 +42,8 @@
 	// TotalLimit bounds the connections to all slots together; nil allows
 	// Limit for each slot.
 	TotalLimit func() int
+	// Running tells slow statements from silent connections; nil for no check.
+	Running StatementCheck
 	// Recorder may be nil.
 	Recorder Recorder
 }
@@ -56,6 +58,7 @@
 	cfg      OwnerConfig
 	policy   atomic.Pointer[Policy]
 	pools    *Pools
+	silent   silentConns
 	primary  *admission.Limiter
 	replicas sync.Map // group.SlotID to *admission.Limiter
 	budget   *admission.RetryBudget
--- a/daemon/internal/route/pool_maintain.go
+++ b/daemon/internal/route/pool_maintain.go
@@ -239,3 +239,29 @@
 	}
 	return n
 }
+
+// busy returns the connections in use.
+func (s *Pools) busy() []*pooled {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*pooled
+	for _, p := range s.pools {
+		out = append(out, p.busy...)
+	}
+	return out
+}
+
+// closeSilent closes a connection in use and the idle ones of its pool, which
+// have probably gone silent with it.
+func (s *Pools) closeSilent(c *pooled) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.gone && slices.Contains(c.pool.busy, c) {
+		c.gone = true
+		c.pool.removeBusy(c)
+		c.conn.Close()
+		s.uncount(c.pool.peer)
+	}
+	s.closeIdle(c.pool, len(c.pool.idle))
+	s.serve()
+}
--- /dev/null
+++ b/daemon/internal/route/silent_test.go
@@ -0,0 +1,133 @@
+package route
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// waitingConn is a connection that waits for an answer since the time set.
+type waitingConn struct {
+	*fakeConn
+	mu    sync.Mutex
+	since time.Time
+}
+
+func (c *waitingConn) PID() uint32 { return 1 }
+
+func (c *waitingConn) Blocked() (time.Time, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.since, !c.since.IsZero()
+}
+
+func (c *waitingConn) wait() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.since = time.Now()
+}
+
+// statements answers whether the statement runs, and counts the questions.
+type statements struct {
+	mu        sync.Mutex
+	running   bool
+	err       error
+	questions int
+}
+
+func (s *statements) ask(context.Context, group.Slot, uint32) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.questions++
+	return s.running, s.err
+}
+
+func (s *statements) count() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.questions
+}
+
+// startWaiting returns a transaction that waits for an answer on the primary.
+func startWaiting(t *testing.T, s *statements) (Tx, *waitingConn) {
+	t.Helper()
+	net := newFakeNet()
+	gate := newFakeGate()
+	gate.promote("s1", 1)
+	o := NewOwnerRouter(OwnerConfig{
+		Database: "d",
+		Slots:    []group.Slot{slotOf("s1"), slotOf("s2"), slotOf("s3")},
+		Policy:   NewPolicy(testService()),
+		Gate:     gate,
+		Limit:    func() int { return 10 },
+		Running:  s.ask,
+		Dial: func(ctx context.Context, target Target) (Conn, error) {
+			conn, err := net.dial(ctx, target)
+			if err != nil {
+				return nil, err
+			}
+			return &waitingConn{fakeConn: conn.(*fakeConn)}, nil
+		},
+	})
+	t.Cleanup(o.Close)
+	tx, err := o.Begin(t.Context(), Request{Database: "d", User: "u", Class: "pay"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	conn := tx.Conn().(*waitingConn)
+	conn.wait()
+	return tx, conn
+}
+
+// Guards against callers that hang on connections which went silent for good
+// while new ones work.
+func TestSilentConnectionIsClosed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &statements{}
+		tx, conn := startWaiting(t, s)
+		start := time.Now()
+		for !conn.isClosed() {
+			if time.Since(start) > 2*time.Second {
+				t.Fatal("silent connection is still open after 2s")
+			}
+			time.Sleep(10 * time.Millisecond)
+		}
+		tx.Release(false)
+	})
+}
+
+// Guards against a slow statement being killed, and against one question after
+// the other about it.
+func TestSlowStatementIsKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &statements{running: true}
+		tx, conn := startWaiting(t, s)
+		time.Sleep(time.Minute)
+		if conn.isClosed() {
+			t.Error("connection of a slow statement was closed")
+		}
+		if n := s.count(); n > 20 {
+			t.Errorf("%d questions in a minute", n)
+		}
+		tx.Release(true)
+	})
+}
+
+// Guards against connections closed because the control connection failed,
+// which says nothing about the statement.
+func TestUnansweredQuestionClosesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &statements{err: errors.New("no answer")}
+		tx, conn := startWaiting(t, s)
+		time.Sleep(10 * time.Second)
+		if conn.isClosed() {
+			t.Error("connection was closed without an answer about its statement")
+		}
+		tx.Release(true)
+	})
+}
--- a/daemon/internal/upstream/conn.go
+++ b/daemon/internal/upstream/conn.go
@@ -112,6 +112,9 @@
 	unnamed    string
 	settings   map[string]string
 
+	// readSince is when the current read began, in nanoseconds; 0 for no read.
+	readSince atomic.Int64
+
 	closeOnce sync.Once
 	closeErr  error
 	closed    atomic.Bool
@@ -196,12 +199,25 @@
 type deadlineReader Conn
 
 func (r *deadlineReader) Read(p []byte) (int, error) {
-	if err := r.nc.SetReadDeadline(time.Now().Add(r.answerTimeout)); err != nil {
+	now := time.Now()
+	if err := r.nc.SetReadDeadline(now.Add(r.answerTimeout)); err != nil {
 		return 0, err
 	}
+	r.readSince.Store(now.UnixNano())
+	defer r.readSince.Store(0)
 	return r.nc.Read(p)
 }
 
+// Blocked returns since when the connection waits for bytes of an answer; ok is
+// false if it does not wait, as while the caller is slow to take the answer.
+func (c *Conn) Blocked() (since time.Time, ok bool) {
+	at := c.readSince.Load()
+	if at == 0 {
+		return time.Time{}, false
+	}
+	return time.Unix(0, at), true
+}
+
 // Write sends encoded messages and returns the number of bytes that were handed
 // to the network; 0 with an error means that the peer has seen none of them. The
 // write timeout applies to each part of 64 KiB.
