--- a/core/failover/failover_test.go
+++ b/core/failover/failover_test.go
@@ -218,3 +218,16 @@
 		}
 	})
 }
+
+// Guards against a primary that is cut off from its replicas and promoted
+// again, because its log, with commits that nobody acknowledged, is the longest.
+func TestCutOffPrimaryIsNotPromotedAgain(t *testing.T) {
+	scenario(t, paardvast, func(t *testing.T, c *cluster) {
+		c.isolate(0, false)
+		time.Sleep(worstGoal)
+		p := c.Promotions()
+		if last := p[len(p)-1]; len(p) != 2 || last.Slot == 0 {
+			t.Errorf("promotions %v; %v", p, c.records)
+		}
+	})
+}
