--- a/core/failover/failover_test.go
+++ b/core/failover/failover_test.go
@@ -231,3 +231,25 @@
 		}
 	})
 }
+
+// Guards against a group without a primary when the first owner is lost
+// together with it.
+func TestSecondOwnerActsWithoutTheFirst(t *testing.T) {
+	scenario(t, pwani, func(t *testing.T, c *cluster) {
+		for _, s := range c.slots {
+			c.CutBoth(c.owners[0].host.Name, string(s.ID))
+		}
+		c.CutBoth(c.owners[0].host.Name, c.owners[1].host.Name)
+		c.Kill(0)
+		lost := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), worstGoal)
+		defer cancel()
+		for c.owners[1].write(ctx, "w1") != nil && ctx.Err() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		if gap := c.gapAfter(lost); gap == 0 {
+			t.Errorf("no write was accepted in %v; %v", worstGoal, c.records)
+		}
+		t.Logf("gap %v", c.gapAfter(lost))
+	})
+}
