--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -26,6 +26,11 @@
 	"github.com/gypsumgap/gypsumgap/core/platform"
 )
 
+// walkPerMessage bounds the members of the walk in one message. Among
+// thousands of hosts some change is always on its way, so that two tables
+// differ most of the time and nearly every answer carries a part of the walk.
+const walkPerMessage = 4
+
 // State is what a host is known to be.
 type State int
 
@@ -100,7 +105,7 @@
 		IndirectProbes:    3,
 		SuspicionTimeout:  4 * time.Second,
 		Retention:         10 * time.Minute,
-		UpdatesPerMessage: 8,
+		UpdatesPerMessage: 64,
 		SettleTimeout:     3 * time.Second,
 	}
 }
@@ -497,14 +502,15 @@
 		m.Updates = append(m.Updates, e.Member)
 	}
 	if walk {
-		m.Updates = append(m.Updates, t.walk(t.opts.UpdatesPerMessage-len(fresh))...)
+		m.Updates = append(m.Updates, t.walk(walkPerMessage-len(fresh))...)
 	}
 	return m
 }
 
-// retransmissions is the number of messages that carry a change. Three times
-// the logarithm of the fleet's size reaches all hosts with high probability.
-func (t *Table) retransmissions() int { return 3 * bits.Len(uint(len(t.entries))) }
+// retransmissions is the number of messages that carry a change. Twice the
+// binary logarithm of the fleet's size, nearly three times the natural one,
+// reaches all hosts with high probability; the walk repairs what it misses.
+func (t *Table) retransmissions() int { return 2 * bits.Len(uint(len(t.entries))) }
 
 // walk returns the next n members of a walk over the whole table.
 func (t *Table) walk(n int) []Member {
