Serve reads without a stated age only with current data

Cause: a read of a class without max_age that carried a token went to any replica that covered the token, however old its data otherwise. The operator states which reads may be served from older data; without a statement a write of another session, such as a floor check, may not be missing. Such reads now take the barrier. Ruled out: a change for reads with a stated age, which keep the path without a round of status requests. The tests that used a class without an age for the token path use one with an age, and four cases are new.

Hosts serve profiles, and the demo writes goroutines when writes get stuck.

--- a/core/config/model.go
+++ b/core/config/model.go
@@ -69,7 +69,8 @@
 	Repeatable bool `json:"repeatable"`
 	// Read says that the request changes nothing and may run on a replica.
 	Read bool `json:"read"`
-	// MaxAge is the age of data that a read accepts; 0 asks for current data.
+	// MaxAge is the age of data that a read accepts. 0 asks for current data: every
+	// write acknowledged before the read arrived, of any session.
 	MaxAge Duration `json:"max_age"`
 	// QueueLimit is the number of requests that may wait for a connection.
 	QueueLimit int `json:"queue_limit"`
--- a/daemon/internal/metrics/metrics.go
+++ b/daemon/internal/metrics/metrics.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"net/http/pprof"
 	"sync"
 	"time"
 
@@ -66,11 +67,12 @@
 // Close reports the last figures.
 func (m *Metrics) Close() error { return m.closer.Close() }
 
-// Handler serves /metrics, /healthz and /readyz. ready tells whether the host
+// Handler serves /metrics, /healthz, /readyz and profiles under /debug/pprof/. ready tells whether the host
 // may be given callers.
 func (m *Metrics) Handler(ready func() error) http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /debug/pprof/", pprof.Index)
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = io.WriteString(w, "ok\n")
 	})
--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -220,6 +220,11 @@
 	if err != nil {
 		return nil, &refusal{kind: RefusedToken, reason: "session token not accepted", err: err}
 	}
+	if q.maxAge() == 0 {
+		// Without a stated age the read asks for current data, which a token
+		// does not show: it knows nothing of other sessions' writes.
+		q.known = false
+	}
 	if tx := o.beginAtOnce(q); tx != nil {
 		return tx, nil
 	}
--- a/daemon/internal/route/owner_read.go
+++ b/daemon/internal/route/owner_read.go
@@ -36,7 +36,9 @@
 	for {
 		barrier, err := o.barrier(ctx)
 		if err == nil {
-			q.need = barrier
+			if barrier.Covers(q.need) {
+				q.need = barrier
+			}
 			tx, err := o.beginCovering(ctx, q)
 			if !errors.Is(err, errRebarrier) {
 				return tx, err
--- a/daemon/internal/route/owner_test.go
+++ b/daemon/internal/route/owner_test.go
@@ -33,14 +33,17 @@
 		peer     string
 		barriers int
 	}{
-		{"token covered", Request{Class: "stock", Token: "d/3:90"}, "", "r", 0},
-		{"token not covered", Request{Class: "stock", Token: "d/3:91"}, "", "p", 0},
-		{"older term covered", Request{Class: "stock", Token: "d/2:5000"}, "", "r", 0},
-		{"nothing written", Request{Class: "stock", Token: TokenNone}, "", "r", 0},
+		{"token covered", Request{Class: "report", Token: "d/3:90"}, "", "r", 0},
+		{"token not covered", Request{Class: "report", Token: "d/3:91"}, "", "p", 0},
+		{"older term covered", Request{Class: "report", Token: "d/2:5000"}, "", "r", 0},
+		{"nothing written", Request{Class: "report", Token: TokenNone}, "", "r", 0},
 		{"no token, replica behind", Request{Class: "stock"}, "", "p", 1},
 		{"no token, replica applied", Request{Class: "stock"}, "current", "r", 1},
 		{"age accepted, no token, replica behind", Request{Class: "report"}, "", "p", 1},
-		{"read-only transaction", Request{ReadOnly: true, Token: "d/3:1"}, "", "r", 0},
+		{"no stated age, token covered, replica behind", Request{Class: "stock", Token: "d/3:90"}, "", "p", 1},
+		{"no stated age, token covered, replica applied", Request{Class: "stock", Token: "d/3:90"}, "current", "r", 1},
+		{"read-only transaction, replica behind", Request{ReadOnly: true, Token: "d/3:1"}, "", "p", 1},
+		{"read-only transaction, replica applied", Request{ReadOnly: true, Token: "d/3:1"}, "current", "r", 1},
 		{"write", Request{Class: "pay", Token: "d/3:1"}, "", "p", 0},
 		{"unclassified", Request{Class: "psql", Token: "d/3:1"}, "", "p", 0},
 	}
@@ -128,7 +131,7 @@
 				t.Errorf("token %q: %v", token, err)
 			}
 		}
-		for _, class := range []string{"pay", "stock"} {
+		for _, class := range []string{"pay", "report"} {
 			start := time.Now()
 			_, err := o.Begin(t.Context(), Request{Class: class, Token: "d/4:1"})
 			if !errors.As(err, &notRun) || time.Since(start) != time.Second {
@@ -368,7 +371,7 @@
 		var wg sync.WaitGroup
 		for range 40 {
 			wg.Go(func() {
-				runTx(t.Context(), o, Request{Class: "stock", Token: TokenNone}, 200*time.Millisecond)
+				runTx(t.Context(), o, Request{Class: "report", Token: TokenNone}, 200*time.Millisecond)
 			})
 		}
 		time.Sleep(50 * time.Millisecond)
@@ -394,7 +397,7 @@
 		net.setRefuse("r", true)
 		o := newOwner(g, net)
 		defer o.Close()
-		tx, err := o.Begin(t.Context(), Request{Class: "stock", Token: TokenNone})
+		tx, err := o.Begin(t.Context(), Request{Class: "report", Token: TokenNone})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -513,7 +516,7 @@
 		o := newOwner(newFakeGate(), newFakeNet())
 		defer o.Close()
 		var stale *StaleReadError
-		if _, err := runTx(t.Context(), o, Request{Class: "stock", Token: "d/3:101"}, 0); !errors.As(err, &stale) {
+		if _, err := runTx(t.Context(), o, Request{Class: "report", Token: "d/3:101"}, 0); !errors.As(err, &stale) {
 			t.Errorf("read of a position that does not exist: %v", err)
 		}
 	})
--- a/standin/cmd/gypsumgap-demo/main.go
+++ b/standin/cmd/gypsumgap-demo/main.go
@@ -20,6 +20,8 @@
 	Logs string `arg:"--logs" help:"file for the output of all processes" default:"/dev/null"`
 	Seed uint64 `arg:"--seed" default:"1" help:"seed of the callers' choices"`
 
+	Profiles string `arg:"--profiles" help:"folder for the hosts' goroutines if writes get stuck"`
+
 	Scenario demo.Scenario `arg:"--scenario" default:"kill" help:"faults to inject"`
 }
 
@@ -47,7 +49,7 @@
 		return 1
 	}
 	defer logs.Close()
-	summary, err := demo.Run(ctx, demo.Options{Bin: args.Bin, Logs: logs, Seed: args.Seed, Scenario: args.Scenario})
+	summary, err := demo.Run(ctx, demo.Options{Bin: args.Bin, Logs: logs, Seed: args.Seed, Scenario: args.Scenario, Profiles: args.Profiles})
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "demo failed:", err)
 		return 1
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -44,6 +44,9 @@
 	// Logs receives the output of all processes.
 	Logs io.Writer
 	Seed uint64
+	// Profiles is a folder for the goroutines of all hosts, written when no
+	// write was accepted for a while; empty for none.
+	Profiles string
 	// Scenario chooses the faults.
 	Scenario Scenario
 }
@@ -71,6 +74,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if o.Profiles != "" {
+		go dumpWhenStuck(ctx, l, runs, o.Profiles)
+	}
 	bench := &bench{layout: l, processes: p, admin: dbgroup.AdminClient{URL: "http://" + l.groupsAdmin}}
 	loadErr := o.Scenario.inject(ctx, bench)
 	for _, r := range runs {
--- /dev/null
+++ b/standin/demo/stuck.go
@@ -0,0 +1,46 @@
+package demo
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// stuckAfter is the time without an accepted write after which the hosts'
+// goroutines are written down. It is longer than a failover takes.
+const stuckAfter = 1500 * time.Millisecond
+
+// dumpWhenStuck writes the goroutines of all hosts once per stuck database.
+func dumpWhenStuck(ctx context.Context, l *layout, runs []loadRun, dir string) {
+	dumped := map[string]bool{}
+	for sleep(ctx, stuckAfter/4) == nil {
+		for _, r := range runs {
+			name := r.deployment.database
+			if dumped[name] || r.record.SinceAccepted(time.Now()) < stuckAfter {
+				continue
+			}
+			dumped[name] = true
+			for _, h := range l.hosts {
+				writeGoroutines(h, filepath.Join(dir, name+"-"+h.name+".txt"))
+			}
+		}
+	}
+}
+
+func writeGoroutines(h hostPlan, file string) {
+	client := &http.Client{Timeout: time.Second}
+	resp, err := client.Get("http://" + h.admin + "/debug/pprof/goroutine?debug=2")
+	if err != nil {
+		return
+	}
+	defer resp.Body.Close()
+	out, err := os.Create(file)
+	if err != nil {
+		return
+	}
+	defer out.Close()
+	_, _ = io.Copy(out, resp.Body)
+}
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -177,6 +177,13 @@
 	return append([]MissedRead(nil), r.missed...)
 }
 
+// SinceAccepted returns the time since the latest accepted write.
+func (r *Record) SinceAccepted(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return now.Sub(r.lastAck)
+}
+
 // GapStart returns when the longest gap began, counted from the start of the load.
 func (r *Record) GapStart() time.Duration {
 	r.mu.Lock()
