Measure slopes of control, callers, statements and metrics

make capacity runs the benchmarks and prints their figures as a table. Tests print and bound the counted quantities: status requests, messages of a failover, store calls for shares, reads of the host list.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 MAINS := $(addprefix ./,$(wildcard */cmd/*))
 STATICCHECK := bin/staticcheck
 
-.PHONY: build test check fmt generate explore bench demo clean
+.PHONY: build test check fmt generate explore bench demo capacity clean
 
 build:
 	go build $(PACKAGES)
@@ -38,3 +38,25 @@
 # Runs the whole system on this machine, kills primaries under load, and checks.
 demo: build
 	bin/gypsumgap-demo
+
+# Measures the slopes that docs/CAPACITY.md rests on and prints them as a table.
+# It takes about five minutes; the figures in units of time depend on the machine.
+capacity:
+	@echo '| package | measurement | figures |'; echo '|---|---|---|'
+	@set -o pipefail; { \
+	go test -run '^$$' -bench 'Owne|TableMemory|^BenchmarkZoneLoss$$' -benchtime 10x ./core/membership && \
+	go test -run '^$$' -bench 'Probe' -benchtime 300x ./daemon/internal/peer && \
+	go test -run '^$$' -bench 'HostList' -benchtime 10x ./standin/platform && \
+	go test -run '^$$' -bench 'MemberChange|ConfigChange' -benchtime 20x ./daemon/internal/control && \
+	go test -run '^$$' -bench 'IdleStep' -benchtime 5000x ./daemon/internal/control && \
+	go test -run 'AreBounded$$' -v -count 1 ./daemon/internal/control ./core/replication ./core/failover && \
+	go test -run '^$$' -bench 'HeldConfiguration|MessagesPerChange' -benchtime 1x ./core/confsync && \
+	go test -run '^$$' -bench 'TakeChange' -benchtime 50x ./core/confsync && \
+	go test -run '^$$' -bench 'ApplyCalls' -benchtime 20x ./core/confstore && \
+	go test -run '^$$' -bench 'StatusRequest' -benchtime 2000x ./standin/dbgroup && \
+	go test -run '^$$' -bench 'IdleCallerMemory' -benchtime 1x ./daemon/internal/session && \
+	go test -run '^$$' -bench 'StatementCost' -benchtime 20000x ./daemon/internal/session && \
+	go test -run '^$$' -bench 'Cardinality' -benchtime 1x ./daemon/internal/metrics; \
+	} 2>&1 | awk -f tools/capacity.awk
+
+capacity: SHELL := /bin/bash
