Confirm a share before it is used after a pause, a death claim or an isolation

Cause: a host that others held dead kept dialing within its old count, and a database that was given up and taken again had two keepers writing as one holder, the older of which removed the share of the newer.

- One keeper per database covers all groups of it, also those given up.
- A dial waits until the share is confirmed after a doubt.
- A leaving host that does not answer is dead; it stayed in the table for good and kept its share.
- A host that has not reached the store owns nothing while others can.

--- a/core/membership/owners.go
+++ b/core/membership/owners.go
@@ -58,22 +58,43 @@
 // host still counts, because most suspicions are refuted and each move of
 // ownership costs connections. So does a host that only the platform's list
 // names, since hosts that start together would otherwise each own everything
-// until they have heard of each other.
+// until they have heard of each other. A host that has not reached the store
+// since its start can't hold connections yet and counts only if no other does.
 func owning(region string, members []Member) []Member {
-	var all, near []Member
+	var ready, any scope
 	for _, m := range members {
 		if m.State != Alive && m.State != Suspect {
 			continue
 		}
-		all = append(all, m)
-		if m.Region == region {
-			near = append(near, m)
+		any.add(m, region)
+		if !m.Joining() {
+			ready.add(m, region)
 		}
 	}
-	if len(near) > 0 {
-		return near
+	if len(ready.all) > 0 {
+		return ready.choose()
 	}
-	return all
+	return any.choose()
+}
+
+// scope is a set of members, with those of one region.
+type scope struct {
+	all, near []Member
+}
+
+func (s *scope) add(m Member, region string) {
+	s.all = append(s.all, m)
+	if m.Region == region {
+		s.near = append(s.near, m)
+	}
+}
+
+// choose returns the members of the region, or all if it has none.
+func (s *scope) choose() []Member {
+	if len(s.near) > 0 {
+		return s.near
+	}
+	return s.all
 }
 
 func score(database, host string) uint64 {
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -59,7 +59,7 @@
 	// PeerAddress serves control messages, host:port.
 	PeerAddress string
 	// ForwardAddress serves forwarded statements, host:port; empty until the
-	// host itself has been heard of.
+	// host itself has been heard of and has reached the store.
 	ForwardAddress string
 	Zone           string
 	Region         string
@@ -69,6 +69,9 @@
 	Incarnation uint64
 }
 
+// Joining reports whether the host runs but has not reached the store yet.
+func (m Member) Joining() bool { return m.Incarnation > 0 && m.ForwardAddress == "" }
+
 // overrides reports whether a is newer knowledge than b.
 func (m Member) overrides(b Member) bool {
 	return cmp.Or(cmp.Compare(m.Incarnation, b.Incarnation), cmp.Compare(m.State, b.State)) > 0
@@ -170,6 +173,8 @@
 	// it goes into every message.
 	sum     uint64
 	changes uint64
+	// deaths counts the refuted claims that this host is dead.
+	deaths uint64
 }
 
 // NewTable returns a table that knows self only. rng chooses probe targets.
@@ -196,6 +201,24 @@
 // Changes counts the changes to the table; it is equal only if nothing changed.
 func (t *Table) Changes() uint64 { return t.changes }
 
+// Deaths counts the claims of other hosts that this one is dead.
+func (t *Table) Deaths() uint64 { return t.deaths }
+
+// Census returns how many of the known hosts are alive, this one included.
+// Leaving hosts are not counted.
+func (t *Table) Census() (alive, known int) {
+	for _, e := range t.entries {
+		switch e.State {
+		case Alive:
+			alive++
+			known++
+		case Suspect, Dead:
+			known++
+		}
+	}
+	return alive, known
+}
+
 // Members returns all known members ordered by name, dead ones included.
 func (t *Table) Members() []Member {
 	out := make([]Member, 0, len(t.entries))
@@ -361,12 +384,18 @@
 	delete(t.pending, target)
 }
 
+// suspect marks a host that nobody reached. A leaving host was about to stop,
+// so it is dead at once; it would otherwise stay in the table for good.
 func (t *Table) suspect(now time.Time, e *entry) {
-	if e.State != Alive {
+	m := e.Member
+	switch e.State {
+	case Alive:
+		m.State = Suspect
+	case Leaving:
+		m.State = Dead
+	default:
 		return
 	}
-	m := e.Member
-	m.State = Suspect
 	t.set(now, e, m)
 }
 
@@ -379,6 +408,16 @@
 	t.set(now, e, m)
 }
 
+// Join tells the other hosts that this one can own databases, and where it
+// takes forwarded statements.
+func (t *Table) Join(now time.Time, forwardAddress string) {
+	e := t.entries[t.self]
+	m := e.Member
+	m.ForwardAddress = forwardAddress
+	m.Incarnation++
+	t.set(now, e, m)
+}
+
 // MergePlatform adds the hosts of the platform's list. The list lags, so it
 // neither revives a dead host nor ends one that answers.
 func (t *Table) MergePlatform(now time.Time, hosts []platform.Host) {
@@ -430,6 +469,9 @@
 	if claim.Incarnation < e.Incarnation || claim.State == e.State || claim.State == Alive {
 		return
 	}
+	if claim.State == Dead {
+		t.deaths++
+	}
 	m := e.Member
 	m.Incarnation = claim.Incarnation + 1
 	t.set(now, e, m)
--- a/core/shares/shares.go
+++ b/core/shares/shares.go
@@ -33,6 +33,9 @@
 	Incarnation uint64 `json:"incarnation"`
 	// Count is the number of connections to each backend server.
 	Count int `json:"count"`
+	// Confirmed counts the holder's confirmations that it is alive, so that
+	// others see that it has written since they held it dead.
+	Confirmed uint64 `json:"confirmed,omitempty"`
 }
 
 // Is reports whether h and o are the same process.
@@ -77,6 +80,27 @@
 	return 0
 }
 
+// Confirm returns the allocation with self's confirmations one above those in
+// before. Self must hold something.
+func (a Allocation) Confirm(self Holder, before Allocation) Allocation {
+	next := Allocation{Holders: slices.Clone(a.Holders)}
+	for i, h := range next.Holders {
+		if h.Is(self) {
+			next.Holders[i].Confirmed = before.confirmations(self) + 1
+		}
+	}
+	return next
+}
+
+func (a Allocation) confirmations(self Holder) uint64 {
+	for _, h := range a.Holders {
+		if h.Is(self) {
+			return h.Confirmed
+		}
+	}
+	return 0
+}
+
 // Sum is the number of connections given out.
 func (a Allocation) Sum() int {
 	sum := 0
@@ -115,6 +139,7 @@
 		others += h.Count
 	}
 	self.Count = max(min(Want(limit, rank), limit-others), min(open, a.Count(self)))
+	self.Confirmed = a.confirmations(self)
 	if self.Count > 0 {
 		next.Holders = append(next.Holders, self)
 	}
--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -80,7 +80,13 @@
 	stopWatch context.CancelFunc
 	draining  bool
 	groups    map[string]*ownedGroup
-	policies  map[string]*route.Policy
+	// keepers holds the shares of databases owned now or until lately.
+	keepers  map[string]*keeper
+	policies map[string]*route.Policy
+	// contact is when the latest answered probe was sent.
+	contact time.Time
+	// deaths is the table's count when it was last looked at.
+	deaths uint64
 	// settled says that ownership may be derived from the table.
 	settled bool
 	// placed is the table's change count for which ownership was computed.
@@ -88,6 +94,7 @@
 	// stale says that ownership or the view must be computed again.
 	stale bool
 
+	guard     guard
 	performer confsync.Performer
 	// published is what peers are answered from, and configVersion the version
 	// that probes carry.
@@ -110,9 +117,11 @@
 		peers:    o.PeerClient,
 		slots:    o.GroupClient,
 		log:      o.Log,
-		table:    membership.NewTable(o.Self, o.Members, o.Rand, now),
+		table:    membership.NewTable(joining(o.Self), o.Members, o.Rand, now),
 		config:   config.NewSnapshot(0, nil),
 		groups:   map[string]*ownedGroup{},
+		keepers:  map[string]*keeper{},
+		contact:  now,
 		policies: map[string]*route.Policy{},
 		wake:     make(chan struct{}, 1),
 	}
@@ -123,6 +132,12 @@
 	return c
 }
 
+// joining is a member before it has reached the store.
+func joining(m membership.Member) membership.Member {
+	m.ForwardAddress = ""
+	return m
+}
+
 func randomSource() *rand.Rand { return newRand(rand.Uint64(), rand.Uint64()) }
 
 func newRand(seed1, seed2 uint64) *rand.Rand { return rand.New(rand.NewPCG(seed1, seed2)) }
@@ -150,8 +165,12 @@
 		}
 	}
 	for _, g := range c.groups {
+		g.retired.Store(true)
 		g.stop()
 	}
+	for _, k := range c.keepers {
+		k.cancel()
+	}
 	c.workers.Wait()
 	c.slots.Close()
 	c.peers.Close()
@@ -177,6 +196,7 @@
 }
 
 func (c *Controller) step(now time.Time) {
+	c.watchContact(now)
 	for _, e := range c.take() {
 		e.apply(c, now)
 	}
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -20,19 +20,21 @@
 // farDeadline stands for no deadline.
 const farDeadline = time.Hour
 
-// retireDelay lets transactions that still run on a database that the host has
-// given up reach their commit gate.
-const retireDelay = 10 * time.Second
+// retirePoll is how often a group that was given up is checked for running
+// transactions, which it lets reach their commit gate.
+const retirePoll = 100 * time.Millisecond
 
 // ownedGroup is a database that this host owns, with its goroutines.
 type ownedGroup struct {
 	board.Group
 	database string
-	share    atomic.Int64
-	// kick asks the share keeper to look at the allocation again.
-	kick   chan struct{}
-	cancel context.CancelFunc
-	done   sync.WaitGroup
+	keeper   *keeper
+	// older are the groups of the same database whose transactions may still run.
+	older atomic.Pointer[[]*ownedGroup]
+	// retired says that the group opens no further connections.
+	retired atomic.Bool
+	cancel  context.CancelFunc
+	done    sync.WaitGroup
 }
 
 // place is a host's part in a database.
@@ -104,7 +106,7 @@
 	if rankChanged {
 		c.logGroup(g).WithField("event", "own_database").WithField("rank", p.rank).Info("host owns the database")
 	}
-	g.wakeShares()
+	g.keeper.hold(part{database: p.ref.Database, rank: p.rank})
 }
 
 func (c *Controller) logGroup(g *ownedGroup) *logrus.Entry {
@@ -113,10 +115,11 @@
 
 func (c *Controller) startGroup(ref config.DatabaseRef) *ownedGroup {
 	ctx, cancel := context.WithCancel(c.ctx)
-	g := &ownedGroup{database: ref.Database.Name, kick: make(chan struct{}, 1), cancel: cancel}
+	g := &ownedGroup{database: ref.Database.Name, cancel: cancel}
+	g.keeper = c.keeperOf(g.database)
 	g.Ref = ref
 	g.Rank = failover.NotOwner
-	g.Group.Share = func() int { return int(g.share.Load()) }
+	g.Group.Share = g.limit
 	g.Tracker = replication.NewRunner(replication.Options{
 		Client:          c.slots,
 		Slots:           ref.Database.Slots,
@@ -124,12 +127,21 @@
 		Observe:         func(o replication.Observation) { g.Driver.Observe(o) },
 	})
 	g.Router = c.newOwnerRouter(g)
+	g.keeper.add(g)
 	g.Driver = c.newDriver(g)
 	g.done.Go(func() { _ = g.Tracker.Run(ctx) })
-	g.done.Go(func() { c.keepShare(ctx, g) })
 	return g
 }
 
+func (c *Controller) keeperOf(database string) *keeper {
+	k, ok := c.keepers[database]
+	if !ok {
+		k = c.newKeeper(database)
+		c.keepers[database] = k
+	}
+	return k
+}
+
 func (c *Controller) newDriver(g *ownedGroup) *failover.Driver {
 	policy := g.Ref.Service.Failover
 	return failover.NewDriver(failover.DriverOptions{
@@ -209,21 +221,36 @@
 	return failover.PeerView{}, nil
 }
 
-// retire gives a database up. Its transactions may end in the meantime.
+// retire gives a database up. Its transactions may end in the meantime, and
+// the share shrinks as their connections close.
 func (c *Controller) retire(name string, g *ownedGroup) {
 	delete(c.groups, name)
+	g.retired.Store(true)
+	g.keeper.hold(part{database: g.Ref.Database, rank: failover.NotOwner})
 	g.Driver.Step(c.ctx, time.Now(), failover.Owner{Rank: failover.NotOwner})
 	c.logGroup(g).WithField("event", "give_up_database").Info("host no longer owns the database")
 	c.workers.Go(func() {
 		g.Router.Close()
-		select {
-		case <-c.ctx.Done():
-		case <-time.After(retireDelay):
-		}
+		g.waitUnused(c.ctx)
 		g.finish()
+		g.keeper.remove(g)
+		g.keeper.wake()
 	})
 }
 
+// waitUnused returns when the group has no connection left or ctx ends.
+func (g *ownedGroup) waitUnused(ctx context.Context) {
+	ticker := time.NewTicker(retirePoll)
+	defer ticker.Stop()
+	for g.Router.Open() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
 func (g *ownedGroup) stop() {
 	g.Router.Close()
 	g.finish()
@@ -234,10 +261,3 @@
 	g.done.Wait()
 	g.Driver.Wait()
 }
-
-func (g *ownedGroup) wakeShares() {
-	select {
-	case g.kick <- struct{}{}:
-	default:
-	}
-}
--- a/daemon/internal/control/hosts.go
+++ b/daemon/internal/control/hosts.go
@@ -37,7 +37,13 @@
 
 type hostsListed []platform.Host
 
-func (hosts hostsListed) apply(c *Controller, now time.Time) { c.table.MergePlatform(now, hosts) }
+func (hosts hostsListed) apply(c *Controller, now time.Time) {
+	if c.table.Self().Joining() && !c.draining {
+		c.table.Join(now, c.opts.Self.ForwardAddress)
+		c.log.WithField("event", "joined").Info("host has reached the platform and can own databases")
+	}
+	c.table.MergePlatform(now, hosts)
+}
 
 // bootstrap probes the configured peers, so that a host learns the others
 // while the platform is down.
@@ -66,6 +72,7 @@
 func (c *Controller) probe(cmd membership.Command) {
 	ctx, cancel := context.WithTimeout(c.ctx, c.opts.Members.ProbeTimeout)
 	defer cancel()
+	sent := time.Now()
 	resp, err := c.peers.Probe(ctx, cmd.Target.PeerAddress, &peerapi.ProbeRequest{
 		From:          cmd.Message.From,
 		Updates:       peer.ToMembers(cmd.Message.Updates),
@@ -80,6 +87,7 @@
 	c.post(configEvent{confsync.PeerVersion{Peer: cmd.Target.Name, Version: resp.GetConfigVersion()}})
 	c.post(probeAnswered{
 		target:  cmd.Target.Name,
+		sent:    sent,
 		message: membership.Message{Updates: peer.FromMembers(resp.GetUpdates()), Digest: resp.GetMembersDigest()},
 	})
 }
@@ -92,10 +100,14 @@
 
 type probeAnswered struct {
 	target  string
+	sent    time.Time
 	message membership.Message
 }
 
 func (e probeAnswered) apply(c *Controller, now time.Time) {
+	if e.sent.After(c.contact) {
+		c.contact = e.sent
+	}
 	c.table.ProbeAnswered(now, e.target, e.message)
 }
 
--- a/daemon/internal/control/routing.go
+++ b/daemon/internal/control/routing.go
@@ -14,8 +14,8 @@
 		Slots:    g.Ref.Database.Slots,
 		Policy:   c.policies[g.Ref.Service.Name],
 		Gate:     g.Tracker,
-		Dial:     c.opts.DialSlot,
-		Limit:    g.Group.Share,
+		Dial:     g.keeper.dialer(c.opts.DialSlot),
+		Limit:    g.limit,
 		Recorder: c.opts.Recorder,
 	})
 }
@@ -36,8 +36,9 @@
 	owners := v.Owners(database)
 	hosts := make([]route.Host, 0, len(owners))
 	for _, o := range owners {
-		// A host that only the platform's list names has no address yet.
-		if o.ForwardAddress == "" {
+		// A host that only the platform's list names, or that has not reached
+		// the store, has no address yet.
+		if o.ForwardAddress == "" && o.Name != v.Self.Name {
 			continue
 		}
 		hosts = append(hosts, route.Host{
--- a/daemon/internal/control/world_test.go
+++ b/daemon/internal/control/world_test.go
@@ -210,13 +210,17 @@
 	p.w.dropConnections(p)
 }
 
-// pause stops the process's control goroutine and all of its input and output.
+// pause, unless it is paused, stops the process's control goroutine and all of its input and output.
 func (p *proc) pause() {
 	p.mu.Lock()
-	resumed := make(chan struct{})
-	p.resumed = resumed
-	p.mu.Unlock()
-	p.ctl.post(paused{resumed})
+	defer p.mu.Unlock()
+	select {
+	case <-p.resumed:
+	default:
+		return
+	}
+	p.resumed = make(chan struct{})
+	p.ctl.post(paused{p.resumed})
 }
 
 func (p *proc) resume() {
@@ -242,6 +246,19 @@
 	<-resumed
 }
 
+// reachable waits until the process runs, or ctx ends.
+func (p *proc) reachable(ctx context.Context) error {
+	p.mu.Lock()
+	resumed := p.resumed
+	p.mu.Unlock()
+	select {
+	case <-resumed:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (p *proc) isDead() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -584,7 +601,9 @@
 		return none, ctx.Err()
 	}
 	sleepFor(ctx, latency)
-	to.wait()
+	if err := to.reachable(ctx); err != nil {
+		return none, err
+	}
 	a, err := call(to.ctl.Server(), ctx, q)
 	sleepFor(ctx, latency)
 	l.from.wait()
