Check a control connection without waiting for its reader

Goroutines showed status requests blocked for good in the check of the idle control connection: the check took the read lock of the socket, which a reader held that pgconn leaves behind after a write of over 15 ms. All later requests to that slot waited in line, beyond their deadlines, so that commits did not pass the gate and one owner missed a failover. Ruled out: the tracker, the failover machine and the stand-in. The check now only peeks at the descriptor.

--- a/core/group/pgcontrol/peek.go
+++ b/core/group/pgcontrol/peek.go
@@ -18,11 +18,12 @@
 		return true
 	}
 	idle := false
-	err = raw.Read(func(fd uintptr) bool {
+	// Not raw.Read, which waits for other readers: after a slow write pgconn
+	// leaves a goroutine that reads until the next answer comes.
+	err = raw.Control(func(fd uintptr) {
 		var one [1]byte
 		_, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 		idle = err == syscall.EAGAIN
-		return true
 	})
 	return err != nil || !idle
 }
--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -389,14 +389,9 @@
 	delete(t.pending, target)
 }
 
-<<<<<<< HEAD
 // suspect records that a host can't be reached. A leaving host is dead at once,
 // since it has said that it will stop; otherwise every replaced host would stay
 // in the table for good and take its part of the probes.
-=======
-// suspect marks a host that nobody reached. A leaving host was about to stop,
-// so it is dead at once; it would otherwise stay in the table for good.
->>>>>>> control
 func (t *Table) suspect(now time.Time, e *entry) {
 	m := e.Member
 	switch e.State {
--- a/daemon/internal/control/control.go
+++ b/daemon/internal/control/control.go
@@ -124,30 +124,18 @@
 	now := time.Now()
 	o = o.withDefaults()
 	c := &Controller{
-<<<<<<< HEAD
 		opts:      o,
 		peers:     o.PeerClient,
 		slots:     o.GroupClient,
 		log:       o.Log,
-		table:     membership.NewTable(o.Self, o.Members, o.Rand, now),
+		table:     membership.NewTable(joining(o.Self), o.Members, o.Rand, now),
 		config:    config.NewSnapshot(0, nil),
 		groups:    map[string]*ownedGroup{},
-		policies:  map[string]*route.Policy{},
+		keepers:   map[string]*keeper{},
+		contact:   now,
 		ownership: membership.NewOwnership(),
+		policies:  map[string]*route.Policy{},
 		wake:      make(chan struct{}, 1),
-=======
-		opts:     o,
-		peers:    o.PeerClient,
-		slots:    o.GroupClient,
-		log:      o.Log,
-		table:    membership.NewTable(joining(o.Self), o.Members, o.Rand, now),
-		config:   config.NewSnapshot(0, nil),
-		groups:   map[string]*ownedGroup{},
-		keepers:  map[string]*keeper{},
-		contact:  now,
-		policies: map[string]*route.Policy{},
-		wake:     make(chan struct{}, 1),
->>>>>>> control
 	}
 	c.sync = confsync.New(confsync.Options{Self: o.Self.Name, Zone: o.Self.Zone, Rand: o.Rand, Start: now})
 	c.published.Store(c.sync.Published())
--- a/daemon/internal/control/fleet_test.go
+++ b/daemon/internal/control/fleet_test.go
@@ -135,7 +135,7 @@
 // settle covers the delay after which a host that gave a database up releases
 // its share, and retries until then.
 func (f *fleet) settle() {
-	time.Sleep(retireDelay + shareRetryMax)
+	time.Sleep(retirePoll + shareRetryMax)
 	synctest.Wait()
 }
 
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -30,17 +30,6 @@
 type ownedGroup struct {
 	board.Group
 	database string
-<<<<<<< HEAD
-	// owners are the hosts, and limit the connections, that the share was last
-	// looked at for.
-	owners []membership.Member
-	limit  int
-	share  atomic.Int64
-	// kick asks the share keeper to look at the allocation again.
-	kick   chan struct{}
-	cancel context.CancelFunc
-	done   sync.WaitGroup
-=======
 	keeper   *keeper
 	// older are the groups of the same database whose transactions may still run.
 	older atomic.Pointer[[]*ownedGroup]
@@ -48,7 +37,6 @@
 	retired atomic.Bool
 	cancel  context.CancelFunc
 	done    sync.WaitGroup
->>>>>>> control
 }
 
 // place is a host's part in a database.
@@ -120,25 +108,7 @@
 	if rankChanged {
 		c.logGroup(g).WithField("event", "own_database").WithField("rank", p.rank).Info("host owns the database")
 	}
-<<<<<<< HEAD
-	if g.sharesMove(p) {
-		g.wakeShares()
-	}
-}
-
-// sharesMove notes what the division of connections depends on, and reports
-// whether it has changed. A look at the division costs a store call, so it
-// must not follow each change of the members.
-func (g *ownedGroup) sharesMove(p place) bool {
-	sameHost := func(a, b membership.Member) bool { return a.Name == b.Name }
-	if slices.EqualFunc(g.owners, p.owners, sameHost) && g.limit == p.ref.Database.ConnectionLimit {
-		return false
-	}
-	g.owners, g.limit = p.owners, p.ref.Database.ConnectionLimit
-	return true
-=======
 	g.keeper.hold(part{database: p.ref.Database, rank: p.rank})
->>>>>>> control
 }
 
 func (c *Controller) logGroup(g *ownedGroup) *logrus.Entry {
--- a/daemon/internal/control/routing.go
+++ b/daemon/internal/control/routing.go
@@ -14,14 +14,9 @@
 		Slots:    g.Ref.Database.Slots,
 		Policy:   c.policies[g.Ref.Service.Name],
 		Gate:     g.Tracker,
-<<<<<<< HEAD
-		Dial:     c.opts.DialSlot,
-		Limit:    g.Group.Share,
-		Running:  c.opts.Running,
-=======
 		Dial:     g.keeper.dialer(c.opts.DialSlot),
 		Limit:    g.limit,
->>>>>>> control
+		Running:  c.opts.Running,
 		Recorder: c.opts.Recorder,
 	})
 }
