--- a/daemon/internal/control/share.go
+++ b/daemon/internal/control/share.go
@@ -224,7 +224,8 @@
 		k.answer()
 	}
 	count := next.Count(k.c.self())
-	k.share.Store(int64(count))
+	// More than is wanted is recorded only until the connections are closed.
+	k.share.Store(int64(min(count, want)))
 	return count == want && p.rank != failover.NotOwner, nil
 }
 
