Write with request keys in the demo's load

A third of the writes has a request key, is repeated through any proxy until it is acknowledged, and one in ten is repeated once more after that.

--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -36,6 +36,8 @@
 	Aborted        int
 	ReadsFailed    int
 	ConnectsFailed int
+	KeyedSettled   int
+	KeyedRepeats   int
 	Examples       []string
 	Gaps           []Gap
 }
@@ -74,8 +76,8 @@
 
 // Failures formats what callers saw besides answers, which breaks no promise.
 func (s *Summary) Failures() string {
-	return fmt.Sprintf("failures unknown=%d refused=%d aborted=%d reads_failed=%d connects_failed=%d",
-		s.Unknown, s.Refused, s.Aborted, s.ReadsFailed, s.ConnectsFailed)
+	return fmt.Sprintf("failures unknown=%d refused=%d aborted=%d reads_failed=%d connects_failed=%d keyed_settled=%d keyed_repeats=%d",
+		s.Unknown, s.Refused, s.Aborted, s.ReadsFailed, s.ConnectsFailed, s.KeyedSettled, s.KeyedRepeats)
 }
 
 // summarise checks what each load recorded against the database's primary.
@@ -123,6 +125,8 @@
 	s.Aborted += r.Aborted
 	s.ReadsFailed += r.ReadsFailed + r.ReadsRefused
 	s.ConnectsFailed += r.ConnectsFailed
+	s.KeyedSettled += r.KeyedSettled
+	s.KeyedRepeats += r.KeyedRepeats
 	s.Examples = append(s.Examples, r.Examples...)
 }
 
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -27,6 +27,9 @@
 	readWindow = 50
 	// reconnectPause is the time between attempts to connect.
 	reconnectPause = 50 * time.Millisecond
+	// keyedRepeatOneIn is how rarely a keyed write moves to another proxy, or is
+	// repeated after its acknowledgement.
+	keyedRepeatOneIn = 10
 	// readShare is the share of reads among a session's operations.
 	readShare = 0.5
 
@@ -189,14 +192,22 @@
 // write inserts a row, alone or in an explicit transaction, and records the outcome.
 func (c *caller) write(ctx context.Context) {
 	c.seq++
-	w := Write{ID: fmt.Sprintf("%s-%d", c.name, c.seq), Transaction: c.random.IntN(2) == 0}
+	w := Write{ID: fmt.Sprintf("%s-%d", c.name, c.seq)}
+	switch kind := c.random.IntN(3); {
+	case kind == 0:
+		w.Transaction = true
+	case kind == 1:
+		w.Keyed = c.opts.Keyed
+	}
 	started := time.Now()
 	var err error
-	if w.Transaction {
+	switch {
+	case w.Transaction:
 		w.Outcome, err = c.writeInTransaction(ctx, w.ID)
-	} else {
-		_, err = c.conn.Exec(ctx, insertSQL, w.ID, c.name, c.seq)
-		w.Outcome = outcomeOf(err)
+	case w.Keyed:
+		w.Outcome, err = c.writeKeyed(ctx, w.ID)
+	default:
+		w.Outcome, err = c.insert(ctx, w.ID)
 	}
 	w.Done = time.Now()
 	if err != nil {
@@ -209,6 +220,57 @@
 	c.takeToken()
 }
 
+func (c *caller) insert(ctx context.Context, id string) (Outcome, error) {
+	_, err := c.conn.Exec(ctx, insertSQL, id, c.name, c.seq)
+	return outcomeOf(err), err
+}
+
+// writeKeyed runs a write under a request key and repeats it, through any
+// proxy, until it is acknowledged. Some writes are repeated once more after
+// that, as by a user who is not sure. The outcome stays unknown if an attempt
+// was in doubt and none was acknowledged.
+func (c *caller) writeKeyed(ctx context.Context, id string) (Outcome, error) {
+	doubt := false
+	for {
+		outcome, err := c.attemptKeyed(ctx, id)
+		switch {
+		case outcome == Acknowledged && doubt:
+			c.record.count(func(n *Counts) { n.KeyedSettled++ })
+			return outcome, nil
+		case outcome == Acknowledged:
+			if c.random.IntN(keyedRepeatOneIn) == 0 {
+				_, _ = c.attemptKeyed(ctx, id)
+				c.record.count(func(n *Counts) { n.KeyedRepeats++ })
+			}
+			return outcome, nil
+		case outcome == Unknown:
+			doubt = true
+		}
+		pause(ctx, reconnectPause)
+		if ctx.Err() != nil {
+			if doubt {
+				return Unknown, err
+			}
+			return outcome, err
+		}
+	}
+}
+
+// attemptKeyed runs the write once, with a connect if the connection is lost.
+// What fails before the write is sent was not run.
+func (c *caller) attemptKeyed(ctx context.Context, id string) (Outcome, error) {
+	if c.conn == nil || c.conn.IsClosed() || c.random.IntN(keyedRepeatOneIn) == 0 {
+		c.disconnect()
+		if err := c.connect(ctx); err != nil {
+			return Refused, err
+		}
+	}
+	if _, err := c.conn.Exec(ctx, "SET gypsumgap.request_key = '"+id+"'"); err != nil {
+		return Refused, err
+	}
+	return c.insert(ctx, id)
+}
+
 // writeInTransaction returns Aborted for a failure before COMMIT was sent,
 // unless the proxy refused the transaction.
 func (c *caller) writeInTransaction(ctx context.Context, id string) (Outcome, error) {
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -28,6 +28,8 @@
 	Outcome Outcome
 	// Transaction says that the write was in an explicit transaction.
 	Transaction bool
+	// Keyed says that the write had a request key.
+	Keyed bool
 	// Done is when the outcome was known.
 	Done time.Time
 	// Err is the error of a write that was not acknowledged.
@@ -82,6 +84,10 @@
 	// Connects and ConnectsFailed count connections.
 	Connects       int
 	ConnectsFailed int
+	// KeyedSettled counts keyed writes that were in doubt and then acknowledged,
+	// KeyedRepeats those that were repeated after their acknowledgement.
+	KeyedSettled int
+	KeyedRepeats int
 }
 
 func newRecord(now time.Time) *Record {
