Test that a stopped leaving host is dead and a joining host owns nothing

Under the earlier membership table one of eight hosts held a stopped leaving host for leaving after 40 s (trial).

--- a/core/membership/table_test.go
+++ b/core/membership/table_test.go
@@ -210,3 +210,36 @@
 		})
 	}
 }
+
+// Guards against a drained host that stays in the table for good after it has
+// stopped, so that its connections are never reclaimed.
+func TestLeavingHostThatStopsIsDead(t *testing.T) {
+	f := newFleet(9, 8)
+	f.run(10 * time.Second)
+	f.tables["e0"].Leave(f.now)
+	f.run(10 * time.Second)
+	f.down["e0"] = true
+	f.run(40 * time.Second)
+	for _, name := range f.names[1:] {
+		if s := f.state(name, "e0"); s != Dead {
+			t.Errorf("%s holds e0 for %s", name, s)
+		}
+	}
+}
+
+// Guards against a host without the store that takes databases from hosts that
+// hold connections, and against databases that nobody owns when no host has
+// reached the store.
+func TestJoiningHostOwnsNothingWhileOthersCan(t *testing.T) {
+	ready := Member{Name: "e1", Zone: "z1", Region: "r", State: Alive, Incarnation: 1, ForwardAddress: "e1"}
+	joining := Member{Name: "e2", Zone: "z2", Region: "r", State: Alive, Incarnation: 1}
+	for i := range 50 {
+		database := fmt.Sprintf("db%d", i)
+		if got := Owners(database, "r", []Member{ready, joining}); len(got) != 1 || got[0].Name != "e1" {
+			t.Errorf("%s: owners %v", database, got)
+		}
+		if got := Owners(database, "r", []Member{joining}); len(got) != 1 {
+			t.Errorf("%s: %d owners while all hosts join", database, len(got))
+		}
+	}
+}
