--- a/daemon/internal/control/host_test.go
+++ b/daemon/internal/control/host_test.go
@@ -129,6 +129,10 @@
 			if p.group() != nil {
 				t.Errorf("%s owns the database without a share", p.name)
 			}
+			st, err := p.ctl.Server().Status(context.Background(), &peerapi.StatusRequest{})
+			if err != nil || st.GetState() != "platform not reached since the start" || st.GetConfigVersion() != w.version {
+				t.Errorf("%s: status %v, %v", p.name, st, err)
+			}
 		}
 		w.store.SetFaults(platformtest.Faults{})
 		time.Sleep(40 * time.Second)
@@ -348,3 +352,46 @@
 		}
 	}
 }
+
+// Guards against two keepers of one database that write as the same holder: a
+// database that was given up is taken again while transactions still run.
+func TestDatabaseGivenUpAndTakenAgain(t *testing.T) {
+	run(t, 4, func(w *world, procs []*proc) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		for _, p := range procs {
+			p.use(ctx, 12, 3*time.Second)
+		}
+		before := owners(procs)[0][0]
+		late := w.start(usurper(t, procs))
+		for late.group() == nil {
+			time.Sleep(100 * time.Millisecond)
+		}
+		late.ctl.Leave()
+		time.Sleep(30 * time.Second)
+		if found := w.violation(); found != "" {
+			t.Error(found)
+		}
+		if owners(procs)[0][0] != before {
+			t.Error("database did not return to its owner")
+		}
+		checkOwners(t, w, procs)
+		if g := before.group(); w.stored().Count(before.id) != g.share {
+			t.Errorf("owner uses %d connections, the store records %d", g.share, w.stored().Count(before.id))
+		}
+	})
+}
+
+// usurper returns the number of a host that would be the first owner.
+func usurper(t *testing.T, procs []*proc) int {
+	t.Helper()
+	for i := len(procs); i < 50; i++ {
+		m := membership.Member{Name: hostName(i), ForwardAddress: "f", Zone: zoneOf(i), Region: "r", State: membership.Alive, Incarnation: 1}
+		members := append(procs[0].ctl.Board().View().Members, m)
+		if membership.Owners(dbName, "r", members)[0].Name == m.Name {
+			return i
+		}
+	}
+	t.Fatal("no host would be the first owner")
+	return 0
+}
--- a/daemon/internal/control/peerserver.go
+++ b/daemon/internal/control/peerserver.go
@@ -87,6 +87,8 @@
 		state = "draining"
 	case !v.ConfigReady:
 		state = "no confirmed configuration"
+	case v.Self.Joining():
+		state = "platform not reached since the start"
 	}
 	resp := &peerapi.StatusResponse{
 		Host:          v.Self.Name,
