Keep the callers of a benchmark open until it ends

One of four runs of BenchmarkIdleCallerMemory failed with 0 of 4,000 sessions: the caller process had no reference to its connections left, so the collector closed them.

--- a/daemon/internal/session/callers_bench_test.go
+++ b/daemon/internal/session/callers_bench_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"os"
 	process "os/exec"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -67,6 +68,8 @@
 	}
 	fmt.Println("done")
 	_, err = io.Copy(io.Discard, os.Stdin)
+	// A collected connection is closed, which would end the sessions.
+	runtime.KeepAlive(conns)
 	return err
 }
 
