Send requests to the other owner while this one has no connections

An owner whose share is 0, since the store is down or the share of a dead owner is not reclaimed yet, kept requests until their deadline.

--- a/daemon/internal/control/routing.go
+++ b/daemon/internal/control/routing.go
@@ -52,10 +52,13 @@
 	return hosts
 }
 
-// Local returns the router of a database that this host owns, or nil.
+// Local returns the router of a database that this host owns, or nil. While
+// the host may open no connection, because the store is down or the share of a
+// dead owner is not reclaimed yet, requests go to the other owner instead of
+// waiting here until their deadline.
 func (d Directory) Local(database string) route.Router {
 	g, ok := d.Board.View().Groups[database]
-	if !ok {
+	if !ok || g.Share() == 0 {
 		return nil
 	}
 	return g.Router
