--- a/daemon/internal/session/golden_test.go
+++ b/daemon/internal/session/golden_test.go
@@ -23,17 +23,21 @@
 	log bytes.Buffer
 }
 
-func newWireCaller(t *testing.T, w *world) *wireCaller {
+func newWireCaller(t *testing.T, w *world) *wireCaller { return newWireCallerWith(t, w, "") }
+
+// newWireCallerWith connects with a session token, if it is not empty.
+func newWireCallerWith(t *testing.T, w *world, token string) *wireCaller {
 	nc, err := w.n.dial(context.Background(), "tcp", w.address)
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { nc.Close() })
 	c := &wireCaller{t: t, nc: nc, fe: pgproto3.NewFrontend(nc, nc)}
-	c.send(&pgproto3.StartupMessage{
-		ProtocolVersion: pgproto3.ProtocolVersion30,
-		Parameters:      map[string]string{"user": "mechanic", "database": "werkplaats-1-a"},
-	})
+	parameters := map[string]string{"user": "mechanic", "database": "werkplaats-1-a"}
+	if token != "" {
+		parameters["gypsumgap.session_token"] = token
+	}
+	c.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: parameters})
 	c.receive()
 	return c
 }
@@ -115,6 +119,28 @@
 	})
 }
 
+// Guards against a roaming session whose writes another proxy does not know of:
+// the token of the first session must reach the router with each request of the
+// second.
+func TestGoldenRoaming(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, nil)
+		const token = "werkplaats-1-a/1:100"
+		w.router.finish = func(int) (string, error) { return token, nil }
+		first := newWireCaller(t, w)
+		first.query("INSERT floor_check")
+		second := newWireCallerWith(t, w, token)
+		second.query("SELECT 1 /*class='status-page'*/")
+		second.query("SET gypsumgap.session_token = 'none'")
+		second.query("SELECT 1 /*class='status-page'*/")
+		first.log.Write(second.log.Bytes())
+		for _, r := range w.router.begun() {
+			fmt.Fprintf(&first.log, "router: class=%q token=%q\n", r.Class, r.Token)
+		}
+		golden(t, w, first)
+	})
+}
+
 // Guards against a replay that differs on the wire from the first answer.
 func TestGoldenReplayed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
