--- a/core/confsync/doc.go
+++ b/core/confsync/doc.go
@@ -25,5 +25,6 @@
 // tells no version, because it can't say whether the one it holds is current.
 //
 // The machine receives time, randomness and messages as inputs; its outputs
-// are calls to make. It is not safe for concurrent use; Published is.
+// are calls to make. It is not safe for concurrent use; Published is. Node runs
+// a machine, makes its calls and watches the store.
 package confsync
