Export the metrics that the burn report reads

The report was written against assumed names, and the daemon counted a forwarded request at both hosts. Requests now count where they end: at the owner, or where they were refused. The first owner counts the seconds for which it saw the primary accept writes.

--- a/daemon/internal/host/host.go
+++ b/daemon/internal/host/host.go
@@ -98,7 +98,7 @@
 		Local:    directory.Local,
 		Policy:   directory.Policy,
 		Dial:     h.dialer(strconv.FormatUint(incarnation, 10)),
-		Recorder: h.metrics,
+		Recorder: h.metrics.Entry(),
 	})
 	options := session.Options{
 		Router:    h.entry,
@@ -239,12 +239,27 @@
 func (h *Host) maintain(ctx context.Context) {
 	ticker := time.NewTicker(route.MaintainInterval)
 	defer ticker.Stop()
+	seconds := time.NewTicker(time.Second)
+	defer seconds.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
 			h.entry.Maintain()
+		case <-seconds.C:
+			h.countDatabases()
+		}
+	}
+}
+
+// countDatabases counts a second for each database of which this host is the
+// first owner.
+func (h *Host) countDatabases() {
+	for name, g := range h.control.Board().View().Groups {
+		if g.Rank == 0 {
+			_, _, writable := g.Tracker.Primary()
+			h.metrics.DatabaseSeconds(g.Ref.Service.Name, name, writable, 1)
 		}
 	}
 }
--- a/daemon/internal/metrics/metrics.go
+++ b/daemon/internal/metrics/metrics.go
@@ -96,8 +96,10 @@
 	refused    sync.Map // route.Refusal -> tally.Counter
 	unknown    tally.Counter
 	stale      tally.Counter
-	finished   tally.Counter
+	outcomes   map[string]tally.Counter
+	reads      map[route.Path]tally.Counter
 	elapsed    tally.Histogram
+	forwarded  tally.Histogram
 	scope      tally.Scope
 }
 
@@ -108,6 +110,21 @@
 	route.PathForward:     "forward",
 }
 
+// readTargets names where the reads of a path were served.
+var readTargets = map[route.Path]string{
+	route.PathReplica:     "replica",
+	route.PathPrimaryRead: "primary",
+}
+
+// The outcomes of requests. A request is counted where it ended: at the owner
+// of its database, or where it was refused.
+const (
+	outcomeAnswered = "answered"
+	outcomeRefused  = "refused"
+	outcomeUnknown  = "unknown"
+	outcomeStale    = "stale"
+)
+
 func (m *Metrics) class(l route.Labels) *classMetrics {
 	if c, ok := m.perClass.Load(l); ok {
 		return c.(*classMetrics)
@@ -123,10 +140,18 @@
 		statements: scope.Counter("statements_total"),
 		unknown:    scope.Counter("outcome_unknown_total"),
 		stale:      scope.Counter("stale_reads_total"),
-		finished:   scope.Counter("finished_total"),
-		elapsed:    scope.Histogram("transaction_seconds", latencyBuckets),
+		outcomes:   map[string]tally.Counter{},
+		reads:      map[route.Path]tally.Counter{},
+		elapsed:    scope.Histogram("request_duration_seconds", latencyBuckets),
+		forwarded:  scope.Histogram("forward_duration_seconds", latencyBuckets),
 		scope:      scope,
 	}
+	for _, outcome := range []string{outcomeAnswered, outcomeRefused, outcomeUnknown, outcomeStale} {
+		c.outcomes[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_total")
+	}
+	for path, target := range readTargets {
+		c.reads[path] = scope.Tagged(map[string]string{"target": target}).Counter("reads_total")
+	}
 	for path, pathName := range pathNames {
 		c.began[path] = scope.Tagged(map[string]string{"path": pathName}).Counter("transactions_total")
 	}
@@ -139,6 +164,9 @@
 	c := m.class(l)
 	c.began[p].Inc(1)
 	c.wait.RecordDuration(wait)
+	if reads, ok := c.reads[p]; ok {
+		reads.Inc(1)
+	}
 }
 
 // Statements implements route.Recorder.
@@ -152,17 +180,48 @@
 		counter, _ = c.refused.LoadOrStore(r, c.scope.Tagged(map[string]string{"reason": string(r)}).Counter("refused_total"))
 	}
 	counter.(tally.Counter).Inc(1)
+	c.outcomes[outcomeRefused].Inc(1)
 }
 
 // OutcomeUnknown implements route.Recorder.
-func (m *Metrics) OutcomeUnknown(l route.Labels) { m.class(l).unknown.Inc(1) }
+func (m *Metrics) OutcomeUnknown(l route.Labels) {
+	c := m.class(l)
+	c.unknown.Inc(1)
+	c.outcomes[outcomeUnknown].Inc(1)
+}
 
 // StaleRead implements route.Recorder.
-func (m *Metrics) StaleRead(l route.Labels) { m.class(l).stale.Inc(1) }
+func (m *Metrics) StaleRead(l route.Labels) {
+	c := m.class(l)
+	c.stale.Inc(1)
+	c.outcomes[outcomeStale].Inc(1)
+}
 
 // Finished implements route.Recorder.
 func (m *Metrics) Finished(l route.Labels, elapsed time.Duration) {
 	c := m.class(l)
-	c.finished.Inc(1)
+	c.outcomes[outcomeAnswered].Inc(1)
 	c.elapsed.RecordDuration(elapsed)
 }
+
+// Entry returns the recorder of the router that forwards requests to owners,
+// which count their answers.
+func (m *Metrics) Entry() route.Recorder { return entryRecorder{m} }
+
+type entryRecorder struct{ *Metrics }
+
+// Finished implements route.Recorder.
+func (e entryRecorder) Finished(l route.Labels, elapsed time.Duration) {
+	e.class(l).forwarded.RecordDuration(elapsed)
+}
+
+// DatabaseSeconds counts seconds for which the first owner of a database saw it
+// accept writes or not.
+func (m *Metrics) DatabaseSeconds(service, database string, writable bool, seconds int) {
+	state := "not_writable"
+	if writable {
+		state = "writable"
+	}
+	m.scope.Tagged(map[string]string{"service": service, "database": database, "state": state}).
+		Counter("database_seconds_total").Inc(int64(seconds))
+}
