--- a/core/membership/owners.go
+++ b/core/membership/owners.go
@@ -61,12 +61,12 @@
 // until they have heard of each other. A host that has not reached the store
 // since its start can't hold connections yet and counts only if no other does.
 func owning(region string, members []Member) []Member {
-	var ready, any scope
+	var ready, living scope
 	for _, m := range members {
 		if m.State != Alive && m.State != Suspect {
 			continue
 		}
-		any.add(m, region)
+		living.add(m, region)
 		if !m.Joining() {
 			ready.add(m, region)
 		}
@@ -74,7 +74,7 @@
 	if len(ready.all) > 0 {
 		return ready.choose()
 	}
-	return any.choose()
+	return living.choose()
 }
 
 // scope is a set of members, with those of one region.
--- a/core/shares/shares_test.go
+++ b/core/shares/shares_test.go
@@ -100,3 +100,20 @@
 		}
 	}
 }
+
+// Guards against a confirmation that is lost when the count changes, so that
+// others take the holder for one that has not written.
+func TestConfirmationsGrowAndStay(t *testing.T) {
+	none := func(Holder) bool { return false }
+	self := Holder{Host: "e1", Incarnation: 1}
+	before := Plan(Allocation{}, 45, self, 0, 0, none)
+	a := before.Confirm(self, before)
+	a = a.Confirm(self, a)
+	a = Plan(a, 45, self, 1, 0, none)
+	if got := a.confirmations(self); got != 2 {
+		t.Errorf("%d confirmations, want 2", got)
+	}
+	if before.confirmations(self) != 0 {
+		t.Error("a confirmation changed the allocation that was read")
+	}
+}
