Don't repeat the release of shares at full pace while the store is down

Cause: a stopping host repeated each release every 50 ms, whatever the failure. Only a conflict is repeated after 50 ms now, other failures after 500 ms. The test's hosts now hear from each other and its backend servers answer that they have no connections, since isolated hosts confirm their shares anew.

--- a/daemon/internal/control/fleet_test.go
+++ b/daemon/internal/control/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumgap/gypsumgap/core/confstore"
 	"github.com/gypsumgap/gypsumgap/core/confsync"
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/group/pgcontrol"
 	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/platform"
 	"github.com/gypsumgap/gypsumgap/core/platform/platformtest"
@@ -86,9 +87,37 @@
 	quiet.SetOutput(io.Discard)
 	options := membership.DefaultOptions()
 	options.ProbeInterval, options.SuspicionTimeout = 24*time.Hour, 24*time.Hour
-	return New(Options{Self: self, Store: store, Members: options, Log: logrus.NewEntry(quiet)})
+	return New(Options{
+		Self: self, Store: store, Members: options, GroupClient: noSlots{}, Log: logrus.NewEntry(quiet),
+	})
+}
+
+// noSlots is a group client whose backend servers have no connections and
+// answer nothing else.
+type noSlots struct{}
+
+func (noSlots) Status(context.Context, group.Slot) (group.Status, error) {
+	return group.Status{}, group.ErrUnreachable
+}
+
+func (noSlots) Fence(context.Context, group.Slot, group.Term) (group.Status, error) {
+	return group.Status{}, group.ErrUnreachable
+}
+
+func (noSlots) Promote(context.Context, group.Slot, group.Term) (group.Status, error) {
+	return group.Status{}, group.ErrUnreachable
 }
 
+func (noSlots) Follow(context.Context, group.Slot, group.Term, string) (group.Status, error) {
+	return group.Status{}, group.ErrUnreachable
+}
+
+func (noSlots) Connections(context.Context, group.Slot) ([]pgcontrol.Connection, error) {
+	return nil, nil
+}
+
+func (noSlots) Close() {}
+
 // fleet is a number of controllers in virtual time that are told the members.
 type fleet struct {
 	store       *shareStore
@@ -128,17 +157,27 @@
 // tell gives changes of members to every controller.
 func (f *fleet) tell(changes []membership.Member) {
 	for _, c := range f.controllers {
-		c.post(probeAnswered{message: membership.Message{Updates: changes}})
+		c.post(probeAnswered{sent: time.Now(), message: membership.Message{Updates: changes}})
 	}
 }
 
 // settle covers the delay after which a host that gave a database up releases
 // its share, and retries until then.
 func (f *fleet) settle() {
-	time.Sleep(retirePoll + shareRetryMax)
+	f.pass(retirePoll + shareRetryMax)
 	synctest.Wait()
 }
 
+// pass lets time pass in which the hosts hear from each other, since a host
+// that hears of nobody takes itself for isolated and confirms its shares anew.
+func (f *fleet) pass(d time.Duration) {
+	const contact = time.Second
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		f.tell(nil)
+		time.Sleep(min(contact, time.Until(end)))
+	}
+}
+
 // calls runs change and returns the calls for shares that follow.
 func (f *fleet) calls(change func()) (gets, puts int64) {
 	g, p := f.store.gets.Load(), f.store.puts.Load()
@@ -160,7 +199,7 @@
 func (f *fleet) joins(t *testing.T) {
 	m := testMember(len(f.members))
 	f.start(t, m)
-	f.controllers[m.Name].post(probeAnswered{message: membership.Message{Updates: f.members}})
+	f.controllers[m.Name].post(probeAnswered{sent: time.Now(), message: membership.Message{Updates: f.members}})
 	f.members = append(f.members, m)
 	f.tell([]membership.Member{m})
 }
@@ -169,7 +208,7 @@
 func (f *fleet) leaves(name string) {
 	f.controllers[name].Leave()
 	f.remove(name, membership.Leaving)
-	time.Sleep(time.Second)
+	f.pass(time.Second)
 	f.stops[name]()
 }
 
@@ -178,7 +217,7 @@
 	f.store.SetFaults(platformtest.Faults{Down: true})
 	f.stops[name]()
 	synctest.Wait()
-	time.Sleep(3 * time.Second)
+	f.pass(3 * time.Second)
 	f.store.SetFaults(platformtest.Faults{})
 	f.remove(name, membership.Dead)
 }
--- a/daemon/internal/control/share.go
+++ b/daemon/internal/control/share.go
@@ -529,12 +529,18 @@
 		if err == nil {
 			return
 		}
+		// A conflict is settled by the next read; a store that is down must not
+		// be asked at that pace by every host that stops.
+		wait := shareRetryMin
+		if errors.Is(err, platform.ErrConflict) {
+			wait = shareConflictRetry
+		}
 		select {
 		case <-ctx.Done():
 			k.c.log.WithField("database", k.database).WithField("event", "share_release_failed").WithError(err).
 				Warn("can't release connections")
 			return
-		case <-time.After(shareConflictRetry):
+		case <-time.After(wait):
 		}
 	}
 }
