Leave out joining hosts in the incremental ownership too

Owners left out hosts that have not reached the store since their start, Ownership did not, so that such hosts took databases from owners in a store outage (TestStartDuringOutageTakesNothing). Both use one filter now, and the test that compares them draws joining hosts.

--- a/core/membership/owners.go
+++ b/core/membership/owners.go
@@ -54,47 +54,43 @@
 	return out
 }
 
-// owning returns the members that may own a database of the region. A suspect
-// host still counts, because most suspicions are refuted and each move of
-// ownership costs connections. So does a host that only the platform's list
-// names, since hosts that start together would otherwise each own everything
-// until they have heard of each other. A host that has not reached the store
-// since its start can't hold connections yet and counts only if no other does.
+// owning returns the eligible members of the region, or of all regions if it
+// has none.
 func owning(region string, members []Member) []Member {
-	var ready, living scope
+	all := eligible(members)
+	var near []Member
+	for _, m := range all {
+		if m.Region == region {
+			near = append(near, m)
+		}
+	}
+	if len(near) > 0 {
+		return near
+	}
+	return all
+}
+
+// eligible returns the members that may own databases. A suspect host still
+// counts, because most suspicions are refuted and each move of ownership costs
+// connections. So does a host that only the platform's list names, since hosts
+// that start together would otherwise each own everything until they have heard
+// of each other. A host that has not reached the store since its start can't
+// hold connections yet and counts only if no other does.
+func eligible(members []Member) []Member {
+	var ready, living []Member
 	for _, m := range members {
 		if m.State != Alive && m.State != Suspect {
 			continue
 		}
-		living.add(m, region)
+		living = append(living, m)
 		if !m.Joining() {
-			ready.add(m, region)
+			ready = append(ready, m)
 		}
 	}
-	if len(ready.all) > 0 {
-		return ready.choose()
-	}
-	return living.choose()
-}
-
-// scope is a set of members, with those of one region.
-type scope struct {
-	all, near []Member
-}
-
-func (s *scope) add(m Member, region string) {
-	s.all = append(s.all, m)
-	if m.Region == region {
-		s.near = append(s.near, m)
-	}
-}
-
-// choose returns the members of the region, or all if it has none.
-func (s *scope) choose() []Member {
-	if len(s.near) > 0 {
-		return s.near
+	if len(ready) > 0 {
+		return ready
 	}
-	return s.all
+	return living
 }
 
 func score(database, host string) uint64 {
--- a/core/membership/ownership.go
+++ b/core/membership/ownership.go
@@ -123,12 +123,10 @@
 
 // SetMembers replaces the members, as Table.Members returns them.
 func (o *Ownership) SetMembers(members []Member) {
+	members = eligible(members)
 	listed := make(map[string]struct{}, len(members))
 	var added []Member
 	for _, m := range members {
-		if m.State != Alive && m.State != Suspect {
-			continue
-		}
 		listed[m.Name] = struct{}{}
 		h, ok := o.hosts[m.Name]
 		switch {
--- a/core/membership/ownership_test.go
+++ b/core/membership/ownership_test.go
@@ -41,8 +41,9 @@
 	drawMember := func(t *rapid.T) Member {
 		region := rapid.SampledFrom(regions).Draw(t, "region")
 		return Member{
-			Name:           fmt.Sprintf("e%d", rapid.IntRange(0, 19).Draw(t, "host")),
-			ForwardAddress: fmt.Sprintf("a%d", rapid.IntRange(0, 1).Draw(t, "address")),
+			Name: fmt.Sprintf("e%d", rapid.IntRange(0, 19).Draw(t, "host")),
+			// A host without an address is joining.
+			ForwardAddress: rapid.SampledFrom([]string{"", "a0", "a1"}).Draw(t, "address"),
 			Zone:           fmt.Sprintf("%s-%d", region, rapid.IntRange(0, 2).Draw(t, "zone")),
 			Region:         region,
 			State:          rapid.SampledFrom([]State{Alive, Alive, Suspect, Leaving, Dead}).Draw(t, "state"),
