Let a newer primary serve reads after a barrier of an older term

Right after a promotion the barrier may still lie in the term before. The primary then has every acknowledged commit, since its log covers those of a fence quorum; the read waited for another barrier until then.

--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -110,7 +110,7 @@
 func (r *refusal) Unwrap() error { return r.err }
 
 var (
-	errRebarrier      = errors.New("the primary is not of the barrier's term")
+	errRebarrier      = errors.New("the primary is of an older term than the barrier")
 	errPrimaryChanged = errors.New("the primary is changing")
 )
 
@@ -289,11 +289,12 @@
 }
 
 // beginPrimary waits for a primary and a connection to it. The primary's term
-// must be that of the barrier if one is given, and at least the token's. While
+// must be at least that of the barrier and of the token: a newer primary has every
+// acknowledged commit of older terms. While
 // nothing was sent, the request may wait for another primary.
 func (o *OwnerRouter) beginPrimary(ctx context.Context, q *pending, barrier group.Term, path Path) (*ownerTx, error) {
 	for {
-		if _, term, ok := o.observe(); ok && barrier != 0 && term != barrier {
+		if _, term, ok := o.observe(); ok && term < barrier {
 			return nil, errRebarrier
 		}
 		tx, err := o.startPrimary(ctx, q, barrier, path)
@@ -339,7 +340,7 @@
 	switch {
 	case !ok:
 		return slot, term, errPrimaryChanged
-	case barrier != 0 && term != barrier:
+	case term < barrier:
 		return slot, term, errRebarrier
 	case term < q.need.Term:
 		return slot, term, fmt.Errorf("the session has seen term %d, the primary is of term %d", q.need.Term, term)
--- a/daemon/internal/route/owner_read.go
+++ b/daemon/internal/route/owner_read.go
@@ -61,7 +61,7 @@
 }
 
 // beginCovering serves a read from a slot that has applied the barrier. It
-// fails with errRebarrier if the barrier is not of the primary's term.
+// fails with errRebarrier if the primary is of an older term than the barrier.
 func (o *OwnerRouter) beginCovering(ctx context.Context, q *pending) (*ownerTx, error) {
 	tx, err := o.beginReplica(ctx, q)
 	if err != nil || tx != nil {
