--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -289,9 +289,9 @@
 }
 
 // beginPrimary waits for a primary and a connection to it. The primary's term
-// must be at least that of the barrier and of the token: a newer primary has every
-// acknowledged commit of older terms. While
-// nothing was sent, the request may wait for another primary.
+// must be at least that of the barrier and of the token: a newer primary has
+// every acknowledged commit of older terms. While nothing was sent, the request
+// may wait for another primary.
 func (o *OwnerRouter) beginPrimary(ctx context.Context, q *pending, barrier group.Term, path Path) (*ownerTx, error) {
 	for {
 		if _, term, ok := o.observe(); ok && term < barrier {
