--- a/daemon/internal/metrics/metrics.go
+++ b/daemon/internal/metrics/metrics.go
@@ -90,17 +90,16 @@
 var ErrNotReady = errors.New("not ready")
 
 type classMetrics struct {
-	began      map[route.Path]tally.Counter
-	wait       tally.Histogram
-	statements tally.Counter
-	refused    sync.Map // route.Refusal -> tally.Counter
-	unknown    tally.Counter
-	stale      tally.Counter
-	outcomes   map[string]tally.Counter
-	reads      map[route.Path]tally.Counter
-	elapsed    tally.Histogram
-	forwarded  tally.Histogram
-	scope      tally.Scope
+	began     map[route.Path]tally.Counter
+	wait      tally.Histogram
+	refused   sync.Map // route.Refusal -> tally.Counter
+	unknown   tally.Counter
+	stale     tally.Counter
+	outcomes  map[string]tally.Counter
+	reads     map[route.Path]tally.Counter
+	elapsed   tally.Histogram
+	forwarded tally.Histogram
+	scope     tally.Scope
 }
 
 var pathNames = map[route.Path]string{
@@ -135,16 +134,15 @@
 	}
 	scope := m.scope.Tagged(map[string]string{"service": l.Service, "class": name})
 	c := &classMetrics{
-		began:      map[route.Path]tally.Counter{},
-		wait:       scope.Histogram("connection_wait_seconds", latencyBuckets),
-		statements: scope.Counter("statements_total"),
-		unknown:    scope.Counter("outcome_unknown_total"),
-		stale:      scope.Counter("stale_reads_total"),
-		outcomes:   map[string]tally.Counter{},
-		reads:      map[route.Path]tally.Counter{},
-		elapsed:    scope.Histogram("request_duration_seconds", latencyBuckets),
-		forwarded:  scope.Histogram("forward_duration_seconds", latencyBuckets),
-		scope:      scope,
+		began:     map[route.Path]tally.Counter{},
+		wait:      scope.Histogram("connection_wait_seconds", latencyBuckets),
+		unknown:   scope.Counter("outcome_unknown_total"),
+		stale:     scope.Counter("stale_reads_total"),
+		outcomes:  map[string]tally.Counter{},
+		reads:     map[route.Path]tally.Counter{},
+		elapsed:   scope.Histogram("request_duration_seconds", latencyBuckets),
+		forwarded: scope.Histogram("forward_duration_seconds", latencyBuckets),
+		scope:     scope,
 	}
 	for _, outcome := range []string{outcomeAnswered, outcomeRefused, outcomeUnknown, outcomeStale} {
 		c.outcomes[outcome] = scope.Tagged(map[string]string{"outcome": outcome}).Counter("requests_total")
@@ -169,9 +167,6 @@
 	}
 }
 
-// Statements implements route.Recorder.
-func (m *Metrics) Statements(l route.Labels, n int) { m.class(l).statements.Inc(int64(n)) }
-
 // Refused implements route.Recorder.
 func (m *Metrics) Refused(l route.Labels, r route.Refusal) {
 	c := m.class(l)
--- a/daemon/internal/route/recorder.go
+++ b/daemon/internal/route/recorder.go
@@ -41,8 +41,6 @@
 	// Began counts a transaction that got a connection, and the time from
 	// Begin to then.
 	Began(l Labels, p Path, wait time.Duration)
-	// Statements counts statements; the session calls it.
-	Statements(l Labels, n int)
 	// Refused counts a request that was not run.
 	Refused(l Labels, r Refusal)
 	// OutcomeUnknown counts a transaction that may or may not have taken effect.
@@ -57,7 +55,6 @@
 type discard struct{}
 
 func (discard) Began(Labels, Path, time.Duration) {}
-func (discard) Statements(Labels, int)            {}
 func (discard) Refused(Labels, Refusal)           {}
 func (discard) OutcomeUnknown(Labels)             {}
 func (discard) StaleRead(Labels)                  {}
