--- a/standin/demo/layout.go
+++ b/standin/demo/layout.go
@@ -174,6 +174,10 @@
 			})
 		}
 		service := yaml.MapSlice{
+			{Key: "objectives", Value: yaml.MapSlice{
+				{Key: "answered_within", Value: "500ms"}, {Key: "answered_share", Value: 0.999},
+				{Key: "writable_share", Value: 0.9999}, {Key: "replica_read_share", Value: 0.8},
+			}},
 			{Key: "callers", Value: []yaml.MapSlice{{{Key: "user", Value: dep.caller}, {Key: "verifier", Value: w.verifier(callerPassword)}}}},
 			{Key: "databases", Value: []yaml.MapSlice{{
 				{Key: "name", Value: dep.database}, {Key: "connection_limit", Value: dep.limit}, {Key: "slots", Value: slots},
