State and check that 57P01 from a host means not run

A request sent just when its idle session is ended by a drain is answered with 57P01. The load took that for an unknown outcome. Sessions end between transactions only, and a backend server's 57P01 is never passed on, so the request did not run; the checker now holds such writes to be absent.

--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -139,7 +139,7 @@
 		record, wait, err := load.Start(loadCtx, load.Options{
 			Addresses: addresses, Database: dep.database, User: dep.caller, Password: callerPassword,
 			Run: "demo", Sessions: sessions, StatusPages: statusPages, ReadClass: "own-read",
-			Pause: callerPause, Seed: seed, Timeout: callerTimeout, Keyed: true, Healthy: healthy.healthy,
+			Pause: callerPause, Seed: seed, Timeout: callerTimeout, Proxied: true, Healthy: healthy.healthy,
 		})
 		if err != nil {
 			cancel()
--- a/standin/load/caller.go
+++ b/standin/load/caller.go
@@ -17,6 +17,9 @@
 	// codeNotRun and codeUnknownOutcome are the SQLSTATEs of a proxy.
 	codeNotRun         = "YG001"
 	codeUnknownOutcome = "08007"
+	// codeHostStopped ends a proxy's session between transactions: a request that
+	// it answers was not run. From a backend server it leaves the outcome open.
+	codeHostStopped = "57P01"
 
 	tokenParameter = "gypsumgap.session_token"
 	emptyToken     = "none"
@@ -197,7 +200,7 @@
 	case kind == 0:
 		w.Transaction = true
 	case kind == 1:
-		w.Keyed = c.opts.Keyed
+		w.Keyed = c.opts.Proxied
 	}
 	started := time.Now()
 	var err error
@@ -222,7 +225,7 @@
 
 func (c *caller) insert(ctx context.Context, id string) (Outcome, error) {
 	_, err := c.conn.Exec(ctx, insertSQL, id, c.name, c.seq)
-	return outcomeOf(err), err
+	return c.outcomeOf(err), err
 }
 
 // writeKeyed runs a write under a request key and repeats it, through any
@@ -276,23 +279,32 @@
 func (c *caller) writeInTransaction(ctx context.Context, id string) (Outcome, error) {
 	tx, err := c.conn.Begin(ctx)
 	if err != nil {
-		return beforeCommit(err), err
+		return c.beforeCommit(err), err
 	}
 	if _, err := tx.Exec(ctx, insertSQL, id, c.name, c.seq); err != nil {
 		_ = tx.Rollback(ctx)
-		return beforeCommit(err), err
+		return c.beforeCommit(err), err
 	}
 	err = tx.Commit(ctx)
-	return outcomeOf(err), err
+	return c.outcomeOf(err), err
 }
 
-func beforeCommit(err error) Outcome {
-	if outcomeOf(err) == Refused {
+func (c *caller) beforeCommit(err error) Outcome {
+	if c.outcomeOf(err) == Refused {
 		return Refused
 	}
 	return Aborted
 }
 
+// outcomeOf is the function of that name, with what only a proxy's answer tells.
+func (c *caller) outcomeOf(err error) Outcome {
+	var answer *pgconn.PgError
+	if c.opts.Proxied && errors.As(err, &answer) && answer.Code == codeHostStopped {
+		return Refused
+	}
+	return outcomeOf(err)
+}
+
 // outcomeOf tells what an error says of the statement that it ended.
 func outcomeOf(err error) Outcome {
 	var answer *pgconn.PgError
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -54,8 +54,9 @@
 	RoamEvery int
 	// ReadClass is a class of reads that a part of the reads names in a comment; empty for none.
 	ReadClass string
-	// Keyed lets a third of the writes have request keys, which a proxy must support.
-	Keyed bool
+	// Proxied says that the addresses are proxies and not backend servers. A third
+	// of the writes then has request keys.
+	Proxied bool
 	// Pause is the time between the operations of a caller.
 	Pause time.Duration
 	// Healthy reports whether an address takes callers, as a balancer in front
