--- a/core/membership/table.go
+++ b/core/membership/table.go
@@ -266,10 +266,9 @@
 		age := now.Sub(e.since)
 		switch {
 		case e.State == Suspect && age >= t.opts.SuspicionTimeout:
-			t.set(now, e, Member{
-				Name: e.Name, PeerAddress: e.PeerAddress, ForwardAddress: e.ForwardAddress,
-				Zone: e.Zone, Region: e.Region, State: Dead, Incarnation: e.Incarnation,
-			})
+			m := e.Member
+			m.State = Dead
+			t.set(now, e, m)
 		case e.State == Dead && !e.listed && age >= t.opts.Retention:
 			delete(t.entries, name)
 			delete(t.fresh, name)
@@ -315,7 +314,7 @@
 func (t *Table) Receive(now time.Time, m Message) Message {
 	differs := m.Digest != t.sum
 	t.merge(now, m.Updates)
-	t.heard(now, m.From)
+	t.heard(m.From)
 	answer := t.message(m.From, differs && !m.All)
 	if m.All {
 		answer.Updates = t.heardOf()
@@ -339,7 +338,7 @@
 func (t *Table) ProbeAnswered(now time.Time, target string, m Message) {
 	t.synced = true
 	t.merge(now, m.Updates)
-	t.heard(now, target)
+	t.heard(target)
 }
 
 // ProbeFailed records that a probe had no answer and returns indirect probes
@@ -369,7 +368,7 @@
 		return
 	}
 	if reached {
-		t.heard(now, target)
+		t.heard(target)
 		return
 	}
 	if open > 1 {
@@ -385,7 +384,7 @@
 // heard notes that target itself answered, which ends the open indirect
 // probes. It does not end a suspicion: only the target's own greater
 // incarnation does, so that all hosts agree on the order of events.
-func (t *Table) heard(_ time.Time, target string) {
+func (t *Table) heard(target string) {
 	delete(t.pending, target)
 }
 
