Read closed before gone in the pool's random test

Cause: the test failed about once in 300 runs with 'a closed connection was handed out'. It read whether the pool had given the connection up, then whether it was closed; a change of address between the two reads closed it in between. Ruled out: the pool, which marks a connection as gone before it closes it.

--- a/daemon/internal/route/pool_machine_test.go
+++ b/daemon/internal/route/pool_machine_test.go
@@ -115,13 +115,15 @@
 }
 
 func (r *poolRun) enter(c *pooled, target Target) {
-	r.pools.mu.Lock()
-	gone := c.gone
-	r.pools.mu.Unlock()
 	conn := c.conn.(*fakeConn)
 	r.net.mu.Lock()
 	closed := conn.closed
 	r.net.mu.Unlock()
+	// Read after closed: the pool marks a connection as gone before it closes it,
+	// and may do both between the two reads.
+	r.pools.mu.Lock()
+	gone := c.gone
+	r.pools.mu.Unlock()
 	if closed && !gone {
 		r.fail("a closed connection was handed out")
 	}
