Tidy after reading the change again

- session: the two places that run statements ahead of the caller's share one function.
- peer: the client kept a stub per address for good, and nothing called Forget; a stub is cheap, so none is kept.
- control: slices.Equal in place of an own loop over slots.
- board: View.Ready had no caller; Host.Ready gives the reasons as well.
Behaviour is unchanged.

--- a/daemon/internal/board/board.go
+++ b/daemon/internal/board/board.go
@@ -69,9 +69,6 @@
 	return best
 }
 
-// Ready reports whether the host may be given callers.
-func (v *View) Ready() bool { return v.ConfigReady && !v.Draining }
-
 // Board holds the current view.
 type Board struct {
 	view atomic.Pointer[View]
--- a/daemon/internal/control/groups.go
+++ b/daemon/internal/control/groups.go
@@ -57,7 +57,7 @@
 	}
 	for name, p := range places {
 		g, ok := c.groups[name]
-		if ok && !sameSlots(g.Ref.Database, p.ref.Database) {
+		if ok && !slices.Equal(g.Ref.Database.Slots, p.ref.Database.Slots) {
 			c.retire(name, g)
 			ok = false
 		}
@@ -87,18 +87,6 @@
 	return places
 }
 
-func sameSlots(a, b *config.Database) bool {
-	if len(a.Slots) != len(b.Slots) {
-		return false
-	}
-	for i := range a.Slots {
-		if a.Slots[i] != b.Slots[i] {
-			return false
-		}
-	}
-	return true
-}
-
 func (c *Controller) update(g *ownedGroup, p place) {
 	rankChanged := g.Rank != p.rank
 	g.Group.Ref = p.ref
--- a/daemon/internal/peer/client.go
+++ b/daemon/internal/peer/client.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"sync"
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
@@ -22,9 +21,6 @@
 // Client sends control messages to other hosts. It is safe for concurrent use.
 type Client struct {
 	http *http.Client
-
-	mu    sync.Mutex
-	peers map[string]peerapi.Peer
 }
 
 // NewClient returns a client whose connections come from the local address.
@@ -39,27 +35,13 @@
 			MaxIdleConnsPerHost: idlePerHost,
 			IdleConnTimeout:     idleTimeout,
 		}},
-		peers: map[string]peerapi.Peer{},
 	}
 }
 
-// Peer returns the stub of the host with that peer address.
+// Peer returns a stub of the host with that peer address. Stubs are not kept,
+// since hosts are replaced by the thousand a day.
 func (c *Client) Peer(address string) peerapi.Peer {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	p, ok := c.peers[address]
-	if !ok {
-		p = peerapi.NewPeerProtobufClient("http://"+address, c.http)
-		c.peers[address] = p
-	}
-	return p
-}
-
-// Forget drops the stub of a host that is gone.
-func (c *Client) Forget(address string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.peers, address)
+	return peerapi.NewPeerProtobufClient("http://"+address, c.http)
 }
 
 // Probe sends a heartbeat. It fails if the host does not answer before ctx ends.
--- a/daemon/internal/session/keyed.go
+++ b/daemon/internal/session/keyed.go
@@ -448,10 +448,15 @@
 	if err != nil {
 		return err
 	}
+	return s.runAhead()
+}
+
+// runAhead runs statements of the session's own before the caller's are sent. If
+// the connection fails, nothing of the caller's has been sent yet.
+func (s *session) runAhead() error {
 	o, err := s.runInternal()
 	var lost *lostError
 	if errors.As(err, &lost) {
-		// The commit has not been asked for.
 		lost.sent = false
 	}
 	if err != nil {
--- a/daemon/internal/session/parameters.go
+++ b/daemon/internal/session/parameters.go
@@ -1,7 +1,6 @@
 package session
 
 import (
-	"errors"
 	"regexp"
 	"slices"
 	"strings"
@@ -55,18 +54,9 @@
 	if len(s.wire) == 0 {
 		return nil
 	}
-	o, err := s.runInternal()
-	var lost *lostError
-	if errors.As(err, &lost) {
-		// Nothing of the unit has been sent.
-		lost.sent = false
-	}
-	if err != nil {
+	if err := s.runAhead(); err != nil {
 		return err
 	}
-	if o.failure != nil {
-		return serverRefusal(o.failure)
-	}
 	clear(current)
 	for name, value := range s.wanted {
 		current[name] = value
