--- a/daemon/internal/front/server.go
+++ b/daemon/internal/front/server.go
@@ -120,6 +120,10 @@
 	if err != nil {
 		return
 	}
+	if !s.awaitConfiguration() {
+		_ = conn.Refuse(statement.Busy, "host does not know the configuration yet")
+		return
+	}
 	if route, _ := s.options.Catalog.Route(database); route == nil {
 		_ = conn.Refuse(statement.NoDatabase, "no route for this database")
 		return
@@ -138,6 +142,25 @@
 	}
 }
 
+// The wait of callers for the first configuration of a host that has just
+// started. Without it nothing can be said about a route.
+const (
+	configurationWait = 1500 * time.Millisecond
+	configurationPoll = 10 * time.Millisecond
+)
+
+// awaitConfiguration reports whether a configuration is known, after waiting
+// for one if need be.
+func (s *Server) awaitConfiguration() bool {
+	for until := time.Now().Add(configurationWait); s.options.Catalog.Configuration() == nil; {
+		if time.Now().After(until) {
+			return false
+		}
+		time.Sleep(configurationPoll)
+	}
+	return true
+}
+
 // drainPoll separates looks at the sessions during a drain.
 const drainPoll = 20 * time.Millisecond
 
