--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -87,6 +87,9 @@
 	store       objects.Store
 	promoter    objects.Promoter
 	groups      backend.Options
+	// configurationWait and serverWait bound how late a change is found of which
+	// the store did not tell.
+	configurationWait, serverWait time.Duration
 	// now must also count while the host is suspended.
 	now func() time.Time
 	log *logrus.Entry
@@ -107,15 +110,17 @@
 	// failing holds since when calls for a kind fail.
 	failing map[objects.Kind]time.Time
 
-	lease     *lease.Machine
-	leasing   bool
-	leaseAt   time.Time
-	held      bool
-	leaseErr  error
-	reports   map[string]received
-	reporting bool
-	report    report
-	reportAt  time.Time
+	lease    *lease.Machine
+	leasing  bool
+	leaseAt  time.Time
+	held     bool
+	leaseErr error
+	reports  map[string]received
+	// stopReports ends the watch of reports; nil while there is none.
+	stopReports context.CancelFunc
+	reporting   bool
+	report      report
+	reportAt    time.Time
 	// successions holds the promotions by service.
 	successions map[string]*succeeding
 	background  func(func(context.Context))
@@ -138,8 +143,8 @@
 func (c *controller) run(ctx context.Context) {
 	c.background = func(work func(context.Context)) { go work(ctx) }
 	post := func(ch change) { c.post(ctx, func() { c.take(ch) }) }
-	go watch(ctx, c.store, objects.Configurations, post)
-	go watch(ctx, c.store, objects.Servers, post)
+	go watcher{c.store, objects.Configurations, c.configurationWait, post}.run(ctx)
+	go watcher{c.store, objects.Servers, c.serverWait, post}.run(ctx)
 	go c.register(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -67,11 +67,17 @@
 	c.held = holding
 	c.log.WithFields(logrus.Fields{"event": "promotion_duty", "holding": holding, "holder": c.lease.Holder(), "token": c.lease.Token()}).
 		Info("holder of the promotion duty changed")
+	if c.stopReports != nil {
+		c.stopReports()
+		c.stopReports = nil
+	}
 	if !holding {
 		return
 	}
 	c.background(func(ctx context.Context) {
-		watch(ctx, c.store, objects.Reports, func(ch change) { c.post(ctx, func() { c.take(ch) }) })
+		ctx, cancel := context.WithCancel(ctx)
+		c.post(ctx, func() { c.stopReports = cancel })
+		watcher{c.store, objects.Reports, reportWatch, func(ch change) { c.post(ctx, func() { c.take(ch) }) }}.run(ctx)
 	})
 }
 
--- a/daemon/internal/fleet/settings.go
+++ b/daemon/internal/fleet/settings.go
@@ -33,6 +33,10 @@
 	Promotions string `yaml:"promotions"`
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout time.Duration `yaml:"stop_timeout"`
+	// ConfigurationTimeout is the time in which a configuration must be in force,
+	// DrainTimeout that in which a draining backend server gets no new work.
+	ConfigurationTimeout time.Duration `yaml:"configuration_timeout"`
+	DrainTimeout         time.Duration `yaml:"drain_timeout"`
 	// MemoryLimitMB is the memory above which the process is ended, in MB; 0 for
 	// no limit.
 	MemoryLimitMB int `yaml:"memory_limit_mb"`
@@ -83,8 +87,13 @@
 	if _, ok := s.Zones[s.AvailabilityZone]; !ok {
 		findings.Errorf(place, "the region of each availability zone", "setting zones lacks %q", s.AvailabilityZone)
 	}
-	if s.StopTimeout <= 0 {
-		findings.Errorf(place, "a duration with a unit, such as 6s", "setting stop_timeout is not positive")
+	for _, duration := range []struct {
+		key   string
+		value time.Duration
+	}{{"stop_timeout", s.StopTimeout}, {"configuration_timeout", s.ConfigurationTimeout}, {"drain_timeout", s.DrainTimeout}} {
+		if duration.value <= 0 {
+			findings.Errorf(place, "a duration with a unit, such as 6s", "setting %s is not positive", duration.key)
+		}
 	}
 	if s.MemoryLimitMB < 0 {
 		findings.Errorf(place, "a number of megabytes", "setting memory_limit_mb is negative")
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -11,8 +11,11 @@
 
 // The timing of watches.
 const (
-	// watchWait is how long a watch waits for a change.
-	watchWait = 20 * time.Second
+	// reportWatch is how long a watch of reports waits for a change.
+	reportWatch = 5 * time.Second
+	// watchSlack is the time beyond its wait in which a watch must be answered: a
+	// watch may have gone silent.
+	watchSlack = 500 * time.Millisecond
 	// callTimeout bounds other calls to the store.
 	callTimeout = 2 * time.Second
 	// firstRetry and lastRetry bound the pause after a failed call.
@@ -30,40 +33,52 @@
 	err error
 }
 
-// watch lists a kind and then follows its changes until ctx ends.
-func watch(ctx context.Context, store objects.Store, kind objects.Kind, post func(change)) {
+// watcher follows the changes of a kind.
+type watcher struct {
+	store objects.Store
+	kind  objects.Kind
+	// wait is how long a call waits for a change. A store that loses its history
+	// may leave a watch unanswered, so changes may be found this late.
+	wait time.Duration
+	post func(change)
+}
+
+// run lists the kind and then follows its changes until ctx ends.
+func (w watcher) run(ctx context.Context) {
 	var retry backoff
 	for ctx.Err() == nil {
 		listCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		snapshot, err := store.List(listCtx, kind, false)
+		snapshot, err := w.store.List(listCtx, w.kind, false)
 		cancel()
 		if err != nil {
-			post(change{kind: kind, err: err})
+			w.post(change{kind: w.kind, err: err})
 			retry.wait(ctx)
 			continue
 		}
 		retry = backoff{}
-		post(change{kind: kind, full: true, objects: snapshot.Objects})
-		follow(ctx, store, kind, snapshot.Revision, post)
+		w.post(change{kind: w.kind, full: true, objects: snapshot.Objects})
+		w.follow(ctx, snapshot.Revision)
 	}
 }
 
 // follow watches from a revision until its history is no longer kept.
-func follow(ctx context.Context, store objects.Store, kind objects.Kind, since uint64, post func(change)) {
+func (w watcher) follow(ctx context.Context, since uint64) {
 	var retry backoff
 	for ctx.Err() == nil {
-		snapshot, err := store.Watch(ctx, kind, since, watchWait)
+		watchCtx, cancel := context.WithTimeout(ctx, w.wait+watchSlack)
+		snapshot, err := w.store.Watch(watchCtx, w.kind, since, w.wait)
+		cancel()
 		if errors.Is(err, objects.ErrCompacted) {
 			return
 		}
 		if err != nil {
-			post(change{kind: kind, err: err})
+			w.post(change{kind: w.kind, err: err})
 			retry.wait(ctx)
 			continue
 		}
 		retry = backoff{}
 		since = max(since, snapshot.Revision)
-		post(change{kind: kind, objects: snapshot.Objects})
+		w.post(change{kind: w.kind, objects: snapshot.Objects})
 	}
 }
 
