Take over the promotion duty after 2.5 s, and look closely while a primary is missing

Ruled out: slow reports and a slow promotion. A holder that cannot renew leaves a replacement to others for 3 s, because two holders in a row would roll commits back.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -17,12 +17,12 @@
 // The timing of a lease.
 const (
 	// RenewInterval separates renewals.
-	RenewInterval = 1500 * time.Millisecond
+	RenewInterval = time.Second
 	// Duration is how long a lease lasts without a renewal.
-	Duration = 4500 * time.Millisecond
+	Duration = 2500 * time.Millisecond
 	// ConfirmAge is the age of the last renewal beyond which a holder renews
 	// before it acts, because it may have been suspended.
-	ConfirmAge = 3 * time.Second
+	ConfirmAge = 2 * time.Second
 )
 
 // Record is the stored form of a lease.
@@ -100,6 +100,10 @@
 	return m.Holding() && now.Sub(m.renewed) < ConfirmAge
 }
 
+// Lapsed reports whether the lease was not renewed for so long that another
+// host may hold it by now.
+func (m *Machine) Lapsed(now time.Time) bool { return now.Sub(m.renewed) >= Duration }
+
 // Next returns the write that is due, with the revision to expect.
 func (m *Machine) Next(now time.Time) (Action, Record, uint64) {
 	if !m.known {
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -34,6 +34,8 @@
 	// read.
 	unknownHosts = 16
 	eventQueue   = 256
+	// takeoverJitter spreads the attempts of hosts to take over a duty.
+	takeoverJitter = 400 * time.Millisecond
 )
 
 // View is the state of the blackboard at one moment.
@@ -87,9 +89,8 @@
 	store       objects.Store
 	promoter    objects.Promoter
 	groups      backend.Options
-	// configurationWait and serverWait bound how late a change is found of which
-	// the store did not tell.
-	configurationWait, serverWait time.Duration
+	// watchWait bounds how late a change is found of which the store did not tell.
+	watchWait time.Duration
 	// now must also count while the host is suspended.
 	now func() time.Time
 	log *logrus.Entry
@@ -110,12 +111,14 @@
 	// failing holds since when calls for a kind fail.
 	failing map[objects.Kind]time.Time
 
-	lease    *lease.Machine
-	leasing  bool
-	leaseAt  time.Time
-	held     bool
-	leaseErr error
-	reports  map[string]received
+	lease   *lease.Machine
+	leasing bool
+	leaseAt time.Time
+	held    bool
+	// leaseErr is the failure of the last call for the lease, at leaseFailed.
+	leaseErr    error
+	leaseFailed time.Time
+	reports     map[string]received
 	// stopReports ends the watch of reports; nil while there is none.
 	stopReports context.CancelFunc
 	reporting   bool
@@ -131,7 +134,7 @@
 		options: o, board: &Board{}, events: make(chan func(), eventQueue),
 		groups: map[string]*backend.Group{}, servers: map[string]*registered{}, hosts: unknownHosts,
 		failing:     map[objects.Kind]time.Time{},
-		lease:       lease.New(o.host, o.incarnation, rand.N(time.Second)),
+		lease:       lease.New(o.host, o.incarnation, rand.N(takeoverJitter)),
 		reports:     map[string]received{},
 		successions: map[string]*succeeding{},
 	}
@@ -143,8 +146,8 @@
 func (c *controller) run(ctx context.Context) {
 	c.background = func(work func(context.Context)) { go work(ctx) }
 	post := func(ch change) { c.post(ctx, func() { c.take(ch) }) }
-	go watcher{c.store, objects.Configurations, c.configurationWait, post}.run(ctx)
-	go watcher{c.store, objects.Servers, c.serverWait, post}.run(ctx)
+	go watcher{c.store, objects.Configurations, c.watchWait, post}.run(ctx)
+	go watcher{c.store, objects.Servers, c.watchWait, post}.run(ctx)
 	go c.register(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -18,8 +18,12 @@
 
 // The timing of registrations and reports.
 const (
-	// leasePoll separates looks at the lease by hosts that do not hold it.
-	leasePoll = 1500 * time.Millisecond
+	// leasePoll separates looks at the lease by hosts that do not hold it, and
+	// urgentLeasePoll while they miss a primary.
+	leasePoll       = 2 * time.Second
+	urgentLeasePoll = 400 * time.Millisecond
+	// leaseRetry follows a call for the lease that failed.
+	leaseRetry = 600 * time.Millisecond
 	// registerInterval separates renewals of a host's registration; a host whose
 	// registration was not renewed for registrationLife no longer counts.
 	registerInterval = 20 * time.Second
@@ -32,17 +36,17 @@
 	reportRenewal = 2 * time.Second
 	reportLife    = 5 * time.Second
 	// reportPause separates attempts to write a report.
-	reportPause = 250 * time.Millisecond
+	reportPause = 400 * time.Millisecond
 )
 
 var firstCounts = []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second}
 
 // stepLease starts the call that the lease needs, if any.
 func (c *controller) stepLease() {
-	if c.leasing {
+	now := c.now()
+	if c.leasing || c.leaseErr != nil && now.Sub(c.leaseFailed) < leaseRetry {
 		return
 	}
-	now := c.now()
 	c.noteHolder()
 	action, record, expected := c.lease.Next(now)
 	switch {
@@ -51,12 +55,21 @@
 		c.leasing = true
 		holding := c.lease.Holding()
 		c.background(func(ctx context.Context) { c.writeLease(ctx, record, expected, holding) })
-	case !c.lease.Holding() && now.Sub(c.leaseAt) >= leasePoll:
+	case !c.lease.Holding() && now.Sub(c.leaseAt) >= c.leasePoll():
 		c.leasing, c.leaseAt = true, now
 		c.background(c.readLease)
 	}
 }
 
+func (c *controller) leasePoll() time.Duration {
+	for _, g := range c.groups {
+		if h := g.Health(); h.Suspected || h.Primary == "" {
+			return urgentLeasePoll
+		}
+	}
+	return leasePoll
+}
+
 // noteHolder logs a change of the holder and follows the reports while this
 // host holds the duty.
 func (c *controller) noteHolder() {
@@ -88,12 +101,10 @@
 	defer cancel()
 	snapshot, err := c.store.List(callCtx, objects.Leases, true)
 	c.post(ctx, func() {
-		c.leasing = false
+		c.leaseDone(err)
 		if err != nil {
-			c.leaseErr = err
 			return
 		}
-		c.leaseErr = nil
 		for _, o := range snapshot.Objects {
 			if o.Name == promotionLease {
 				c.observeLease(o)
@@ -134,7 +145,7 @@
 	o, err := c.store.Put(callCtx, objects.Leases, promotionLease, value, expected)
 	if err == nil {
 		c.post(ctx, func() {
-			c.leasing, c.leaseErr = false, nil
+			c.leaseDone(nil)
 			c.lease.Wrote(c.now(), sent, record, o.Revision)
 		})
 		return
@@ -149,10 +160,18 @@
 	c.leaseRead(ctx, objects.Object{}, err)
 }
 
+// leaseDone notes the end of a call for the lease.
+func (c *controller) leaseDone(err error) {
+	c.leasing, c.leaseErr = false, err
+	if err != nil {
+		c.leaseFailed = c.now()
+	}
+}
+
 // leaseRead takes the result of a read of the lease.
 func (c *controller) leaseRead(ctx context.Context, o objects.Object, err error) {
 	c.post(ctx, func() {
-		c.leasing, c.leaseErr = false, err
+		c.leaseDone(err)
 		if err == nil {
 			c.observeLease(o)
 		}
@@ -205,7 +224,7 @@
 		case <-ctx.Done():
 			return
 		}
-		c.countHosts(ctx, seen, i >= len(firstCounts))
+		c.countHosts(ctx, seen, i > 0)
 	}
 }
 
--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -57,9 +57,9 @@
 	platform Platform
 }
 
-// watchShare is the part of the time for a change to take effect that a watch
-// may wait. The rest is for the call after it.
-const watchShare = 0.45
+// watchShare is the part of the catch-up timeout that a watch may wait; the rest
+// is for the call that follows one without an answer.
+const watchShare = 0.75
 
 // bootTime is the time since the machine started, suspensions included, which
 // neither the steady clock nor steps of the time of day give.
@@ -79,9 +79,8 @@
 	h.control = newController(options{
 		host: s.Host, incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), zone: s.AvailabilityZone, zones: s.Zones,
 		store: p.Store, promoter: p.Promoter, now: bootTime, log: log,
-		configurationWait: time.Duration(watchShare * float64(s.ConfigurationTimeout)),
-		serverWait:        time.Duration(watchShare * float64(s.DrainTimeout)),
-		groups:            backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones},
+		watchWait: time.Duration(watchShare * float64(s.CatchUpTimeout)),
+		groups:    backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones},
 	})
 	h.front = front.NewServer(front.Options{Catalog: h.control.board, Recorder: recorder, Wrap: p.Wrap, Now: bootTime})
 	return h
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -26,13 +26,18 @@
 	// former primary committed before it stepped down.
 	catchUpTimeout = 600 * time.Millisecond
 	catchUpPause   = 20 * time.Millisecond
+	// lapsedDelay is how long a holder that cannot renew its lease leaves a
+	// replacement to the host that may have taken the duty over.
+	lapsedDelay = 3 * time.Second
 	// excludeTime is how long a server that could not be promoted is not chosen.
 	excludeTime = 3 * time.Second
 )
 
 // succeeding is what the holder knows of the promotions of one service.
 type succeeding struct {
-	running  bool
+	running bool
+	// due is since when a replacement is due, zero while none is.
+	due      time.Time
 	ordered  time.Time
 	refused  bool
 	excluded map[string]time.Time
@@ -61,6 +66,13 @@
 		view := c.viewOf(name, g, s)
 		reason := succession.Decide(now, view)
 		if reason == succession.Stay {
+			s.due = time.Time{}
+			continue
+		}
+		if s.due.IsZero() {
+			s.due = now
+		}
+		if c.lease.Lapsed(now) && now.Sub(s.due) < lapsedDelay {
 			continue
 		}
 		c.startSuccession(g, s, view, reason)
--- a/daemon/internal/fleet/settings.go
+++ b/daemon/internal/fleet/settings.go
@@ -33,10 +33,9 @@
 	Promotions string `yaml:"promotions"`
 	// StopTimeout bounds a graceful shutdown.
 	StopTimeout time.Duration `yaml:"stop_timeout"`
-	// ConfigurationTimeout is the time in which a configuration must be in force,
-	// DrainTimeout that in which a draining backend server gets no new work.
-	ConfigurationTimeout time.Duration `yaml:"configuration_timeout"`
-	DrainTimeout         time.Duration `yaml:"drain_timeout"`
+	// CatchUpTimeout is the time after a fault of the store, or of connections to
+	// it, in which the host must have learned every change.
+	CatchUpTimeout time.Duration `yaml:"catch_up_timeout"`
 	// MemoryLimitMB is the memory above which the process is ended, in MB; 0 for
 	// no limit.
 	MemoryLimitMB int `yaml:"memory_limit_mb"`
@@ -90,7 +89,7 @@
 	for _, duration := range []struct {
 		key   string
 		value time.Duration
-	}{{"stop_timeout", s.StopTimeout}, {"configuration_timeout", s.ConfigurationTimeout}, {"drain_timeout", s.DrainTimeout}} {
+	}{{"stop_timeout", s.StopTimeout}, {"catch_up_timeout", s.CatchUpTimeout}} {
 		if duration.value <= 0 {
 			findings.Errorf(place, "a duration with a unit, such as 6s", "setting %s is not positive", duration.key)
 		}
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -18,7 +18,8 @@
 	watchSlack = 500 * time.Millisecond
 	// callTimeout bounds other calls to the store.
 	callTimeout = 2 * time.Second
-	// firstRetry and lastRetry bound the pause after a failed call.
+	// firstRetry and lastRetry bound the pause after a failed call; before
+	// the first list it is firstRetry throughout, since the host cannot serve.
 	firstRetry = 150 * time.Millisecond
 	lastRetry  = time.Second
 )
@@ -45,7 +46,7 @@
 
 // run lists the kind and then follows its changes until ctx ends.
 func (w watcher) run(ctx context.Context) {
-	var retry backoff
+	retry := backoff{limit: firstRetry}
 	for ctx.Err() == nil {
 		listCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		snapshot, err := w.store.List(listCtx, w.kind, false)
@@ -55,7 +56,7 @@
 			retry.wait(ctx)
 			continue
 		}
-		retry = backoff{}
+		retry = backoff{limit: lastRetry}
 		w.post(change{kind: w.kind, full: true, objects: snapshot.Objects})
 		w.follow(ctx, snapshot.Revision)
 	}
@@ -63,7 +64,7 @@
 
 // follow watches from a revision until its history is no longer kept.
 func (w watcher) follow(ctx context.Context, since uint64) {
-	var retry backoff
+	retry := backoff{limit: lastRetry}
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithTimeout(ctx, w.wait+watchSlack)
 		snapshot, err := w.store.Watch(watchCtx, w.kind, since, w.wait)
@@ -76,17 +77,17 @@
 			retry.wait(ctx)
 			continue
 		}
-		retry = backoff{}
+		retry = backoff{limit: lastRetry}
 		since = max(since, snapshot.Revision)
 		w.post(change{kind: w.kind, objects: snapshot.Objects})
 	}
 }
 
 // backoff separates retries, with exponential pauses and jitter.
-type backoff struct{ last time.Duration }
+type backoff struct{ last, limit time.Duration }
 
 func (b *backoff) wait(ctx context.Context) {
-	b.last = min(max(2*b.last, firstRetry), lastRetry)
+	b.last = min(max(2*b.last, firstRetry), b.limit)
 	t := time.NewTimer(b.last/2 + rand.N(b.last))
 	defer t.Stop()
 	select {
