--- /dev/null
+++ b/core/statement/statementtest/conn.go
@@ -0,0 +1,271 @@
+package statementtest
+
+import (
+	"fmt"
+	"maps"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/statement"
+)
+
+// Conn is a connection to a server.
+type Conn struct {
+	server   *Server
+	closed   bool
+	values   map[string]string
+	prepared map[string]statement.Statement
+	tx       *openTransaction
+}
+
+type openTransaction struct {
+	readOnly bool
+	failed   bool
+	writes   []Write
+	// plain transactions fail once the server no longer leads at their term.
+	term group.Term
+}
+
+// Alive reports whether the server has not closed the connection.
+func (c *Conn) Alive() bool {
+	c.server.service.mu.Lock()
+	defer c.server.service.mu.Unlock()
+	return !c.closed
+}
+
+// Close ends the connection and rolls back.
+func (c *Conn) Close() error {
+	c.server.service.mu.Lock()
+	defer c.server.service.mu.Unlock()
+	c.closed, c.tx = true, nil
+	delete(c.server.conns, c)
+	return nil
+}
+
+// Exchange runs the statements in order.
+func (c *Conn) Exchange(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error) {
+	var answers []statement.Answer
+	for _, r := range requests {
+		if takesSlot(r.Kind) {
+			time.Sleep(c.server.service.options.Work)
+		}
+		a, err := c.run(r)
+		if err == errSilent {
+			time.Sleep(time.Until(deadline))
+			return answers, true, os.ErrDeadlineExceeded
+		}
+		if err != nil {
+			return answers, true, err
+		}
+		answers = append(answers, a)
+	}
+	return answers, true, nil
+}
+
+func takesSlot(k statement.Kind) bool {
+	switch k {
+	case statement.Read, statement.Write, statement.Execute, statement.Commit, statement.Status:
+		return true
+	default:
+		return false
+	}
+}
+
+// errSilent means that the server does not answer.
+var errSilent = fmt.Errorf("server is silent")
+
+func (c *Conn) run(r statement.Statement) (statement.Answer, error) {
+	sv := c.server
+	s := sv.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case c.closed:
+		return statement.Answer{}, ErrClosed
+	case sv.dark:
+		return statement.Answer{}, errSilent
+	}
+	sv.receive(time.Now())
+	if takesSlot(r.Kind) && sv.busy > 0 {
+		sv.busy--
+		if c.tx != nil {
+			c.tx.failed = true
+		}
+		return c.answer(statement.Answer{Code: statement.Busy}), nil
+	}
+	a := c.execute(r)
+	if r.ID != "" && a.Code == statement.OK {
+		s.runs[r.ID]++
+		a.Signature = fmt.Sprintf("%s|%d|%s", sv.id, len(sv.log), c.describeValues())
+		if sv.loseAnswers > 0 {
+			sv.loseAnswers--
+			return statement.Answer{}, errSilent
+		}
+	}
+	return c.answer(a), nil
+}
+
+func (c *Conn) describeValues() string {
+	var out []string
+	for _, name := range slices.Sorted(maps.Keys(c.values)) {
+		out = append(out, name+"="+c.values[name])
+	}
+	return strings.Join(out, ",")
+}
+
+// answer adds the state and the position.
+func (c *Conn) answer(a statement.Answer) statement.Answer {
+	a.Position = c.server.position()
+	switch {
+	case c.tx == nil:
+		a.State = statement.Idle
+	case c.tx.failed:
+		a.State = statement.Aborting
+	default:
+		a.State = statement.InTransaction
+	}
+	return a
+}
+
+func (c *Conn) refuse(code statement.Code) statement.Answer {
+	if c.tx != nil {
+		c.tx.failed = true
+	}
+	return statement.Answer{Code: code, Detail: c.server.id}
+}
+
+func (c *Conn) execute(r statement.Statement) statement.Answer {
+	sv := c.server
+	if c.tx != nil && c.tx.failed && r.Kind != statement.Rollback && r.Kind != statement.Commit {
+		return statement.Answer{Code: statement.MalformedStatement}
+	}
+	if r.After.Term > 0 && sv.position().Compare(r.After) < 0 {
+		return c.refuse(statement.Lagging)
+	}
+	switch r.Kind {
+	case statement.Set:
+		c.values[r.Name] = r.Value
+	case statement.Prepare:
+		c.prepared[r.Name] = r
+	case statement.Reset:
+		clear(c.values)
+		clear(c.prepared)
+	case statement.Status:
+		role := "replica"
+		if sv.primary {
+			role = "primary"
+		}
+		return statement.Answer{Rows: []string{role}}
+	case statement.Pause:
+		sv.held = r.Term
+		return statement.Answer{Rows: []string{"replica"}}
+	case statement.Demote:
+		if r.Term > sv.service.term {
+			sv.primary = false
+		}
+		return statement.Answer{Rows: []string{"replica"}}
+	case statement.Begin, statement.BeginRead:
+		return c.begin(r)
+	case statement.Rollback:
+		c.tx = nil
+	case statement.Commit:
+		return c.commit()
+	default:
+		return c.work(r)
+	}
+	return statement.Answer{}
+}
+
+func (c *Conn) begin(r statement.Statement) statement.Answer {
+	if c.tx != nil {
+		return c.refuse(statement.MalformedStatement)
+	}
+	if r.Kind == statement.Begin && !c.server.primary {
+		return c.refuse(statement.ReadOnly)
+	}
+	c.tx = &openTransaction{readOnly: r.Kind == statement.BeginRead, term: c.server.service.term}
+	return statement.Answer{}
+}
+
+// lostLead reports whether the server no longer leads at the term at which the
+// open plain transaction began.
+func (c *Conn) lostLead() bool {
+	return c.tx != nil && !c.tx.readOnly && (!c.server.primary || c.tx.term != c.server.service.term)
+}
+
+func (c *Conn) commit() statement.Answer {
+	tx := c.tx
+	lost := c.lostLead()
+	c.tx = nil
+	switch {
+	case tx == nil:
+		return statement.Answer{Code: statement.MalformedStatement}
+	case tx.failed:
+		return statement.Answer{Code: statement.Aborted}
+	case len(tx.writes) == 0:
+		return statement.Answer{}
+	case lost:
+		return statement.Answer{Code: statement.ReadOnly}
+	}
+	c.append(tx.writes)
+	return statement.Answer{}
+}
+
+func (c *Conn) append(writes []Write) {
+	sv := c.server
+	sv.log = append(sv.log, entry{term: sv.service.term, at: time.Now(), writes: writes})
+}
+
+// work runs a read or a write.
+func (c *Conn) work(r statement.Statement) statement.Answer {
+	item, data, writes, known := c.parse(r)
+	switch {
+	case !known:
+		return c.refuse(statement.UnknownName)
+	case c.lostLead():
+		return c.refuse(statement.ReadOnly)
+	case writes && (!c.server.primary || c.tx != nil && c.tx.readOnly):
+		return c.refuse(statement.ReadOnly)
+	case !writes:
+		return c.read(item)
+	}
+	w := Write{ID: r.ID, Item: item, Data: data}
+	if c.tx != nil {
+		c.tx.writes = append(c.tx.writes, w)
+		return statement.Answer{}
+	}
+	c.append([]Write{w})
+	return statement.Answer{}
+}
+
+func (c *Conn) read(item string) statement.Answer {
+	if c.tx != nil {
+		for i := len(c.tx.writes) - 1; i >= 0; i-- {
+			if c.tx.writes[i].Item == item {
+				return statement.Answer{Rows: []string{c.tx.writes[i].Data}}
+			}
+		}
+	}
+	if value, ok := c.server.value(item); ok {
+		return statement.Answer{Rows: []string{value}}
+	}
+	return statement.Answer{}
+}
+
+// parse returns what a statement reads or writes.
+func (c *Conn) parse(r statement.Statement) (item, data string, writes, known bool) {
+	if r.Kind == statement.Execute {
+		p, ok := c.prepared[r.Name]
+		if !ok {
+			return "", "", false, false
+		}
+		item, data, _ = strings.Cut(r.Arguments, " ")
+		return item, data, p.Writes, true
+	}
+	_, rest, _ := strings.Cut(r.Text, " ")
+	item, data, _ = strings.Cut(rest, " ")
+	return item, data, r.Kind == statement.Write, true
+}
--- /dev/null
+++ b/daemon/internal/front/front_test.go
@@ -0,0 +1,308 @@
+package front
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
+)
+
+// run plays a test in virtual time.
+func runWorld(t *testing.T, o statementtest.Options, test func(*world)) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, o)
+		defer w.end()
+		time.Sleep(300 * time.Millisecond)
+		test(w)
+	})
+}
+
+// Guards against a read on a replica that lacks the session's own write.
+func TestSessionReadsItsOwnWrites(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		w.service.SetLag("s2", 2*time.Second)
+		w.service.SetLag("s3", 2*time.Second)
+		c := w.connect("c", ownWrites)
+		c.want(statement.OK, write("x", "1"))
+		c.rows(read("x"), "1")
+		c.want(statement.OK, plain(statement.Begin))
+		c.want(statement.OK, write("x", "2"))
+		c.want(statement.OK, plain(statement.Commit))
+		c.rows(read("x"), "2")
+		c.want(statement.OK, plain(statement.BeginRead))
+		c.rows(read("x"), "2")
+		c.want(statement.OK, plain(statement.Commit))
+	})
+}
+
+// Guards against a read that misses another session's commit which is older
+// than the route's bound.
+func TestBoundedReadSeesOldCommits(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		w.service.SetDeaf("s2", true)
+		w.service.SetDeaf("s3", true)
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, write("x", "1"))
+		time.Sleep(testStaleness + time.Millisecond)
+		w.connect("d", bounded).rows(read("x"), "1")
+		w.connect("e", ownWrites).rows(read("x"), "1")
+	})
+}
+
+// Guards against reads that all go to the primary although replicas are fresh.
+func TestReplicasServeReads(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", bounded)
+		onReplica := 0
+		for range 20 {
+			sig, err := statementtest.ParseSignature(c.want(statement.OK, read("x")).Signature)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if sig.Server != "s1" {
+				onReplica++
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		if onReplica < 18 {
+			t.Errorf("%d of 20 reads were served by replicas, want at least 18", onReplica)
+		}
+	})
+}
+
+// Guards against a read on a primary that was replaced while the host still
+// believes in it.
+func TestPrimaryReadAfterPromotion(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, write("x", "1"))
+		time.Sleep(100 * time.Millisecond)
+		w.blind.Store(true)
+		w.promote("s2", 1)
+		sig, err := statementtest.ParseSignature(c.want(statement.OK, read("x")).Signature)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if sig.Server != "s2" {
+			t.Errorf("read was served by %s, want s2", sig.Server)
+		}
+	})
+}
+
+// Guards against a write that is sent again although it may have run.
+func TestLostAnswerLeavesOutcomeUnknown(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		w.service.LoseAnswers("s1", 1)
+		c := w.connect("c", onPrimary)
+		st := write("x", "1")
+		st.ID = "write"
+		c.want(statement.InDoubt, st)
+		if n := w.service.Runs("write"); n != 1 {
+			t.Errorf("write ran %d times, want once", n)
+		}
+	})
+}
+
+// Guards against an unknown outcome that is reported as not kept, or the other
+// way round, when the answer to a commit is lost.
+func TestLostCommit(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, plain(statement.Begin))
+		c.want(statement.OK, write("x", "1"))
+		w.service.LoseAnswers("s1", 1)
+		c.want(statement.InDoubt, plain(statement.Commit))
+		c.want(statement.OK, plain(statement.Begin))
+		c.rows(read("x"), "1")
+		w.service.LoseAnswers("s1", 1)
+		if a := c.want(statement.Aborted, plain(statement.Commit)); a.State != statement.Idle {
+			t.Errorf("state after a failed commit is %d, want idle", a.State)
+		}
+	})
+}
+
+// Guards against a refusal for a server that was busy for a moment, and against
+// a write that runs twice because of the repetition.
+func TestBusyServerIsAskedAgain(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		w.service.RefuseBusy("s1", 3)
+		c := w.connect("c", onPrimary)
+		st := write("x", "1")
+		st.ID = "write"
+		c.want(statement.OK, st)
+		if n := w.service.Runs("write"); n != 1 {
+			t.Errorf("write ran %d times, want once", n)
+		}
+	})
+}
+
+// Guards against statements of a failed transaction that are kept, and against
+// a state that would let its caller go on.
+func TestFailedTransactionKeepsNothing(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, plain(statement.Begin))
+		c.want(statement.OK, write("x", "1"))
+		w.service.RefuseBusy("s1", 1)
+		if a := c.want(statement.Busy, write("x", "2")); a.State != statement.Aborting {
+			t.Errorf("state after a refusal in a transaction is %d, want aborting", a.State)
+		}
+		c.want(statement.MalformedStatement, write("x", "3"))
+		c.want(statement.Aborted, plain(statement.Commit))
+		time.Sleep(100 * time.Millisecond)
+		if got := w.service.Committed(); len(got) != 0 {
+			t.Errorf("committed %v, want nothing", got)
+		}
+	})
+}
+
+// Guards against writes that stay open, or are committed, when their caller leaves.
+func TestCallerLeavesInTransaction(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, plain(statement.Begin))
+		c.want(statement.OK, write("x", "1"))
+		_ = c.Close()
+		time.Sleep(100 * time.Millisecond)
+		d := w.connect("d", onPrimary)
+		d.rows(read("x"))
+		if got := w.service.Committed(); len(got) != 0 {
+			t.Errorf("committed %v, want nothing", got)
+		}
+	})
+}
+
+// Guards against connections that stay pinned to callers that rest inside
+// transactions.
+func TestIdleTransactionIsRolledBack(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, plain(statement.Begin))
+		c.want(statement.OK, write("x", "1"))
+		time.Sleep(3100 * time.Millisecond)
+		c.want(statement.Aborted, plain(statement.Commit))
+		c.rows(read("x"))
+	})
+}
+
+// Guards against session values and prepared statements that leak between the
+// sessions that share a connection.
+func TestSessionsShareConnections(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		w.group.SetService(catalog.Service{Name: "service", ConnectionLimit: 1}, 1) // One connection a server.
+		c, d := w.connect("c", onPrimary), w.connect("d", onPrimary)
+		c.want(statement.OK, set("v", "c"))
+		d.want(statement.OK, set("w", "d"))
+		c.want(statement.OK, prepare("s", "shape-read", false))
+		d.want(statement.OK, prepare("s", "shape-write", true))
+		for i := range 6 {
+			value := string(rune('0' + i))
+			if got := values(t, d.want(statement.OK, execute("s", "x "+value))); got != "w=d" {
+				t.Errorf("values of d are %q", got)
+			}
+			a := c.want(statement.OK, execute("s", "x"))
+			if got := values(t, a); got != "v=c" {
+				t.Errorf("values of c are %q", got)
+			}
+			if len(a.Rows) != 1 || a.Rows[0] != value {
+				t.Errorf("read %q, want %q", a.Rows, value)
+			}
+		}
+		c.want(statement.OK, statement.Statement{Kind: statement.Deallocate, Name: "s"})
+		c.want(statement.UnknownName, execute("s", "x"))
+	})
+}
+
+func values(t *testing.T, a statement.Answer) string {
+	t.Helper()
+	sig, err := statementtest.ParseSignature(a.Signature)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return sig.Values
+}
+
+// Guards against statements that wait without end, or fail at once, while a new
+// primary takes over.
+func TestStatementsWaitForPrimary(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, write("x", "1"))
+		time.Sleep(100 * time.Millisecond)
+		w.service.Crash("s1")
+		time.AfterFunc(200*time.Millisecond, func() { w.service.Promote(context.Background(), promotion("s2", 1)) })
+		began := time.Now()
+		for c.do(write("x", "2")).Code != statement.OK {
+			if time.Since(began) > 5*time.Second {
+				t.Fatal("no write was accepted for 5 s")
+			}
+		}
+		c.rows(read("x"), "2")
+		w.service.Crash("s2")
+		w.service.Crash("s3")
+		time.Sleep(time.Second)
+		began = time.Now()
+		if a := c.do(write("x", "3")); a.Code != statement.Busy {
+			t.Errorf("write without any server got %s, want busy", a.Code)
+		}
+		if took := time.Since(began); took > testTimeout {
+			t.Errorf("refusal took %s, more than the time limit of %s", took, testTimeout)
+		}
+	})
+}
+
+// Guards against callers that are told that a database does not exist before
+// the host knows the configuration.
+func TestCallersWaitForConfiguration(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		config := w.config.Load()
+		w.config.Store(nil)
+		time.AfterFunc(500*time.Millisecond, func() { w.config.Store(config) })
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, write("x", "1"))
+		w.config.Store(nil)
+		d := w.connect("d", onPrimary)
+		time.Sleep(2 * time.Second)
+		if d.refused != statement.Busy {
+			t.Errorf("caller was refused with %s, want busy", d.refused)
+		}
+		w.config.Store(config)
+		e := w.connect("e", "no such database")
+		if e.refused != statement.NoDatabase {
+			t.Errorf("caller of an unknown database got %s", e.refused)
+		}
+	})
+}
+
+// Guards against a stop that cuts transactions, or that leaves sessions open.
+func TestDrain(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		idle, open, stuck := w.connect("idle", onPrimary), w.connect("open", onPrimary), w.connect("stuck", onPrimary)
+		idle.want(statement.OK, read("x"))
+		for _, c := range []*caller{open, stuck} {
+			c.want(statement.OK, plain(statement.Begin))
+			c.want(statement.OK, write(c.name, "1"))
+		}
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		cut := make(chan int)
+		go func() { cut <- w.server.Drain(ctx, time.Now().Add(3*time.Second)) }()
+		time.Sleep(time.Second)
+		if !idle.isClosed() {
+			t.Error("idle session is still open after 1 s")
+		}
+		open.want(statement.OK, plain(statement.Commit))
+		time.Sleep(2500 * time.Millisecond)
+		if !open.isClosed() {
+			t.Error("session is still open after its transaction ended")
+		}
+		stuck.want(statement.Aborted, plain(statement.Commit))
+		if n := <-cut; n != 0 {
+			t.Errorf("%d sessions were cut, want none", n)
+		}
+	})
+}
