--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-MODULES := core daemon ctl standin
+MODULES := core daemon ctl platform standin
 PACKAGES := $(addsuffix /...,$(addprefix ./,$(MODULES)))
 MAINS := $(addprefix ./,$(wildcard */cmd/*))
 STATICCHECK := bin/staticcheck
--- /dev/null
+++ b/core/freshness/freshness_test.go
@@ -0,0 +1,49 @@
+package freshness
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// Guards against a position that misses a commit which is older than the time
+// asked for: the log of the model grows by one commit each millisecond.
+func TestPositionCoversOldCommits(t *testing.T) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	start := time.Unix(1000, 0)
+	var tracker Tracker
+	for now := 0; now < 20_000; now += 1 + rng.IntN(80) {
+		at := start.Add(time.Duration(now) * time.Millisecond)
+		if rng.IntN(3) > 0 {
+			// Committed by the time the sample was sent: one commit a millisecond.
+			tracker.Add(at, group.Position{Term: 1, Offset: uint64(now + rng.IntN(5))})
+		}
+		back := rng.IntN(2500)
+		position, ok := tracker.AtLeast(at.Add(-time.Duration(back) * time.Millisecond))
+		if ok && int(position.Offset) < now-back {
+			t.Fatalf("at %d ms a position of %d is given for an age of %d ms", now, position.Offset, back)
+		}
+	}
+}
+
+// Guards against samples of a replaced primary that are used after those of its
+// successor, and against refusals although a sample is young enough.
+func TestNewerTermReplacesSamples(t *testing.T) {
+	start := time.Unix(1000, 0)
+	var tracker Tracker
+	if _, ok := tracker.AtLeast(start); ok {
+		t.Error("a tracker without samples gives a position")
+	}
+	tracker.Add(start, group.Position{Term: 1, Offset: 90})
+	tracker.Add(start.Add(time.Second), group.Position{Term: 2, Offset: 80})
+	tracker.Add(start.Add(2*time.Second), group.Position{Term: 1, Offset: 95})
+	position, ok := tracker.AtLeast(start)
+	if !ok || position != (group.Position{Term: 2, Offset: 80}) {
+		t.Errorf("got %v, %v, want the position of term 2", position, ok)
+	}
+	if _, ok := tracker.AtLeast(start.Add(1500 * time.Millisecond)); ok {
+		t.Error("a sample that is too old gives a position")
+	}
+}
--- /dev/null
+++ b/core/succession/succession_test.go
@@ -0,0 +1,65 @@
+package succession
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+)
+
+// Guards against a primary that is replaced without need, or not replaced when
+// it is lost.
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	healthy := View{Primary: "p", Registered: true, Reachable: true, Hosts: 15, Candidates: 2}
+	for _, tt := range []struct {
+		name   string
+		change func(*View)
+		want   Reason
+	}{
+		{"healthy", func(*View) {}, Stay},
+		{"draining", func(v *View) { v.Draining = true }, Planned},
+		{"draining without candidates", func(v *View) { v.Draining, v.Candidates = true, 0 }, Stay},
+		{"gone", func(v *View) { v.Registered = false }, Gone},
+		{"only the holder misses it", func(v *View) { v.Reachable = false }, Stay},
+		{"holder and few hosts miss it", func(v *View) { v.Reachable, v.Missing = false, 3 }, Stay},
+		{"holder and many hosts miss it", func(v *View) { v.Reachable, v.Missing = false, 4 }, Unreachable},
+		{"single host", func(v *View) { v.Reachable, v.Hosts = false, 1 }, Unreachable},
+		{"others miss it for a moment", func(v *View) { v.Missing, v.MissingSince = 8, now.Add(-time.Millisecond) }, Stay},
+		{"many others miss it", func(v *View) { v.Missing, v.MissingSince = 8, now.Add(-ReportDelay) }, PartlyUnreachable},
+		{"few others miss it", func(v *View) { v.Missing, v.MissingSince = 4, now.Add(-time.Minute) }, Stay},
+		{"vacant for a moment", func(v *View) { v.Primary, v.VacantSince = "", now.Add(-time.Millisecond) }, Stay},
+		{"vacant", func(v *View) { v.Primary, v.VacantSince = "", now.Add(-VacancyDelay) }, Vacant},
+		{"promotion under way", func(v *View) { v.Registered, v.OrderedAt = false, now.Add(-time.Second) }, Stay},
+		{"promotion refused", func(v *View) { v.Registered, v.OrderedAt, v.OrderRefused = false, now.Add(-time.Second), true }, Gone},
+		{"promotion without effect", func(v *View) { v.Registered, v.OrderedAt = false, now.Add(-SettleTime) }, Gone},
+	} {
+		v := healthy
+		tt.change(&v)
+		if got := Decide(now, v); got != tt.want {
+			t.Errorf("%s: got %q, want %q", tt.name, got, tt.want)
+		}
+	}
+}
+
+// Guards against a promotion that loses commits which a replica holds.
+func TestSuccessorHasLongestLog(t *testing.T) {
+	replicas := []Replica{
+		{ID: "near", Received: group.Position{Term: 2, Offset: 7}, Near: true},
+		{ID: "old", Received: group.Position{Term: 1, Offset: 90}},
+		{ID: "far", Received: group.Position{Term: 2, Offset: 8}},
+	}
+	if got, ok := Successor(replicas, 1); !ok || got.ID != "far" {
+		t.Errorf("got %+v, want far", got)
+	}
+	replicas[2].Received.Offset = 7
+	if got, _ := Successor(replicas, 1); got.ID != "near" {
+		t.Errorf("got %+v among equal logs, want near", got)
+	}
+	if _, ok := Successor(replicas, 4); ok {
+		t.Error("chose although a replica that may hold acknowledged commits did not answer")
+	}
+	if _, ok := Successor(nil, 0); ok {
+		t.Error("chose among no replicas")
+	}
+}
