Follow a new primary as soon as it claims to lead

Ruled out: noticing (0.9 s) and the promotion (0.3 s). A server that begins to claim is now believed, and hosts that suspect the primary ask all servers.

--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -47,8 +47,10 @@
 	term    group.Term
 	// verified is when a statement was sent that the primary accepted as such.
 	verified time.Time
-	// denied holds when servers last denied to lead.
+	// denied holds when servers last denied to lead, claims which servers are
+	// registered as the primary.
 	denied map[string]time.Time
+	claims map[string]bool
 	// vacant is since when no primary is known.
 	vacant  time.Time
 	changed chan struct{}
@@ -118,24 +120,37 @@
 // is registered as the primary.
 const claimTrust = time.Second
 
-// followClaims believes a server that claims to lead if no primary is known or
-// the known one no longer claims to lead. The caller holds the lock.
+// followClaims believes a server that begins to claim that it leads, and any
+// server that claims so if no primary is known or the known one no longer does.
+// The entry of a lost primary goes on claiming until it lapses. The caller
+// holds the lock.
 func (g *Group) followClaims(servers []catalog.Server) {
-	var claimant *catalog.Server
+	var claimant, began *Pool
+	current := false
+	claims := map[string]bool{}
 	for i := range servers {
 		s := &servers[i]
 		if !s.Primary {
 			continue
 		}
-		if g.primary == g.pools[s.ID] {
-			return
-		}
-		if g.options.Now().Sub(g.denied[s.ID]) >= claimTrust {
-			claimant = s
+		claims[s.ID] = true
+		p := g.pools[s.ID]
+		switch {
+		case p == g.primary:
+			current = true
+		case g.options.Now().Sub(g.denied[s.ID]) < claimTrust:
+		case !g.claims[s.ID]:
+			began = p
+		default:
+			claimant = p
 		}
 	}
-	if claimant != nil {
-		g.setPrimary(g.pools[claimant.ID])
+	g.claims = claims
+	switch {
+	case began != nil:
+		g.setPrimary(began)
+	case !current && claimant != nil:
+		g.setPrimary(claimant)
 	}
 }
 
--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -64,8 +64,13 @@
 	if now.Sub(g.verified) < interval && !suspicious {
 		return
 	}
-	p := g.primary
-	g.begin(now, func() { g.check(p, suspicious) })
+	p, lost := g.primary, g.probes.suspects()
+	g.begin(now, func() {
+		if lost {
+			go g.search()
+		}
+		g.check(p, suspicious)
+	})
 }
 
 func (g *Group) begin(now time.Time, probe func()) {
--- /dev/null
+++ b/daemon/internal/fleet/fleet_test.go
@@ -0,0 +1,403 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/admission"
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/lease"
+	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
+	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
+)
+
+const (
+	testHosts   = 6
+	promoteTime = 300 * time.Millisecond
+	beat        = 1200 * time.Millisecond
+)
+
+var testClass = &admission.Class{Name: "test", Priority: 1, QueueLimit: 10}
+
+type silentRecorder struct{}
+
+func (silentRecorder) ConnectionOpened(string)                   {}
+func (silentRecorder) PrimaryChanged(string, string, group.Term) {}
+
+// deployment is a fleet of controllers before a store and one service.
+type deployment struct {
+	t       *testing.T
+	store   *objectstest.Store
+	service *statementtest.Service
+	hosts   []*controller
+	stops   []context.CancelFunc
+	running sync.WaitGroup
+	ctx     context.Context
+
+	mu sync.Mutex
+	// draining holds the servers that announced their end.
+	draining map[string]bool
+	orders   []objects.Promotion
+}
+
+// deploy must be called in a bubble. It starts the hosts and waits until they
+// know their fleet.
+func deploy(t *testing.T, test func(*deployment)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		d := &deployment{t: t, ctx: ctx, store: objectstest.New(1), draining: map[string]bool{}}
+		d.service = statementtest.New("service", statementtest.Options{
+			Lag: 20 * time.Millisecond, Work: 2 * time.Millisecond, Dial: 10 * time.Millisecond, Promote: promoteTime,
+		}, "s1", "s2", "s3")
+		d.store.Configure(configuration(1))
+		go d.beat(ctx)
+		for i := range testHosts {
+			d.start(fmt.Sprintf("h%d", i))
+		}
+		time.Sleep(6 * time.Second)
+		test(d)
+		cancel()
+		d.running.Wait()
+		for _, c := range d.hosts {
+			for _, g := range c.groups {
+				g.Close()
+			}
+		}
+		time.Sleep(10 * time.Second)
+	})
+}
+
+func configuration(version uint64) *catalog.Configuration {
+	return &catalog.Configuration{
+		Version:  version,
+		Routes:   map[string]*catalog.Route{"db": {Name: "r", Database: "db", Service: "service", Timeout: time.Second, Target: time.Second}},
+		Services: map[string]catalog.Service{"service": {Name: "service", ConnectionLimit: 60}},
+	}
+}
+
+// beat registers the servers that run, as they do by themselves. An entry
+// lapses after three intervals of silence.
+func (d *deployment) beat(ctx context.Context) {
+	last := map[string]time.Time{}
+	for ctx.Err() == nil {
+		for _, s := range d.service.Catalog() {
+			d.mu.Lock()
+			s.Draining = d.draining[s.ID]
+			d.mu.Unlock()
+			d.store.Register(s)
+			last[s.ID] = time.Now()
+		}
+		for id, at := range last {
+			if time.Since(at) > 3*beat {
+				d.store.Unregister(id)
+			}
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
+// start starts a host; the returned index stops it.
+func (d *deployment) start(name string) int {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	c := newController(options{
+		host: name, incarnation: fmt.Sprint(len(d.hosts)), zone: "a", zones: map[string]string{"a": "r"},
+		store: objectstest.Client{Store: d.store, Host: name}, promoter: recordingPromoter{d}, watchWait: 3750 * time.Millisecond,
+		now: time.Now, log: logrus.NewEntry(log),
+		groups: backend.Options{Backends: statementtest.Backends{d.service}, Recorder: silentRecorder{}, Now: time.Now,
+			Zone: "a", RegionOf: map[string]string{"a": "r"}},
+	})
+	ctx, cancel := context.WithCancel(d.ctx)
+	d.hosts = append(d.hosts, c)
+	d.stops = append(d.stops, cancel)
+	d.running.Go(func() { c.run(ctx) })
+	return len(d.hosts) - 1
+}
+
+// recordingPromoter passes promotions on and records them.
+type recordingPromoter struct{ d *deployment }
+
+func (p recordingPromoter) Promote(ctx context.Context, o objects.Promotion) error {
+	p.d.mu.Lock()
+	p.d.orders = append(p.d.orders, o)
+	p.d.mu.Unlock()
+	return p.d.service.Promote(ctx, o)
+}
+
+// ask reads the state of a host on its own goroutine.
+func ask[T any](c *controller, read func() T) T {
+	out := make(chan T, 1)
+	c.events <- func() { out <- read() }
+	return <-out
+}
+
+// holder returns the index of the host that holds the duty.
+func (d *deployment) holder() int {
+	d.t.Helper()
+	for range 100 {
+		for i, c := range d.hosts {
+			if d.stopped(i) {
+				continue
+			}
+			if ask(c, c.lease.Holding) {
+				return i
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	d.t.Fatal("no host holds the promotion duty after 10 s")
+	return -1
+}
+
+func (d *deployment) stopped(i int) bool { return d.stops[i] == nil }
+
+func (d *deployment) stop(i int) {
+	d.stops[i]()
+	d.stops[i] = nil
+}
+
+// knows reports whether every host that runs believes in the primary.
+func (d *deployment) knows(primary string) bool {
+	for i, c := range d.hosts {
+		if d.stopped(i) {
+			continue
+		}
+		g := c.board.View().Groups["service"]
+		if g == nil || g.Health().Primary != primary {
+			return false
+		}
+	}
+	return true
+}
+
+// gap returns the time until every host believes in a primary that leads, and
+// is not the lost one.
+func (d *deployment) gap(lost string, limit time.Duration) time.Duration {
+	d.t.Helper()
+	began := time.Now()
+	for time.Since(began) < limit {
+		if p := d.service.Primary(); p != "" && p != lost && d.knows(p) {
+			return time.Since(began)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.t.Fatalf("no primary was known to all hosts within %s", limit)
+	return 0
+}
+
+// The goal for a gap: 1.5 s and the platform's time for a promotion.
+const gapGoal = 1500*time.Millisecond + promoteTime
+
+// Guards against a primary that crashes, or falls silent, and is not replaced
+// in time, and against more than one replacement.
+func TestLostPrimaryIsReplaced(t *testing.T) {
+	for _, how := range []string{"crash", "silence"} {
+		t.Run(how, func(t *testing.T) {
+			deploy(t, func(d *deployment) {
+				d.holder()
+				if how == "crash" {
+					d.service.Crash("s1")
+				} else {
+					d.service.Silence("s1")
+				}
+				if gap := d.gap("s1", 10*time.Second); gap > gapGoal {
+					t.Errorf("gap is %s, want at most %s", gap, gapGoal)
+				}
+				time.Sleep(5 * time.Second)
+				d.service.Start("s1")
+				time.Sleep(5 * time.Second)
+				if n := d.service.Promotions(); n != 1 {
+					t.Errorf("%d promotions, want one", n)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a planned change of primary that waits for the server to end.
+func TestDrainingPrimaryIsReplaced(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.mu.Lock()
+		d.draining["s1"] = true
+		d.mu.Unlock()
+		if gap := d.gap("s1", 5*time.Second); gap > time.Second {
+			t.Errorf("gap is %s, want at most 1s", gap)
+		}
+	})
+}
+
+// Guards against a primary that stays lost because the holder of the duty was
+// lost just before.
+func TestHolderIsLostToo(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.stop(d.holder())
+		time.Sleep(time.Second)
+		d.service.Silence("s1")
+		if gap := d.gap("s1", 20*time.Second); gap > lease.Duration+gapGoal {
+			t.Errorf("gap is %s, want at most %s", gap, lease.Duration+gapGoal)
+		}
+	})
+}
+
+// Guards against a failover that needs the store at the moment of the loss.
+func TestStoreIsDownWhenPrimaryIsLost(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.store.SetDown(true)
+		time.Sleep(500 * time.Millisecond)
+		d.service.Crash("s1")
+		time.Sleep(4 * time.Second)
+		d.store.SetDown(false)
+		if gap := d.gap("s1", 10*time.Second); gap > 4*time.Second {
+			t.Errorf("primary is replaced %s after the return of the store", gap)
+		}
+	})
+}
+
+// Guards against two hosts that promote with the same token, and against a
+// former holder that goes on once it is refused, while answers of the store are
+// lost, writes are executed late, and the holder is cut off from the store.
+func TestTokensOfPromotions(t *testing.T) {
+	for _, late := range []time.Duration{0, 2 * time.Second} {
+		deploy(t, func(d *deployment) {
+			d.store.LoseAnswers(0.35, late)
+			for i := range 4 {
+				h := d.holder()
+				d.store.CutOff(d.hosts[h].host, true)
+				time.Sleep(time.Duration(i) * time.Second)
+				lost := d.service.Primary()
+				d.service.Crash(lost)
+				time.Sleep(8 * time.Second)
+				d.service.Start(lost)
+				d.store.CutOff(d.hosts[h].host, false)
+				d.gap("", 10*time.Second)
+				time.Sleep(2 * time.Second)
+			}
+			holders := map[uint64]string{}
+			for _, o := range d.orders {
+				if other, used := holders[o.Token]; used && other != o.Holder {
+					t.Errorf("token %d was used by %s and %s", o.Token, other, o.Holder)
+				}
+				holders[o.Token] = o.Holder
+			}
+		})
+	}
+}
+
+// Guards against a healthy primary that is replaced, and against calls to the
+// store that grow while nothing happens.
+func TestQuietFleet(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		before := d.store.Calls()
+		time.Sleep(60 * time.Second)
+		if n := d.service.Promotions(); n != 0 {
+			t.Errorf("%d promotions, want none", n)
+		}
+		perHost := float64(d.store.Calls()-before) / 60 / testHosts
+		if perHost > 1.6 {
+			t.Errorf("%.2f calls to the store a second and host, want at most 1.6", perHost)
+		}
+	})
+}
+
+// Guards against a change that hosts do not learn because the store dropped its
+// history while a watch was waiting, and against a return to an older version.
+func TestConfigurationAfterLostHistory(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.store.SetDeaf(true)
+		d.store.Configure(configuration(2))
+		time.Sleep(time.Second)
+		d.store.SetDeaf(false)
+		time.Sleep(4500 * time.Millisecond)
+		for _, c := range d.hosts {
+			if v := c.board.Configuration().Version; v != 2 {
+				t.Errorf("%s has version %d, want 2", c.host, v)
+			}
+		}
+		d.store.Configure(configuration(1))
+		time.Sleep(time.Second)
+		for _, c := range d.hosts {
+			if v := c.board.Configuration().Version; v != 2 {
+				t.Errorf("%s went back to version %d", c.host, v)
+			}
+		}
+	})
+}
+
+// Guards against servers that are forgotten when their entries lapse for a
+// moment, and against servers that stay in use after they are gone.
+func TestLapsedEntries(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		c := d.hosts[0]
+		known := func() int { return len(c.board.View().Groups["service"].Pools()) }
+		d.store.Unregister("s3")
+		time.Sleep(30 * time.Millisecond)
+		if known() != 3 {
+			t.Error("a server whose entry lapsed for a moment was forgotten")
+		}
+		d.service.Crash("s3")
+		time.Sleep(3*beat + lapseGrace + 500*time.Millisecond)
+		if known() != 2 {
+			t.Error("a server that is gone is still in use")
+		}
+	})
+}
+
+// Guards against a choice of the successor that loses a commit which a replica
+// received, and against a wait for replicas that do not answer.
+func TestPromotionAsksReplicas(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.service.SetDeaf("s2", true)
+		g := d.hosts[0].board.View().Groups["service"]
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		c, err := g.Primary().Acquire(ctx, testClass)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := c.Exchange(time.Now().Add(time.Second), statement.Statement{ID: "w", Kind: statement.Write, Text: "WRITE x 1"}); err != nil {
+			t.Fatal(err)
+		}
+		c.Release(true)
+		time.Sleep(100 * time.Millisecond)
+		d.service.Crash("s1")
+		d.gap("s1", 10*time.Second)
+		if p := d.service.Primary(); p != "s3" {
+			t.Errorf("%s leads, want s3, which holds the last commit", p)
+		}
+		if got := d.service.Committed(); len(got) != 1 {
+			t.Errorf("committed %v, want the write", got)
+		}
+	})
+}
+
+// Guards against reports of hosts that no longer count.
+func TestReportsExpire(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		c := d.hosts[d.holder()]
+		got := ask(c, func() [2]int {
+			now := c.now()
+			c.reports["x"] = received{report: report{Missing: map[string]string{"service": "s1"}}, at: now, since: map[string]time.Time{"service": now}}
+			fresh, _ := c.missed("service", "s1")
+			c.reports["x"] = received{report: report{Missing: map[string]string{"service": "s1"}}, at: now.Add(-reportLife)}
+			old, _ := c.missed("service", "s1")
+			return [2]int{fresh, old}
+		})
+		if got != [2]int{1, 0} {
+			t.Errorf("fresh and old reports count as %v, want 1 and 0", got)
+		}
+	})
+}
