--- a/daemon/internal/front/front_test.go
+++ b/daemon/internal/front/front_test.go
@@ -267,13 +267,13 @@
 		w.config.Store(nil)
 		d := w.connect("d", onPrimary)
 		time.Sleep(2 * time.Second)
-		if d.refused != statement.Busy {
-			t.Errorf("caller was refused with %s, want busy", d.refused)
+		if got := d.refusal(); got != statement.Busy {
+			t.Errorf("caller was refused with %s, want busy", got)
 		}
 		w.config.Store(config)
 		e := w.connect("e", "no such database")
-		if e.refused != statement.NoDatabase {
-			t.Errorf("caller of an unknown database got %s", e.refused)
+		if got := e.refusal(); got != statement.NoDatabase {
+			t.Errorf("caller of an unknown database got %s", got)
 		}
 	})
 }
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -188,6 +188,12 @@
 	}
 }
 
+// refusal waits until the session has ended and returns the code of its refusal.
+func (c *caller) refusal() statement.Code {
+	<-c.closed
+	return c.refused
+}
+
 // do sends a statement and waits for its answer.
 func (c *caller) do(st statement.Statement) statement.Answer {
 	c.nextID++
