--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -361,3 +361,12 @@
 	}
 	return seen
 }
+
+// Heal ends all faults of all servers.
+func (s *Service) Heal() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, sv := range s.servers {
+		sv.down, sv.dark, sv.deaf, sv.lag, sv.busy, sv.loseAnswers = false, false, false, 0, 0, 0
+	}
+}
