Add a stand-in of the users' platform and a soak over real processes

The stand-in speaks the platform's store, promotion calls and line protocol, each behind a loopback proxy that delays, cuts, silences and resets connections. The soak starts gypsumgap processes, signals and harms them by a seed, and checks what callers and backend servers see.

--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -158,6 +158,13 @@
 	})
 }
 
+// CrashPrimary crashes the server that leads, if there is one.
+func (s *Service) CrashPrimary() {
+	if id := s.Primary(); id != "" {
+		s.Crash(id)
+	}
+}
+
 // Start lets a crashed or dark server go on with its log.
 func (s *Service) Start(id string) { s.with(id, func(sv *Server) { sv.down, sv.dark = false, false }) }
 
--- /dev/null
+++ b/standin/cmd/gypsumgap-soak/main.go
@@ -0,0 +1,71 @@
+// Command gypsumgap-soak runs gypsumgap processes before stand-ins of the
+// users' platform, harms them at random, and checks what callers and backend
+// servers see. A seed chooses the faults and the load.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"github.com/gypsumgap/gypsumgap/standin/fleet"
+)
+
+type arguments struct {
+	Binary   string        `arg:"--binary" default:"bin/gypsumgap" help:"program of the hosts"`
+	Seed     uint64        `arg:"--seed" default:"1" help:"first seed"`
+	Seeds    uint64        `arg:"--seeds" default:"1" help:"number of seeds to play, one after the other"`
+	Duration time.Duration `arg:"--duration" default:"20s" help:"how long faults are injected, a seed"`
+	Hosts    int           `arg:"--hosts" default:"5" help:"number of gypsumgap processes"`
+	Callers  int           `arg:"--callers" default:"18" help:"number of sessions"`
+	Calm     bool          `arg:"--calm" help:"inject no faults"`
+	Network  int           `arg:"--network" default:"77" help:"second number of the loopback addresses used"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "gypsumgap-soak checks gypsumgap's promises over real processes while it injects faults.\n"
+}
+
+func main() {
+	var args arguments
+	arg.MustParse(&args)
+	failed := false
+	for seed := args.Seed; seed < args.Seed+args.Seeds; seed++ {
+		ok, err := play(args, seed)
+		if err != nil {
+			fmt.Fprintf(os.Stderr, "seed %d: %v\n", seed, err)
+			os.Exit(2)
+		}
+		failed = failed || !ok
+	}
+	if failed {
+		os.Exit(1)
+	}
+}
+
+// play plays one seed; the files of one that fails are kept.
+func play(args arguments, seed uint64) (bool, error) {
+	folder, err := fleet.Folder()
+	if err != nil {
+		return false, err
+	}
+	result, err := fleet.Run(fleet.Options{
+		Binary: args.Binary, Seed: seed, Duration: args.Duration, Hosts: args.Hosts, Callers: args.Callers, Calm: args.Calm, Folder: folder,
+	}, args.Network)
+	if err != nil {
+		return false, err
+	}
+	fmt.Printf("seed=%d problems=%d writes=%v broken=%d reads=%d promotions=%d faults=%v\n",
+		seed, len(result.Problems), result.Writes, result.Broken, result.Reads, result.Promotions, result.Faults)
+	if len(result.Problems) == 0 {
+		return true, os.RemoveAll(folder)
+	}
+	for _, p := range result.Problems {
+		fmt.Printf("seed=%d problem: %s\n", seed, p)
+	}
+	fmt.Printf("seed=%d settings and logs are in %s\n", seed, folder)
+	return false, nil
+}
--- /dev/null
+++ b/standin/fleet/caller.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/statement"
+)
+
+// The time limits of a caller.
+const (
+	callerDial   = 2 * time.Second
+	callerAnswer = 8 * time.Second
+)
+
+// Caller speaks the line protocol with the hosts. It implements
+// statementtest.Caller.
+type Caller struct {
+	// Database is the database of the sessions, Pick chooses the address of the
+	// host for the next session.
+	Database string
+	Pick     func() string
+
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+// Do sends a statement and waits for its answer, in a new session if there is
+// none. After an error there is none.
+func (c *Caller) Do(st statement.Statement) (statement.Answer, error) {
+	a, err := c.try(st)
+	if err != nil {
+		c.Close()
+	}
+	return a, err
+}
+
+// Close ends the session.
+func (c *Caller) Close() {
+	if c.conn != nil {
+		_ = c.conn.Close()
+		c.conn = nil
+	}
+}
+
+func (c *Caller) try(st statement.Statement) (statement.Answer, error) {
+	if c.conn == nil {
+		if err := c.connect(); err != nil {
+			return statement.Answer{}, err
+		}
+	}
+	if err := c.conn.SetDeadline(time.Now().Add(callerAnswer)); err != nil {
+		return statement.Answer{}, err
+	}
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", st.ID, queryText(st)); err != nil {
+		return statement.Answer{}, err
+	}
+	return c.answer()
+}
+
+func (c *Caller) connect() error {
+	conn, err := net.DialTimeout("tcp", c.Pick(), callerDial)
+	if err != nil {
+		return err
+	}
+	c.conn, c.reader = conn, bufio.NewReader(conn)
+	if err := conn.SetDeadline(time.Now().Add(callerDial)); err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(conn, "START %s soak\r\n", c.Database); err != nil {
+		return err
+	}
+	line, err := readLine(c.reader)
+	if err != nil {
+		return err
+	}
+	if !strings.HasPrefix(line, "READY ") {
+		return fmt.Errorf("session was refused: %s", line)
+	}
+	return nil
+}
+
+func (c *Caller) answer() (statement.Answer, error) {
+	var a statement.Answer
+	for {
+		line, err := readLine(c.reader)
+		if err != nil {
+			return a, err
+		}
+		word, rest, _ := strings.Cut(line, " ")
+		switch word {
+		case "ROW":
+			a.Rows = append(a.Rows, rest)
+		case "DONE":
+			a.Signature = rest
+		case "ERROR":
+			if a.Code, err = codeOf(rest); err != nil {
+				return a, err
+			}
+		case "READY":
+			return a, nil
+		default:
+			return a, fmt.Errorf("unexpected message %q", line)
+		}
+	}
+}
+
+func codeOf(rest string) (statement.Code, error) {
+	word, _, _ := strings.Cut(rest, " ")
+	for code, w := range codeWords {
+		if w == word {
+			return code, nil
+		}
+	}
+	return statement.Failed, fmt.Errorf("unknown code %q", word)
+}
+
+func queryText(st statement.Statement) string {
+	switch st.Kind {
+	case statement.Begin:
+		return "BEGIN"
+	case statement.Commit:
+		return "COMMIT"
+	case statement.Rollback:
+		return "ROLLBACK"
+	case statement.Set:
+		return "SET " + st.Name + " " + st.Value
+	default:
+		return st.Text
+	}
+}
--- /dev/null
+++ b/standin/fleet/processes.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Process is a gypsumgap process that is restarted when it ends.
+type Process struct {
+	Name, IP string
+	binary   string
+	settings string
+	log      *os.File
+
+	mu       sync.Mutex
+	command  *exec.Cmd
+	exited   chan struct{}
+	stopping bool
+	running  sync.WaitGroup
+}
+
+// The ports of a process, on an IP number of its own.
+const (
+	callerPort  = 6432
+	readyPort   = 8081
+	metricsPort = 9100
+	// restartDelay follows the end of a process.
+	restartDelay = 300 * time.Millisecond
+	// stopTimeout is the graceful shutdown's of a process, stopSlack what it may
+	// take beyond.
+	stopTimeout = 4 * time.Second
+	stopSlack   = 2 * time.Second
+)
+
+const settingsText = `protocol: statements
+host: %q
+availability_zone: %q
+zones: {zone-a: region-a, zone-b: region-a, zone-c: region-b}
+listen: "%s:%d"
+ready_listen: "%s:%d"
+metrics_listen: "%s:%d"
+store: %q
+promotions: %q
+stop_timeout: %s
+catch_up_timeout: 5s
+memory_limit_mb: 200
+`
+
+// NewProcess writes the settings of a process into a folder; Start starts it.
+func NewProcess(binary, folder, name, ip, zone, store, promotions string) (*Process, error) {
+	p := &Process{Name: name, IP: ip, binary: binary, settings: filepath.Join(folder, name+".yaml")}
+	text := fmt.Sprintf(settingsText, name, zone, ip, callerPort, ip, readyPort, ip, metricsPort, store, promotions, stopTimeout)
+	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
+		return nil, fmt.Errorf("write settings: %w", err)
+	}
+	log, err := os.Create(filepath.Join(folder, name+".log"))
+	if err != nil {
+		return nil, fmt.Errorf("create log: %w", err)
+	}
+	p.log = log
+	return p, nil
+}
+
+// Address is where the process takes callers.
+func (p *Process) Address() string { return fmt.Sprintf("%s:%d", p.IP, callerPort) }
+
+// Start starts the process and restarts it until Stop.
+func (p *Process) Start() error {
+	if err := p.launch(); err != nil {
+		return err
+	}
+	p.running.Go(func() {
+		for {
+			p.mu.Lock()
+			command, exited := p.command, p.exited
+			p.mu.Unlock()
+			_ = command.Wait()
+			close(exited)
+			time.Sleep(restartDelay)
+			p.mu.Lock()
+			stopping := p.stopping
+			p.mu.Unlock()
+			if stopping || p.launch() != nil {
+				return
+			}
+		}
+	})
+	return nil
+}
+
+func (p *Process) launch() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.command = exec.Command(p.binary, "--settings", p.settings)
+	p.command.Stdout, p.command.Stderr = p.log, p.log
+	p.exited = make(chan struct{})
+	if err := p.command.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	return nil
+}
+
+// Signal sends a signal to the process that runs.
+func (p *Process) Signal(s syscall.Signal) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	_ = p.command.Process.Signal(s)
+}
+
+// Stop stops the process for good; it fails if the process does not end in time.
+func (p *Process) Stop() error {
+	p.mu.Lock()
+	p.stopping = true
+	exited := p.exited
+	p.mu.Unlock()
+	p.Signal(syscall.SIGCONT)
+	p.Signal(syscall.SIGTERM)
+	defer func() {
+		p.running.Wait()
+		_ = p.log.Close()
+	}()
+	select {
+	case <-exited:
+		return nil
+	case <-time.After(stopTimeout + stopSlack):
+		p.Signal(syscall.SIGKILL)
+		return fmt.Errorf("%s did not stop within %s", p.Name, stopTimeout+stopSlack)
+	}
+}
--- /dev/null
+++ b/standin/fleet/proxy.go
@@ -0,0 +1,179 @@
+package fleet
+
+import (
+	"io"
+	"net"
+	"sync"
+	"time"
+)
+
+// Fault is what a proxy does to the connections of one source.
+type Fault int
+
+// The faults. Silence applies to connections that are open when it is set; new
+// ones work. Cuts hold for all until they are lifted.
+const (
+	Pass Fault = iota
+	// Cut forwards nothing, CutAnswers no answers, Delay everything later.
+	Cut
+	CutAnswers
+	Delay
+)
+
+// proxyDelay is the delay of Delay, cutPoll how often a cut looks whether it was
+// lifted.
+const (
+	proxyDelay = 60 * time.Millisecond
+	cutPoll    = 20 * time.Millisecond
+	// dialTimeout bounds the connection to the target.
+	dialTimeout = time.Second
+)
+
+// Proxy forwards connections to a target and harms them by their source.
+type Proxy struct {
+	target string
+
+	mu     sync.Mutex
+	faults map[string]Fault
+	pairs  map[*pair]bool
+}
+
+// pair is a forwarded connection.
+type pair struct {
+	source       string
+	near, far    net.Conn
+	mu           sync.Mutex
+	silent       bool
+	closeOnce    sync.Once
+	closedSignal chan struct{}
+}
+
+// NewProxy forwards the connections of a listener to the target until the
+// listener is closed.
+func NewProxy(ln net.Listener, target string) *Proxy {
+	p := &Proxy{target: target, faults: map[string]Fault{}, pairs: map[*pair]bool{}}
+	go p.serve(ln)
+	return p
+}
+
+func (p *Proxy) serve(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go p.forward(c)
+	}
+}
+
+func (p *Proxy) forward(near net.Conn) {
+	far, err := net.DialTimeout("tcp", p.target, dialTimeout)
+	if err != nil {
+		_ = near.Close()
+		return
+	}
+	host, _, _ := net.SplitHostPort(near.RemoteAddr().String())
+	x := &pair{source: host, near: near, far: far, closedSignal: make(chan struct{})}
+	p.mu.Lock()
+	p.pairs[x] = true
+	p.mu.Unlock()
+	var copies sync.WaitGroup
+	copies.Go(func() { p.copy(x, far, near, false) })
+	copies.Go(func() { p.copy(x, near, far, true) })
+	copies.Wait()
+	p.mu.Lock()
+	delete(p.pairs, x)
+	p.mu.Unlock()
+}
+
+// copy forwards one direction.
+func (p *Proxy) copy(x *pair, to io.Writer, from io.Reader, answers bool) {
+	defer x.close()
+	buffer := make([]byte, 16<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil || !p.pass(x, answers) {
+			return
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// pass waits until what was read may go on; it reports false if the connection
+// has ended.
+func (p *Proxy) pass(x *pair, answers bool) bool {
+	for {
+		p.mu.Lock()
+		fault := p.faults[x.source]
+		p.mu.Unlock()
+		x.mu.Lock()
+		held := x.silent || fault == Cut || fault == CutAnswers && answers
+		x.mu.Unlock()
+		if !held {
+			if fault == Delay {
+				time.Sleep(proxyDelay)
+			}
+			return true
+		}
+		select {
+		case <-time.After(cutPoll):
+		case <-x.closedSignal:
+			return false
+		}
+	}
+}
+
+func (x *pair) close() {
+	x.closeOnce.Do(func() {
+		close(x.closedSignal)
+		_ = x.near.Close()
+		_ = x.far.Close()
+	})
+}
+
+// Set sets the fault of a source, an IP number.
+func (p *Proxy) Set(source string, f Fault) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.faults[source] = f
+}
+
+// Heal lifts all faults but the silence of connections, which lasts.
+func (p *Proxy) Heal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	clear(p.faults)
+}
+
+// Silence lets the open connections forward nothing more, for good.
+func (p *Proxy) Silence() {
+	p.each(func(x *pair) {
+		x.mu.Lock()
+		defer x.mu.Unlock()
+		x.silent = true
+	})
+}
+
+// Reset resets the open connections.
+func (p *Proxy) Reset() {
+	p.each(func(x *pair) {
+		if c, ok := x.near.(*net.TCPConn); ok {
+			_ = c.SetLinger(0)
+		}
+		x.close()
+	})
+}
+
+func (p *Proxy) each(do func(*pair)) {
+	p.mu.Lock()
+	var all []*pair
+	for x := range p.pairs {
+		all = append(all, x)
+	}
+	p.mu.Unlock()
+	for _, x := range all {
+		do(x)
+	}
+}
--- /dev/null
+++ b/standin/fleet/soak.go
@@ -0,0 +1,370 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
+)
+
+// Options set a soak.
+type Options struct {
+	// Binary is the program of the hosts.
+	Binary string
+	Seed   uint64
+	// Duration is how long faults are injected.
+	Duration time.Duration
+	Hosts    int
+	Callers  int
+	// Calm injects no faults.
+	Calm bool
+	// Folder takes settings and logs.
+	Folder string
+}
+
+const (
+	services          = 2
+	serversPerService = 3
+	// staleness is the bound of the routes that have one.
+	staleness = 1500 * time.Millisecond
+	// settleTime is the time in which everything must be served again after the
+	// last fault: silent connections and lapsed entries take seconds to be found.
+	settleTime  = 25 * time.Second
+	callerPause = 80 * time.Millisecond
+	beat        = 300 * time.Millisecond
+	lapse       = 3 * beat
+)
+
+var kinds = []string{"primary", "bounded_staleness", "own_writes"}
+
+var consistencies = []catalog.Consistency{catalog.Primary, catalog.BoundedStaleness, catalog.OwnWrites}
+
+// Soak is one run.
+type Soak struct {
+	options   Options
+	rng       *rand.Rand
+	prefix    string
+	store     *Store
+	proxies   []*Proxy
+	toStore   *Proxy
+	services  []*statementtest.Service
+	histories []*statementtest.History
+	processes []*Process
+	listeners []net.Listener
+	// addresses holds the proxy's address of each backend server.
+	addresses map[string]string
+	version   int
+	done      chan struct{}
+	running   sync.WaitGroup
+}
+
+// Result is the outcome of a soak.
+type Result struct {
+	Problems []string
+	Faults   map[string]int
+	Writes   map[statement.Code]int
+	Broken   int
+	Reads    int
+	// Promotions is the number of changes of a primary.
+	Promotions int
+}
+
+// Run plays a soak. Its network numbers are those of 127.net.0.0.
+func Run(o Options, network int) (*Result, error) {
+	s := &Soak{
+		options: o, rng: rand.New(rand.NewPCG(o.Seed, 1)), prefix: fmt.Sprintf("127.%d", network),
+		store: NewStore(o.Seed), addresses: map[string]string{}, done: make(chan struct{}),
+	}
+	defer s.close()
+	if err := s.start(); err != nil {
+		return nil, err
+	}
+	result := &Result{Faults: map[string]int{}, Writes: map[statement.Code]int{}}
+	s.awaitService(result, settleTime)
+	until := time.Now().Add(o.Duration)
+	var load sync.WaitGroup
+	for i := range o.Callers {
+		s.play(&load, i, until)
+	}
+	if !o.Calm {
+		s.faults(result, until)
+	}
+	load.Wait()
+	s.heal()
+	s.awaitService(result, settleTime)
+	s.finish(result)
+	return result, nil
+}
+
+func (s *Soak) listen(ip string) (net.Listener, error) {
+	ln, err := net.Listen("tcp", ip+":0")
+	if err == nil {
+		s.listeners = append(s.listeners, ln)
+	}
+	return ln, err
+}
+
+// proxied serves with the given function behind a proxy and returns the
+// proxy's address.
+func (s *Soak) proxied(serve func(net.Listener)) (*Proxy, string, error) {
+	behind, err := s.listen(s.prefix + ".250.1")
+	if err != nil {
+		return nil, "", err
+	}
+	front, err := s.listen(s.prefix + ".251.1")
+	if err != nil {
+		return nil, "", err
+	}
+	go serve(behind)
+	p := NewProxy(front, behind.Addr().String())
+	s.proxies = append(s.proxies, p)
+	return p, front.Addr().String(), nil
+}
+
+func (s *Soak) start() error {
+	for i := range services {
+		name := fmt.Sprintf("service-%d", i)
+		var ids []string
+		for j := range serversPerService {
+			ids = append(ids, fmt.Sprintf("%s-%d", name, j))
+		}
+		service := statementtest.New(name, statementtest.Options{
+			Lag: 5 * time.Millisecond, Work: 2 * time.Millisecond, Dial: 2 * time.Millisecond, Promote: 200 * time.Millisecond,
+			ConnectionLimit: 40,
+		}, ids...)
+		s.services = append(s.services, service)
+		s.histories = append(s.histories, statementtest.NewHistory(service, staleness, callerPause))
+		for _, id := range ids {
+			_, address, err := s.proxied(func(ln net.Listener) { ServeDatabase(ln, service, id) })
+			if err != nil {
+				return err
+			}
+			s.addresses[id] = address
+		}
+	}
+	toStore, store, err := s.proxied(func(ln net.Listener) { _ = http.Serve(ln, s.store) })
+	if err != nil {
+		return err
+	}
+	s.toStore = toStore
+	_, promotions, err := s.proxied(func(ln net.Listener) { _ = http.Serve(ln, Promotions(s.services)) })
+	if err != nil {
+		return err
+	}
+	if err := s.configure(); err != nil {
+		return err
+	}
+	s.running.Go(s.beats)
+	for i := range s.options.Hosts {
+		ip := fmt.Sprintf("%s.%d.1", s.prefix, i+1)
+		zone := []string{"zone-a", "zone-b", "zone-c"}[i%3]
+		p, err := NewProcess(s.options.Binary, s.options.Folder, fmt.Sprintf("host-%d", i), ip, zone, store, promotions)
+		if err != nil {
+			return err
+		}
+		s.processes = append(s.processes, p)
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+type routeSpec struct {
+	Name            string `json:"name"`
+	Host            string `json:"host"`
+	Kind            string `json:"kind"`
+	TimeoutMs       int    `json:"timeoutMs"`
+	TargetLatencyMs int    `json:"targetLatencyMs"`
+	Priority        int    `json:"priority"`
+	Service         string `json:"service"`
+	MaxStalenessMs  int64  `json:"maxStalenessMs"`
+}
+
+type serviceSpec struct {
+	Name            string `json:"name"`
+	ConnectionLimit int    `json:"connectionLimit"`
+	SyncReplicas    int    `json:"syncReplicas"`
+}
+
+type configSpec struct {
+	Version  int            `json:"version"`
+	Routes   []routeSpec    `json:"routes"`
+	Services []serviceSpec  `json:"services"`
+	Limits   map[string]int `json:"limits"`
+}
+
+func database(service, kind int) string { return fmt.Sprintf("db-%d-%s", service, kinds[kind]) }
+
+// configure writes the next version of the configuration.
+func (s *Soak) configure() error {
+	s.version++
+	spec := configSpec{Version: s.version, Limits: map[string]int{"headerTimeoutMs": 3000, "transactionIdleMs": 3000}}
+	for i, service := range s.services {
+		spec.Services = append(spec.Services, serviceSpec{Name: service.Name, ConnectionLimit: 40})
+		for k, kind := range kinds {
+			spec.Routes = append(spec.Routes, routeSpec{
+				Name: fmt.Sprintf("route-%d-%d", i, k), Host: database(i, k), Kind: kind, TimeoutMs: 1000, TargetLatencyMs: 1000,
+				Priority: k, Service: service.Name, MaxStalenessMs: staleness.Milliseconds(),
+			})
+		}
+	}
+	return s.store.Write("config", "main", spec)
+}
+
+type serverSpec struct {
+	Service  string `json:"service"`
+	Address  string `json:"address"`
+	Zone     string `json:"zone"`
+	Slots    int    `json:"slots"`
+	State    string `json:"state"`
+	Role     string `json:"databaseRole"`
+	Sequence int    `json:"sequence"`
+	Born     int64  `json:"born"`
+}
+
+// beats registers the backend servers that run, as they do by themselves.
+func (s *Soak) beats() {
+	last := map[string]time.Time{}
+	for {
+		for _, service := range s.services {
+			for _, server := range service.Catalog() {
+				role := "replica"
+				if server.Primary {
+					role = "primary"
+				}
+				_ = s.store.Write("servers", server.ID, serverSpec{
+					Service: server.Service, Address: s.addresses[server.ID], Zone: "zone-a", Slots: 3, State: "ready", Role: role, Born: 1,
+				})
+				last[server.ID] = time.Now()
+			}
+		}
+		for id, at := range last {
+			if time.Since(at) > lapse {
+				s.store.Remove("servers", id)
+			}
+		}
+		select {
+		case <-time.After(beat / 3):
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// play starts a caller on one of the routes.
+func (s *Soak) play(load *sync.WaitGroup, i int, until time.Time) {
+	service, kind := i%services, i/services%len(kinds)
+	rng := rand.New(rand.NewPCG(s.options.Seed, uint64(i)+100))
+	c := &Caller{Database: database(service, kind), Pick: func() string { return s.processes[rng.IntN(len(s.processes))].Address() }}
+	load.Go(func() {
+		defer c.Close()
+		s.histories[service].Play(c, fmt.Sprintf("c%d", i), consistencies[kind], rng, until)
+	})
+}
+
+// awaitService waits until each host serves a read of each route, and reports
+// those that do not.
+func (s *Soak) awaitService(result *Result, limit time.Duration) {
+	until := time.Now().Add(limit)
+	var mu sync.Mutex
+	var checks sync.WaitGroup
+	for _, p := range s.processes {
+		for i := range s.services {
+			for k := range kinds {
+				checks.Go(func() {
+					if err := serves(p, database(i, k), until); err != nil {
+						mu.Lock()
+						defer mu.Unlock()
+						result.Problems = append(result.Problems, fmt.Sprintf("%s does not serve %s: %v", p.Name, database(i, k), err))
+					}
+				})
+			}
+		}
+	}
+	checks.Wait()
+}
+
+func serves(p *Process, database string, until time.Time) error {
+	c := &Caller{Database: database, Pick: p.Address}
+	defer c.Close()
+	var last error
+	for time.Now().Before(until) {
+		a, err := c.Do(statement.Statement{ID: "check", Kind: statement.Read, Text: "READ x"})
+		if err == nil && a.Code == statement.OK {
+			return nil
+		}
+		last = errors.Join(err, fmt.Errorf("code %s", a.Code))
+		time.Sleep(callerPause)
+	}
+	return last
+}
+
+// finish collects the outcome and stops the processes.
+func (s *Soak) finish(result *Result) {
+	for i, h := range s.histories {
+		result.Problems = append(result.Problems, h.Problems()...)
+		counts, broken, reads := h.Attempts()
+		for code, n := range counts {
+			result.Writes[code] += n
+		}
+		result.Broken += broken
+		result.Reads += reads
+		result.Promotions += s.services[i].Promotions()
+	}
+	if s.options.Calm && result.Promotions > 0 {
+		result.Problems = append(result.Problems, fmt.Sprintf("%d primaries were replaced without a fault", result.Promotions))
+	}
+	var mu sync.Mutex
+	var stops sync.WaitGroup
+	for _, p := range s.processes {
+		stops.Go(func() {
+			if err := p.Stop(); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				result.Problems = append(result.Problems, err.Error())
+			}
+		})
+	}
+	stops.Wait()
+	s.processes = nil
+}
+
+func (s *Soak) close() {
+	for _, p := range s.processes {
+		_ = p.Stop()
+	}
+	close(s.done)
+	s.running.Wait()
+	for _, ln := range s.listeners {
+		_ = ln.Close()
+	}
+}
+
+// heal ends all faults that end; connections that were silenced stay silent.
+func (s *Soak) heal() {
+	for _, p := range s.processes {
+		p.Signal(syscall.SIGCONT)
+	}
+	for _, service := range s.services {
+		service.Heal()
+	}
+	for _, p := range s.proxies {
+		p.Heal()
+	}
+	s.store.SetDown(false)
+	s.store.SetSlow(0)
+	s.store.LoseAnswers(0, 0)
+}
+
+// Folder makes a folder for the files of a soak.
+func Folder() (string, error) { return os.MkdirTemp("", "gypsumgap-soak-") }
--- /dev/null
+++ b/standin/fleet/store.go
@@ -0,0 +1,329 @@
+// Package fleet is a stand-in of the users' platform for tests of whole
+// processes: its object store, its promotion calls, and backend servers that
+// speak its line protocol, with a loopback proxy before each that delays, cuts,
+// resets and silences connections.
+package fleet
+
+import (
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
+)
+
+// object is a stored object in the platform's form.
+type object struct {
+	Meta   meta            `json:"meta"`
+	Spec   json.RawMessage `json:"spec"`
+	Status json.RawMessage `json:"status"`
+}
+
+type meta struct {
+	Name       string   `json:"name"`
+	Revision   uint64   `json:"revision"`
+	Created    uint64   `json:"created"`
+	Finalizers []string `json:"finalizers"`
+	Deleting   bool     `json:"deleting"`
+}
+
+type event struct {
+	Deleted bool   `json:"deleted"`
+	Object  object `json:"object"`
+	kind    string
+}
+
+// Store is the platform's object store.
+type Store struct {
+	mu       sync.Mutex
+	rng      *rand.Rand
+	revision uint64
+	objects  map[string]map[string]object
+	events   []event
+	// oldest is the revision before which the history is gone.
+	oldest  uint64
+	changed chan struct{}
+
+	down      bool
+	slow      time.Duration
+	loseShare float64
+	// late is how much later a write whose answer is lost is executed.
+	late time.Duration
+}
+
+// NewStore returns an empty store. The seed decides which answers are lost.
+func NewStore(seed uint64) *Store {
+	return &Store{
+		rng: rand.New(rand.NewPCG(seed, 7)), revision: 1,
+		objects: map[string]map[string]object{}, changed: make(chan struct{}),
+	}
+}
+
+// SetDown lets every call be refused with 503.
+func (s *Store) SetDown(down bool) { s.with(func() { s.down = down }) }
+
+// SetSlow delays every answer.
+func (s *Store) SetSlow(d time.Duration) { s.with(func() { s.slow = d }) }
+
+// LoseAnswers loses the answers of a share of the writes, which are executed at
+// once or, with late above 0, that much later.
+func (s *Store) LoseAnswers(share float64, late time.Duration) {
+	s.with(func() { s.loseShare, s.late = share, late })
+}
+
+// Compact drops the history.
+func (s *Store) Compact() {
+	s.with(func() {
+		s.oldest = s.revision
+		s.events = nil
+	})
+}
+
+func (s *Store) with(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+}
+
+// Write sets an object as the operator or a backend server does. Nothing
+// happens if it has not changed.
+func (s *Store) Write(kind, name string, spec any) error {
+	data, err := json.Marshal(spec)
+	if err != nil {
+		return err
+	}
+	s.with(func() {
+		if old, ok := s.objects[kind][name]; !ok || string(old.Spec) != string(data) {
+			s.set(kind, name, data)
+		}
+	})
+	return nil
+}
+
+// Remove deletes an object as the platform does.
+func (s *Store) Remove(kind, name string) { s.with(func() { s.remove(kind, name) }) }
+
+// set changes an object and wakes the watches. The caller holds the lock.
+func (s *Store) set(kind, name string, spec json.RawMessage) object {
+	s.revision++
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]object{}
+	}
+	o := object{Meta: meta{Name: name, Revision: s.revision, Created: s.revision, Finalizers: []string{}}, Spec: spec}
+	if old, ok := s.objects[kind][name]; ok {
+		o.Meta.Created = old.Meta.Created
+	}
+	s.objects[kind][name] = o
+	s.note(event{Object: o, kind: kind})
+	return o
+}
+
+func (s *Store) remove(kind, name string) bool {
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return false
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	o.Meta.Revision = s.revision
+	s.note(event{Deleted: true, Object: o, kind: kind})
+	return true
+}
+
+func (s *Store) note(e event) {
+	s.events = append(s.events, e)
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// ServeHTTP answers a call.
+func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	down, slow := s.down, s.slow
+	s.mu.Unlock()
+	time.Sleep(slow)
+	if down {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
+	kind, name := path[0], ""
+	if len(path) > 1 {
+		name = path[1]
+	}
+	switch {
+	case r.Method == http.MethodGet && r.URL.Query().Has("watch"):
+		s.watch(w, r, kind)
+	case r.Method == http.MethodGet && name == "":
+		s.list(w, r, kind)
+	case r.Method == http.MethodGet:
+		s.get(w, kind, name)
+	default:
+		s.change(w, r, kind, name)
+	}
+}
+
+func reply(w http.ResponseWriter, code int, body any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(body)
+}
+
+func (s *Store) get(w http.ResponseWriter, kind, name string) {
+	s.mu.Lock()
+	o, ok := s.objects[kind][name]
+	s.mu.Unlock()
+	if !ok {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	reply(w, http.StatusOK, o)
+}
+
+// pageItems is the number of objects in one answer.
+const pageItems = 5
+
+type listAnswer struct {
+	Items         []object `json:"items"`
+	HasMore       bool     `json:"hasMore"`
+	StoreRevision uint64   `json:"storeRevision"`
+}
+
+func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
+	s.mu.Lock()
+	answer := listAnswer{Items: []object{}, StoreRevision: s.revision}
+	for name, o := range s.objects[kind] {
+		if name > r.URL.Query().Get("after") {
+			answer.Items = append(answer.Items, o)
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(answer.Items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	if len(answer.Items) > pageItems {
+		answer.Items, answer.HasMore = answer.Items[:pageItems], true
+	}
+	reply(w, http.StatusOK, answer)
+}
+
+type watchAnswer struct {
+	Events        []event `json:"events"`
+	StoreRevision uint64  `json:"storeRevision"`
+}
+
+func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
+	since, err1 := strconv.ParseUint(r.URL.Query().Get("watch"), 10, 64)
+	wait, err2 := strconv.Atoi(r.URL.Query().Get("waitMs"))
+	if err1 != nil || err2 != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	timeout := time.After(time.Duration(wait) * time.Millisecond)
+	for {
+		s.mu.Lock()
+		answer, gone, changed := s.since(kind, since), since < s.oldest, s.changed
+		s.mu.Unlock()
+		if gone {
+			w.WriteHeader(http.StatusGone)
+			return
+		}
+		if len(answer.Events) > 0 {
+			reply(w, http.StatusOK, answer)
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			reply(w, http.StatusOK, answer)
+			return
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func (s *Store) since(kind string, revision uint64) watchAnswer {
+	answer := watchAnswer{Events: []event{}, StoreRevision: s.revision}
+	for _, e := range s.events {
+		if e.kind == kind && e.Object.Meta.Revision > revision {
+			answer.Events = append(answer.Events, e)
+		}
+	}
+	return answer
+}
+
+// change executes a write, unless its answer is to be lost and it is to be late.
+func (s *Store) change(w http.ResponseWriter, r *http.Request, kind, name string) {
+	var body object
+	if r.Method != http.MethodDelete {
+		data, err := io.ReadAll(r.Body)
+		if err != nil || json.Unmarshal(data, &body) != nil {
+			w.WriteHeader(http.StatusBadRequest)
+			return
+		}
+	}
+	if name == "" {
+		name = body.Meta.Name
+	}
+	s.mu.Lock()
+	lose, late := s.rng.Float64() < s.loseShare, s.late
+	s.mu.Unlock()
+	if lose && late > 0 {
+		time.AfterFunc(late, func() { s.execute(r.Method, kind, name, body) })
+		panic(http.ErrAbortHandler)
+	}
+	code, o := s.execute(r.Method, kind, name, body)
+	if lose {
+		panic(http.ErrAbortHandler)
+	}
+	reply(w, code, o)
+}
+
+func (s *Store) execute(method, kind, name string, body object) (int, object) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old, exists := s.objects[kind][name]
+	switch {
+	case method == http.MethodDelete && s.remove(kind, name):
+		return http.StatusOK, old
+	case method == http.MethodPost && exists, exists && body.Meta.Revision != 0 && body.Meta.Revision != old.Meta.Revision:
+		return http.StatusConflict, old
+	case method == http.MethodPost, method == http.MethodPut && exists:
+		return http.StatusOK, s.set(kind, name, body.Spec)
+	default:
+		return http.StatusNotFound, object{}
+	}
+}
+
+// Promotions answers the platform's promotion calls.
+type Promotions []*statementtest.Service
+
+// ServeHTTP answers a call.
+func (p Promotions) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	var body struct {
+		Service string `json:"service"`
+		ID      string `json:"id"`
+	}
+	token, err := strconv.ParseUint(r.Header.Get("Fencing-Token"), 10, 64)
+	if err != nil || json.NewDecoder(r.Body).Decode(&body) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	for _, s := range p {
+		if s.Name != body.Service {
+			continue
+		}
+		order := objects.Promotion{Service: body.Service, Server: body.ID, Holder: r.Header.Get("Duty-Holder"), Token: token}
+		if s.Promote(r.Context(), order) != nil {
+			w.WriteHeader(http.StatusConflict)
+		}
+		return
+	}
+	w.WriteHeader(http.StatusNotFound)
+}
