--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -40,6 +40,8 @@
 
 	// share is the number of connections that this host may have to a server.
 	share atomic.Int32
+	// scarce tells that the hosts cannot all have minShare connections.
+	scarce atomic.Bool
 
 	mu      sync.Mutex
 	pools   map[string]*Pool
@@ -57,6 +59,29 @@
 	probes  probes
 }
 
+const (
+	// minShare is the number of connections that a host needs to a server, so
+	// that one open transaction does not hold up the other statements. Where the
+	// limit does not give as many to each host, hosts share the connections in
+	// time: one that is unused for scarceIdle is closed.
+	minShare   = 3
+	scarceIdle = 1500 * time.Millisecond
+	// usualIdle is how long unused connections are kept elsewhere; the backend
+	// servers close them after a minute.
+	usualIdle = 30 * time.Second
+)
+
+// CloseIdle closes the connections that have not been used for long.
+func (g *Group) CloseIdle() {
+	unused := usualIdle
+	if g.scarce.Load() {
+		unused = scarceIdle
+	}
+	for _, p := range g.Pools() {
+		p.closeIdle(unused)
+	}
+}
+
 // NewGroup returns a group without servers.
 func NewGroup(name string, options Options) *Group {
 	g := &Group{
@@ -73,7 +98,9 @@
 // SetService takes the limits of the service and the number of live hosts.
 func (g *Group) SetService(s catalog.Service, hosts int) {
 	hosts = max(hosts, 1)
-	g.share.Store(int32(max(1, (s.ConnectionLimit+hosts-1)/hosts)))
+	fair := (s.ConnectionLimit + hosts - 1) / hosts
+	g.scarce.Store(fair < minShare)
+	g.share.Store(int32(max(min(minShare, s.ConnectionLimit), fair)))
 }
 
 // SetServers takes the registered servers of the service.
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -138,15 +139,30 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+// The reasons for which no connection is opened.
+var (
+	errRemoved = errors.New("backend server was removed")
+	errFull    = errors.New("backend server has no connection left")
+)
+
+// reserve counts a connection that is about to be opened.
+func (p *Pool) reserve() (catalog.Server, error) {
 	p.mu.Lock()
-	server, closed := p.server, p.closed
-	if !closed {
-		p.open++
+	defer p.mu.Unlock()
+	switch {
+	case p.closed:
+		return p.server, errRemoved
+	case p.group.options.Now().Before(p.fullUntil):
+		return p.server, errFull
 	}
-	p.mu.Unlock()
-	if closed {
-		return nil, errors.New("backend server was removed")
+	p.open++
+	return p.server, nil
+}
+
+func (p *Pool) dial(ctx context.Context) (*Conn, error) {
+	server, err := p.reserve()
+	if err != nil {
+		return nil, err
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -246,6 +262,8 @@
 	ticket   *admission.Ticket
 	values   map[string]string
 	prepared map[string]bool
+	// idleSince is when the connection was last given back.
+	idleSince time.Time
 }
 
 // Pool returns the pool of the connection.
@@ -302,10 +320,28 @@
 	if p.closed || p.server.Draining && !leads {
 		return false
 	}
+	c.idleSince = p.group.options.Now()
 	p.idle = append(p.idle, c)
 	return true
 }
 
+// closeIdle closes the connections that were not used for the given time. The
+// most recently used ones are at the end.
+func (p *Pool) closeIdle(unused time.Duration) {
+	now := p.group.options.Now()
+	p.mu.Lock()
+	n := 0
+	for n < len(p.idle) && now.Sub(p.idle[n].idleSince) >= unused {
+		n++
+	}
+	closing := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
+	p.mu.Unlock()
+	for _, c := range closing {
+		p.discard(c)
+	}
+}
+
 // Rollback ends an open transaction and releases the connection; it does not wait.
 func (c *Conn) Rollback() {
 	go func() {
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -176,6 +176,7 @@
 	holder := c.lease.Holding()
 	for _, g := range c.groups {
 		g.Tick(holder)
+		g.CloseIdle()
 	}
 	c.stepLease()
 	c.stepReport()
