--- a/core/succession/succession.go
+++ b/core/succession/succession.go
@@ -23,6 +23,9 @@
 	// VacancyDelay is how long a service may be without a primary before one is
 	// chosen; another host's promotion may be under way.
 	VacancyDelay = time.Second
+	// ArrivalDelay is how long no server may have arrived before one is made the
+	// primary of a service that has none: the primary may be about to register.
+	ArrivalDelay = 4 * time.Second
 	// SettleTime is how long a promotion may take before the state of the
 	// service is judged again.
 	SettleTime = 4 * time.Second
@@ -45,8 +48,9 @@
 	Hosts int
 	// Candidates counts the servers that could take over.
 	Candidates int
-	// VacantSince is since when no primary is known.
-	VacantSince time.Time
+	// VacantSince is since when no primary is known, ArrivedAt when the last
+	// server registered itself.
+	VacantSince, ArrivedAt time.Time
 	// OrderedAt is when the last promotion was ordered, zero for never.
 	OrderedAt time.Time
 	// OrderRefused tells that its outcome is known to be a refusal.
@@ -81,7 +85,7 @@
 		return Stay
 	}
 	if v.Primary == "" {
-		if !v.VacantSince.IsZero() && now.Sub(v.VacantSince) >= VacancyDelay {
+		if !v.VacantSince.IsZero() && now.Sub(v.VacantSince) >= VacancyDelay && now.Sub(v.ArrivedAt) >= ArrivalDelay {
 			return Vacant
 		}
 		return Stay
--- a/core/succession/succession_test.go
+++ b/core/succession/succession_test.go
@@ -30,6 +30,9 @@
 		{"few others miss it", func(v *View) { v.Missing, v.MissingSince = 4, now.Add(-time.Minute) }, Stay},
 		{"vacant for a moment", func(v *View) { v.Primary, v.VacantSince = "", now.Add(-time.Millisecond) }, Stay},
 		{"vacant", func(v *View) { v.Primary, v.VacantSince = "", now.Add(-VacancyDelay) }, Vacant},
+		{"vacant while servers register", func(v *View) {
+			v.Primary, v.VacantSince, v.ArrivedAt = "", now.Add(-time.Minute), now.Add(-time.Second)
+		}, Stay},
 		{"promotion under way", func(v *View) { v.Registered, v.OrderedAt = false, now.Add(-time.Second) }, Stay},
 		{"promotion refused", func(v *View) { v.Registered, v.OrderedAt, v.OrderRefused = false, now.Add(-time.Second), true }, Gone},
 		{"promotion without effect", func(v *View) { v.Registered, v.OrderedAt = false, now.Add(-SettleTime) }, Gone},
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -262,8 +262,9 @@
 	ticket   *admission.Ticket
 	values   map[string]string
 	prepared map[string]bool
-	// idleSince is when the connection was last given back.
-	idleSince time.Time
+	// idleSince is when the connection was last given back after a statement;
+	// probed holds it while a probe uses the connection.
+	idleSince, probed time.Time
 }
 
 // Pool returns the pool of the connection.
@@ -321,21 +322,31 @@
 		return false
 	}
 	c.idleSince = p.group.options.Now()
+	if !c.probed.IsZero() {
+		c.idleSince, c.probed = c.probed, time.Time{}
+	}
 	p.idle = append(p.idle, c)
 	return true
 }
 
-// closeIdle closes the connections that were not used for the given time. The
-// most recently used ones are at the end.
+func (p *Pool) hasIdle() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return len(p.idle) > 0
+}
+
+// closeIdle closes the connections that no statement used for the given time.
 func (p *Pool) closeIdle(unused time.Duration) {
 	now := p.group.options.Now()
 	p.mu.Lock()
-	n := 0
-	for n < len(p.idle) && now.Sub(p.idle[n].idleSince) >= unused {
-		n++
-	}
-	closing := slices.Clone(p.idle[:n])
-	p.idle = slices.Delete(p.idle, 0, n)
+	var closing []*Conn
+	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
+		expired := now.Sub(c.idleSince) >= unused
+		if expired {
+			closing = append(closing, c)
+		}
+		return expired
+	})
 	p.mu.Unlock()
 	for _, c := range closing {
 		p.discard(c)
--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -14,12 +14,12 @@
 const (
 	// ProbeInterval is the age of the last proof of leadership after which a host
 	// probes; the holder of the promotion duty takes HolderProbeInterval.
-	ProbeInterval       = 900 * time.Millisecond
+	ProbeInterval       = 600 * time.Millisecond
 	HolderProbeInterval = 250 * time.Millisecond
-	// probeTimeout bounds one probe, and silence is how long a server that other
-	// statements hear from is not suspected.
-	probeTimeout = 350 * time.Millisecond
-	silence      = 600 * time.Millisecond
+	// probeTimeout bounds one probe, overdue is the age of the last answer after
+	// which a host that waits for another one probes.
+	probeTimeout = 300 * time.Millisecond
+	overdue      = 300 * time.Millisecond
 	// suspectMisses and suspectRefusals raise a suspicion.
 	suspectMisses   = 2
 	suspectRefusals = 2
@@ -61,7 +61,8 @@
 		return
 	}
 	suspicious := g.probes.misses+g.probes.refusals > 0
-	if now.Sub(g.verified) < interval && !suspicious {
+	unanswered := g.primary.outstanding.Load() > 0 && now.Sub(g.primary.Heard()) > overdue
+	if now.Sub(g.verified) < interval && !suspicious && !unanswered {
 		return
 	}
 	p, lost := g.primary, g.probes.suspects()
@@ -69,7 +70,7 @@
 		if lost {
 			go g.search()
 		}
-		g.check(p, suspicious)
+		g.check(p, suspicious || unanswered)
 	})
 }
 
@@ -110,26 +111,28 @@
 	if g.primary != p || g.verified.After(started) {
 		return
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
 		g.probes.refusals++
-		return
-	}
-	if g.options.Now().Sub(p.Heard()) < silence {
-		return
+	case errors.Is(err, errFull), errors.Is(err, errRemoved), p.Heard().After(started):
+		// The server was not asked, or it answers others.
+	default:
+		g.probes.misses++
 	}
-	g.probes.misses++
 }
 
 var errNotLeading = errors.New("backend server does not lead")
 
 // prove begins and ends an empty transaction, which only a leading server
 // accepts. With fresh set, or if no connection of the pool is free, it takes a
-// connection of its own.
+// connection of its own. Where connections are scarce, the pool opens none for
+// probes.
 func (g *Group) prove(p *Pool, fresh bool) error {
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
-	if !fresh {
-		ticket := &admission.Ticket{Class: probeClass}
+	if !fresh && !(g.scarce.Load() && !p.hasIdle()) {
+		deadline, _ := ctx.Deadline()
+		ticket := &admission.Ticket{Class: probeClass, Deadline: deadline}
 		if p.limiter.TryAcquire(ticket) {
 			c, err := p.take(ctx)
 			if err != nil {
@@ -154,7 +157,9 @@
 }
 
 func (g *Group) proveOn(ctx context.Context, c *Conn) error {
+	used := c.idleSince
 	err := g.ask(ctx, c.pool, c.conn)
+	c.probed = used
 	c.Release(err == nil || errors.Is(err, errNotLeading))
 	return err
 }
--- /dev/null
+++ b/daemon/internal/backend/probe_test.go
@@ -0,0 +1,43 @@
+package backend
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
+)
+
+// countingRecorder counts connections.
+type countingRecorder struct{ opened int }
+
+func (r *countingRecorder) ConnectionOpened(string)                   { r.opened++ }
+func (*countingRecorder) PrimaryChanged(string, string, group.Term) {}
+
+// Guards against probes that open a connection each although the pool has one,
+// since a new connection holds a slot of the backend server.
+func TestProbesUsePooledConnections(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := statementtest.New("service", statementtest.Options{Dial: 10 * time.Millisecond}, "s1", "s2", "s3")
+		recorder := &countingRecorder{}
+		g := NewGroup("service", Options{
+			Backends: statementtest.Backends{service}, Recorder: recorder, Now: time.Now, Zone: "a", RegionOf: map[string]string{"a": "r"},
+		})
+		g.SetService(catalog.Service{Name: "service", ConnectionLimit: 10}, 1)
+		g.SetServers(service.Catalog())
+		for range 200 {
+			g.Tick(true)
+			time.Sleep(100 * time.Millisecond)
+		}
+		if recorder.opened > 3 {
+			t.Errorf("%d connections were opened in 20 s, want at most one a server", recorder.opened)
+		}
+		if h := g.Health(); h.Primary != "s1" || time.Since(h.Verified) > 2*HolderProbeInterval {
+			t.Errorf("health is %+v, want s1 proved lately", h)
+		}
+		g.Close()
+		synctest.Wait()
+	})
+}
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -105,9 +105,11 @@
 	configuration *catalog.Configuration
 	groups        map[string]*backend.Group
 	servers       map[string]*registered
-	known         bool
-	draining      bool
-	hosts         int
+	// arrived is when the last server of each service registered itself.
+	arrived  map[string]time.Time
+	known    bool
+	draining bool
+	hosts    int
 	// failing holds since when calls for a kind fail.
 	failing map[objects.Kind]time.Time
 
@@ -132,7 +134,7 @@
 func newController(o options) *controller {
 	c := &controller{
 		options: o, board: &Board{}, events: make(chan func(), eventQueue),
-		groups: map[string]*backend.Group{}, servers: map[string]*registered{}, hosts: unknownHosts,
+		groups: map[string]*backend.Group{}, servers: map[string]*registered{}, arrived: map[string]time.Time{}, hosts: unknownHosts,
 		failing:     map[objects.Kind]time.Time{},
 		lease:       lease.New(o.host, o.incarnation, rand.N(takeoverJitter)),
 		reports:     map[string]received{},
@@ -262,6 +264,9 @@
 
 func (c *controller) registerServer(s catalog.Server) {
 	old := c.servers[s.ID]
+	if old == nil {
+		c.arrived[s.Service] = c.now()
+	}
 	if old == nil || old.server.Draining != s.Draining || old.server.Primary != s.Primary || old.server.Started != s.Started {
 		c.log.WithFields(logrus.Fields{"event": "server", "server": s.ID, "service": s.Service, "zone": s.Zone,
 			"draining": s.Draining, "claims_primary": s.Primary}).Info("entry of a backend server changed")
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -82,7 +82,7 @@
 func (c *controller) viewOf(name string, g *backend.Group, s *succeeding) succession.View {
 	h := g.Health()
 	v := succession.View{
-		Primary: h.Primary, Reachable: !h.Suspected, Hosts: c.hosts, VacantSince: h.Vacant,
+		Primary: h.Primary, Reachable: !h.Suspected, Hosts: c.hosts, VacantSince: h.Vacant, ArrivedAt: c.arrived[name],
 		OrderedAt: s.ordered, OrderRefused: s.refused,
 	}
 	if r := c.servers[h.Primary]; r != nil {
