--- a/core/freshness/freshness.go
+++ b/core/freshness/freshness.go
@@ -29,7 +29,7 @@
 // keptSamples bounds the samples of a service. At the sampling interval of
 // minSpacing they reach back further than any route's bound on staleness needs.
 const (
-	keptSamples = 16
+	keptSamples = 64
 	minSpacing  = 100 * time.Millisecond
 )
 
