Ask other hosts directly about a primary that does not answer

Ruled out: the lease (taken over within 2 s). The holder now asks the hosts over twirp, and an entry that lapsed corroborates what it sees itself.

--- a/core/succession/succession.go
+++ b/core/succession/succession.go
@@ -35,9 +35,10 @@
 type View struct {
 	// Primary is the ID of the primary; empty if none is known.
 	Primary string
-	// Registered tells whether the primary is still registered, Draining
-	// whether it is about to end.
-	Registered, Draining bool
+	// Registered tells whether the primary is still registered, Lapsed whether its
+	// entry is gone though it may come back, and Draining whether it is about to
+	// end.
+	Registered, Lapsed, Draining bool
 	// Reachable tells whether the holder itself hears the primary.
 	Reachable bool
 	// Missing counts the hosts, other than the holder, that report that they
@@ -46,6 +47,10 @@
 	MissingSince time.Time
 	// Hosts counts the live hosts, the holder included.
 	Hosts int
+	// Asked counts the hosts that answered the holder's question about the primary
+	// lately, and AskedMissing those of them that cannot reach it either. Hosts
+	// that cannot reach the store report nothing, but can be asked.
+	Asked, AskedMissing int
 	// Candidates counts the servers that could take over.
 	Candidates int
 	// VacantSince is since when no primary is known, ArrivedAt when the last
@@ -95,7 +100,7 @@
 		return Planned
 	case !v.Registered:
 		return Gone
-	case !v.Reachable && enough(v.Missing+1, v.Hosts):
+	case !v.Reachable && (v.Lapsed || enough(v.Missing+1, v.Hosts) || v.AskedMissing > 0 && enough(v.AskedMissing+1, v.Asked+1)):
 		return Unreachable
 	case v.Reachable && enough(v.Missing, v.Hosts) && now.Sub(v.MissingSince) >= ReportDelay:
 		return PartlyUnreachable
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -84,11 +85,15 @@
 type options struct {
 	host        string
 	incarnation string
-	zone        string
-	zones       map[string]string
-	store       objects.Store
-	promoter    objects.Promoter
-	groups      backend.Options
+	// peerAddress is where this host answers other hosts.
+	peerAddress string
+	// observe asks the host at an address how it sees the primary of a service.
+	observe  func(ctx context.Context, address string, r *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error)
+	zone     string
+	zones    map[string]string
+	store    objects.Store
+	promoter objects.Promoter
+	groups   backend.Options
 	// watchWait bounds how late a change is found of which the store did not tell.
 	watchWait time.Duration
 	// now must also count while the host is suspended.
@@ -126,6 +131,10 @@
 	reporting   bool
 	report      report
 	reportAt    time.Time
+	// peers holds the addresses of the other hosts, opinions what they answered, by
+	// service.
+	peers    map[string]string
+	opinions map[string]*opinion
 	// successions holds the promotions by service.
 	successions map[string]*succeeding
 	background  func(func(context.Context))
@@ -139,6 +148,7 @@
 		lease:       lease.New(o.host, o.incarnation, rand.N(takeoverJitter)),
 		reports:     map[string]received{},
 		successions: map[string]*succeeding{},
+		opinions:    map[string]*opinion{},
 	}
 	c.publish()
 	return c
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -199,6 +199,8 @@
 type registration struct {
 	Zone        string `json:"zone"`
 	Incarnation string `json:"incarnation"`
+	// PeerAddress is where the host answers other hosts.
+	PeerAddress string `json:"peer_address"`
 	// Renewal changes with each write.
 	Renewal int `json:"renewal"`
 }
@@ -231,7 +233,7 @@
 func (c *controller) writeRegistration(ctx context.Context, renewal int) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	value, err := json.Marshal(registration{Zone: c.zone, Incarnation: c.incarnation, Renewal: renewal})
+	value, err := json.Marshal(registration{Zone: c.zone, Incarnation: c.incarnation, PeerAddress: c.peerAddress, Renewal: renewal})
 	if err != nil {
 		return err
 	}
@@ -263,15 +265,22 @@
 	}
 	now := c.now()
 	count := 0
+	peers := map[string]string{}
 	for _, o := range snapshot.Objects {
 		if s := seen[o.Name]; s.revision != o.Revision {
 			seen[o.Name] = sighting{o.Revision, now}
 		}
-		if now.Sub(seen[o.Name].at) < registrationLife {
-			count++
+		if now.Sub(seen[o.Name].at) >= registrationLife {
+			continue
+		}
+		count++
+		var r registration
+		if o.Name != c.host && decode(o.Value, &r) {
+			peers[o.Name] = r.PeerAddress
 		}
 	}
 	c.post(ctx, func() {
+		c.peers = peers
 		if count > 0 && count != c.hosts {
 			c.log.WithFields(logrus.Fields{"event": "hosts", "count": count, "before": c.hosts}).Info("number of hosts changed")
 			c.hosts = count
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -17,6 +17,7 @@
 	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
@@ -113,6 +114,7 @@
 	log.SetOutput(io.Discard)
 	c := newController(options{
 		host: name, incarnation: fmt.Sprint(len(d.hosts)), zone: "a", zones: map[string]string{"a": "r"},
+		peerAddress: name, observe: d.observe,
 		store: objectstest.Client{Store: d.store, Host: name}, promoter: recordingPromoter{d}, watchWait: 3750 * time.Millisecond,
 		now: time.Now, log: logrus.NewEntry(log),
 		groups: backend.Options{Backends: statementtest.Backends{d.service}, Recorder: silentRecorder{}, Now: time.Now,
@@ -125,6 +127,16 @@
 	return len(d.hosts) - 1
 }
 
+// observe asks a host that runs, as over the network.
+func (d *deployment) observe(ctx context.Context, address string, r *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error) {
+	for i, c := range d.hosts {
+		if c.host == address && !d.stopped(i) {
+			return peerServer{c.board, time.Now}.Observe(ctx, r)
+		}
+	}
+	return nil, errNotServed
+}
+
 // recordingPromoter passes promotions on and records them.
 type recordingPromoter struct{ d *deployment }
 
@@ -251,6 +263,26 @@
 	})
 }
 
+// worstGap is the goal for the longest gap under faults.
+const worstGap = 4*time.Second + promoteTime
+
+// Guards against a lost primary that is not replaced because most hosts cannot
+// report it, as the store turns them away.
+func TestHostsAreTurnedAwayWhenPrimaryIsLost(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		holder := d.holder()
+		for i, c := range d.hosts {
+			if i != holder {
+				d.store.CutOff(c.host, true)
+			}
+		}
+		d.service.Silence("s1")
+		if gap := d.gap("s1", 20*time.Second); gap > worstGap {
+			t.Errorf("gap is %s, want at most %s", gap, worstGap)
+		}
+	})
+}
+
 // Guards against a failover that needs the store at the moment of the loss.
 func TestStoreIsDownWhenPrimaryIsLost(t *testing.T) {
 	deploy(t, func(d *deployment) {
--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -18,10 +18,12 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/front"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/metrics"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
 )
 
 // The timing of a stop.
@@ -55,6 +57,7 @@
 	control  *controller
 	front    *front.Server
 	platform Platform
+	peers    *peer.Client
 }
 
 // watchShare is the part of the catch-up timeout that a watch may wait; the rest
@@ -71,13 +74,17 @@
 	return time.Unix(ts.Unix())
 }
 
-// New assembles a host; it starts nothing. The file is that of the settings,
-// for reloads.
+// New assembles a host from settings that were checked; it starts nothing. The
+// file is that of the settings, for reloads.
 func New(s *Settings, file string, p Platform, log *logrus.Entry) *Host {
-	h := &Host{settings: s, file: file, log: log, platform: p, metrics: metrics.New(s.Host, s.AvailabilityZone)}
+	h := &Host{
+		settings: s, file: file, log: log, platform: p, metrics: metrics.New(s.Host, s.AvailabilityZone),
+		peers: peer.NewClient(netip.MustParseAddrPort(s.PeerListen).Addr()),
+	}
 	recorder := newRecorder(h.metrics.Scope(), log)
 	h.control = newController(options{
 		host: s.Host, incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), zone: s.AvailabilityZone, zones: s.Zones,
+		peerAddress: s.PeerListen, observe: h.observe,
 		store: p.Store, promoter: p.Promoter, now: bootTime, log: log,
 		watchWait: time.Duration(watchShare * float64(s.CatchUpTimeout)),
 		groups:    backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones},
@@ -86,6 +93,11 @@
 	return h
 }
 
+// observe asks another host how it sees the primary of a service.
+func (h *Host) observe(ctx context.Context, address string, r *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error) {
+	return h.peers.Peer(address).Observe(ctx, r)
+}
+
 // ready tells whether the host may be given callers.
 func (h *Host) ready() error {
 	v := h.control.board.View()
@@ -113,6 +125,10 @@
 	if err != nil {
 		return err
 	}
+	peers, err := listen(h.settings.PeerListen)
+	if err != nil {
+		return err
+	}
 	controlCtx, stopControl := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopControl()
 	var running errgroup.Group
@@ -120,6 +136,7 @@
 	running.Go(func() error { return h.front.Serve(callers) })
 	readyServer := serve(&running, ready, h.platform.Ready(h.ready))
 	adminServer := serve(&running, admin, h.metrics.Handler(h.ready))
+	peerServer := serve(&running, peers, peerapi.NewPeerServer(peerServer{h.control.board, bootTime}))
 	go h.reload(controlCtx)
 	h.log.WithFields(logrus.Fields{"event": "started", "listen": h.settings.Listen, "zone": h.settings.AvailabilityZone}).
 		Info("host serves callers")
@@ -127,7 +144,7 @@
 	h.drain()
 	_ = callers.Close()
 	stopControl()
-	err = errors.Join(readyServer.Close(), adminServer.Close(), running.Wait(), h.metrics.Close())
+	err = errors.Join(readyServer.Close(), adminServer.Close(), peerServer.Close(), running.Wait(), h.metrics.Close())
 	h.log.WithField("event", "stopped").Info("host stopped")
 	return err
 }
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -63,6 +63,7 @@
 		if s.running {
 			continue
 		}
+		c.askPeers(name, g)
 		view := c.viewOf(name, g, s)
 		reason := succession.Decide(now, view)
 		if reason == succession.Stay {
@@ -87,9 +88,11 @@
 	}
 	if r := c.servers[h.Primary]; r != nil {
 		v.Registered, v.Draining = r.missing.IsZero() || c.now().Sub(r.missing) < lapseGrace, r.server.Draining
+		v.Lapsed = !r.missing.IsZero()
 	}
 	if h.Primary != "" {
 		v.Missing, v.MissingSince = c.missed(name, h.Primary)
+		v.Asked, v.AskedMissing = c.opinionOf(name, h.Primary)
 	}
 	v.Candidates = len(c.candidates(g, s, h.Primary))
 	return v
--- a/daemon/internal/fleet/settings.go
+++ b/daemon/internal/fleet/settings.go
@@ -23,10 +23,12 @@
 	AvailabilityZone string `yaml:"availability_zone"`
 	// Zones maps each availability zone to its region.
 	Zones map[string]string `yaml:"zones"`
-	// Listen serves callers, ReadyListen readiness checks, MetricsListen metrics.
+	// Listen serves callers, ReadyListen readiness checks, MetricsListen metrics and
+	// PeerListen other hosts.
 	Listen        string `yaml:"listen"`
 	ReadyListen   string `yaml:"ready_listen"`
 	MetricsListen string `yaml:"metrics_listen"`
+	PeerListen    string `yaml:"peer_listen"`
 	// Store is the host:port of the platform's object store, Promotions that of
 	// the calls that order a promotion.
 	Store      string `yaml:"store"`
@@ -76,7 +78,7 @@
 		}
 	}
 	for _, address := range []struct{ key, value string }{
-		{"listen", s.Listen}, {"ready_listen", s.ReadyListen}, {"metrics_listen", s.MetricsListen},
+		{"listen", s.Listen}, {"ready_listen", s.ReadyListen}, {"metrics_listen", s.MetricsListen}, {"peer_listen", s.PeerListen},
 		{"store", s.Store}, {"promotions", s.Promotions},
 	} {
 		if _, err := netip.ParseAddrPort(address.value); err != nil {
--- a/standin/fleet/processes.go
+++ b/standin/fleet/processes.go
@@ -29,6 +29,7 @@
 	callerPort  = 6432
 	readyPort   = 8081
 	metricsPort = 9100
+	peerPort    = 8432
 	// restartDelay follows the end of a process.
 	restartDelay = 300 * time.Millisecond
 	// stopTimeout is the graceful shutdown's of a process, stopSlack what it may
@@ -44,6 +45,7 @@
 listen: "%s:%d"
 ready_listen: "%s:%d"
 metrics_listen: "%s:%d"
+peer_listen: "%s:%d"
 store: %q
 promotions: %q
 stop_timeout: %s
@@ -54,7 +56,7 @@
 // NewProcess writes the settings of a process into a folder; Start starts it.
 func NewProcess(binary, folder, name, ip, zone, store, promotions string) (*Process, error) {
 	p := &Process{Name: name, IP: ip, binary: binary, settings: filepath.Join(folder, name+".yaml")}
-	text := fmt.Sprintf(settingsText, name, zone, ip, callerPort, ip, readyPort, ip, metricsPort, store, promotions, stopTimeout)
+	text := fmt.Sprintf(settingsText, name, zone, ip, callerPort, ip, readyPort, ip, metricsPort, ip, peerPort, store, promotions, stopTimeout)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
