--- a/core/succession/succession.go
+++ b/core/succession/succession.go
@@ -35,10 +35,9 @@
 type View struct {
 	// Primary is the ID of the primary; empty if none is known.
 	Primary string
-	// Registered tells whether the primary is still registered, Lapsed whether its
-	// entry is gone though it may come back, and Draining whether it is about to
-	// end.
-	Registered, Lapsed, Draining bool
+	// Registered tells whether the primary is still registered, Draining
+	// whether it is about to end.
+	Registered, Draining bool
 	// Reachable tells whether the holder itself hears the primary.
 	Reachable bool
 	// Missing counts the hosts, other than the holder, that report that they
@@ -81,6 +80,13 @@
 	Vacant Reason = "service has no primary"
 )
 
+// askedEnough reports whether the hosts that answered are most of all hosts, and
+// enough of them miss the primary. Hosts that do not answer may be on the
+// primary's side of a partition, where it goes on serving them.
+func (v View) askedEnough() bool {
+	return v.AskedMissing > 0 && 2*(v.Asked+1) > v.Hosts && enough(v.AskedMissing+1, v.Asked+1)
+}
+
 // Decide returns the reason for which the primary is to be replaced now.
 func Decide(now time.Time, v View) Reason {
 	if v.Candidates == 0 {
@@ -100,7 +106,7 @@
 		return Planned
 	case !v.Registered:
 		return Gone
-	case !v.Reachable && (v.Lapsed || enough(v.Missing+1, v.Hosts) || v.AskedMissing > 0 && enough(v.AskedMissing+1, v.Asked+1)):
+	case !v.Reachable && (enough(v.Missing+1, v.Hosts) || v.askedEnough()):
 		return Unreachable
 	case v.Reachable && enough(v.Missing, v.Hosts) && now.Sub(v.MissingSince) >= ReportDelay:
 		return PartlyUnreachable
--- a/daemon/internal/backend/probe_test.go
+++ b/daemon/internal/backend/probe_test.go
@@ -13,7 +13,7 @@
 // countingRecorder counts connections.
 type countingRecorder struct{ opened int }
 
-func (r *countingRecorder) ConnectionOpened(string)                   { r.opened++ }
+func (r *countingRecorder) ConnectionOpened(string)                 { r.opened++ }
 func (*countingRecorder) PrimaryChanged(string, string, group.Term) {}
 
 // Guards against probes that open a connection each although the pool has one,
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -88,7 +88,6 @@
 	}
 	if r := c.servers[h.Primary]; r != nil {
 		v.Registered, v.Draining = r.missing.IsZero() || c.now().Sub(r.missing) < lapseGrace, r.server.Draining
-		v.Lapsed = !r.missing.IsZero()
 	}
 	if h.Primary != "" {
 		v.Missing, v.MissingSince = c.missed(name, h.Primary)
