--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -81,7 +81,7 @@
 		settings: s, file: file, log: log, platform: p, metrics: metrics.New(s.Host, s.AvailabilityZone),
 		peers: peer.NewClient(netip.MustParseAddrPort(s.PeerListen).Addr()),
 	}
-	recorder := newRecorder(h.metrics.Scope(), log)
+	recorder := newRecorder(h.metrics.Scope(), bootTime, log)
 	h.control = newController(options{
 		host: s.Host, incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), zone: s.AvailabilityZone, zones: s.Zones,
 		peerAddress: s.PeerListen, observe: h.observe,
--- a/daemon/internal/fleet/record.go
+++ b/daemon/internal/fleet/record.go
@@ -28,6 +28,8 @@
 type recorder struct {
 	scope tally.Scope
 	log   *logrus.Entry
+	// now is the clock of the groups.
+	now func() time.Time
 
 	mu      sync.Mutex
 	tokens  float64
@@ -48,8 +50,8 @@
 	latency tally.Histogram
 }
 
-func newRecorder(scope tally.Scope, log *logrus.Entry) *recorder {
-	return &recorder{scope: scope, log: log, tokens: logBurst, byKey: map[outcomeKey]*outcomeMetrics{}}
+func newRecorder(scope tally.Scope, now func() time.Time, log *logrus.Entry) *recorder {
+	return &recorder{scope: scope, log: log, now: now, tokens: logBurst, byKey: map[outcomeKey]*outcomeMetrics{}}
 }
 
 // maxRoutes bounds the routes that have metrics of their own.
@@ -60,7 +62,7 @@
 	m := r.metrics(o)
 	m.count.Inc(1)
 	m.latency.RecordDuration(o.Took)
-	if o.Code == statement.OK && o.Took <= o.Route.Target {
+	if !o.Notable() {
 		return
 	}
 	skipped, ok := r.permit()
@@ -70,7 +72,8 @@
 	entry := r.log.WithFields(logrus.Fields{
 		"event": "statement", "id": o.ID, "route": o.Route.Name, "consistency": o.Route.Consistency.String(),
 		"config_version": o.Version, "code": o.Code.String(), "server": o.Server, "attempts": o.Attempts,
-		"took_ms": o.Took.Milliseconds(),
+		"took_ms": o.Took.Milliseconds(), "read": o.Read, "primary": o.Health.Primary, "term": o.Health.Term,
+		"primary_suspected": o.Health.Suspected, "primary_proved_ms": r.now().Sub(o.Health.Verified).Milliseconds(),
 	})
 	if o.Detail != "" {
 		entry = entry.WithField("detail", o.Detail)
@@ -81,6 +84,15 @@
 	entry.Warn("statement was refused, failed or slow")
 }
 
+// SessionRefused counts and logs a caller that was turned away at its start.
+func (r *recorder) SessionRefused(database string, version uint64, code statement.Code) {
+	r.scope.Tagged(map[string]string{"code": code.String()}).Counter("sessions_refused").Inc(1)
+	if skipped, ok := r.permit(); ok {
+		r.log.WithFields(logrus.Fields{"event": "session_refused", "database": database, "config_version": version,
+			"code": code.String(), "lines_skipped": skipped}).Warn("session was refused")
+	}
+}
+
 func (r *recorder) metrics(o front.Outcome) *outcomeMetrics {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -19,9 +19,10 @@
 // quietRecorder keeps the outcomes.
 type quietRecorder struct{ outcomes []Outcome }
 
-func (r *quietRecorder) Statement(o Outcome)                     { r.outcomes = append(r.outcomes, o) }
-func (*quietRecorder) ConnectionOpened(string)                   {}
-func (*quietRecorder) PrimaryChanged(string, string, group.Term) {}
+func (r *quietRecorder) Statement(o Outcome)                         { r.outcomes = append(r.outcomes, o) }
+func (*quietRecorder) SessionRefused(string, uint64, statement.Code) {}
+func (*quietRecorder) ConnectionOpened(string)                       {}
+func (*quietRecorder) PrimaryChanged(string, string, group.Term)     {}
 
 // world is one service, the group that a host sees, and a server of callers.
 type world struct {
--- a/daemon/internal/front/server.go
+++ b/daemon/internal/front/server.go
@@ -41,6 +41,8 @@
 // Recorder counts statements.
 type Recorder interface {
 	Statement(o Outcome)
+	// SessionRefused counts a caller that was turned away at its start.
+	SessionRefused(database string, version uint64, code statement.Code)
 }
 
 // Outcome describes an answered statement.
@@ -57,6 +59,15 @@
 	Read     bool
 	Took     time.Duration
 	Attempts int
+	// Health is what the host knew of the primary when it answered; it is set for
+	// statements that did not succeed or were slow.
+	Health backend.Health
+}
+
+// Notable reports whether the statement did not succeed, or took longer than
+// the objective of its route.
+func (o Outcome) Notable() bool {
+	return o.Code != statement.OK || o.Route.Target > 0 && o.Took > o.Route.Target
 }
 
 // Options configure a Server.
@@ -121,10 +132,12 @@
 		return
 	}
 	if !s.awaitConfiguration() {
+		s.options.Recorder.SessionRefused(database, 0, statement.Busy)
 		_ = conn.Refuse(statement.Busy, "host does not know the configuration yet")
 		return
 	}
 	if route, _ := s.options.Catalog.Route(database); route == nil {
+		s.options.Recorder.SessionRefused(database, s.version(), statement.NoDatabase)
 		_ = conn.Refuse(statement.NoDatabase, "no route for this database")
 		return
 	}
@@ -142,6 +155,14 @@
 	}
 }
 
+// version returns the version of the configuration in force, 0 before the first.
+func (s *Server) version() uint64 {
+	if c := s.options.Catalog.Configuration(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
 // The wait of callers for the first configuration of a host that has just
 // started. Without it nothing can be said about a route.
 const (
--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -68,8 +68,9 @@
 func (r *run) finish(a statement.Answer) statement.Answer {
 	r.outcome.Code, r.outcome.Detail = a.Code, a.Detail
 	r.outcome.Took = r.ss.server.options.Now().Sub(r.began)
-	if c := r.ss.server.options.Catalog.Configuration(); c != nil {
-		r.outcome.Version = c.Version
+	r.outcome.Version = r.ss.server.version()
+	if r.outcome.Notable() {
+		r.outcome.Health = r.group.Health()
 	}
 	r.ss.server.options.Recorder.Statement(r.outcome)
 	return a
