Hold writes while the primary does not answer

A write that is sent to a lost server ends with an unknown outcome, one that was held is refused with the promise that nothing is kept. The test that guards it got an unknown outcome before.

--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -235,18 +235,27 @@
 // ErrNoPrimary means that the service has no primary as far as the host knows.
 var ErrNoPrimary = errors.New("service has no primary")
 
-// WaitPrimary returns the pool of the primary other than the one to avoid, and
-// waits while none is known.
-func (g *Group) WaitPrimary(ctx context.Context, avoid *Pool) (*Pool, error) {
+// suspicionPoll separates looks at a primary that is suspected.
+const suspicionPoll = 20 * time.Millisecond
+
+// WaitPrimary returns the pool of the primary. It waits while none is known, and
+// while the known one does not answer: the outcome of a write that is sent to a
+// lost server would be unknown, one that was not sent can be refused.
+func (g *Group) WaitPrimary(ctx context.Context) (*Pool, error) {
 	for {
 		g.mu.Lock()
-		p, changed := g.primary, g.changed
+		p, changed, suspected := g.primary, g.changed, g.probes.suspects()
 		g.mu.Unlock()
-		if p != nil && p != avoid {
+		if p != nil && !suspected {
 			return p, nil
 		}
+		var poll <-chan time.Time
+		if suspected {
+			poll = time.After(suspicionPoll)
+		}
 		select {
 		case <-changed:
+		case <-poll:
 		case <-ctx.Done():
 			return nil, ErrNoPrimary
 		}
--- a/daemon/internal/front/front_test.go
+++ b/daemon/internal/front/front_test.go
@@ -306,3 +306,18 @@
 		}
 	})
 }
+
+// Guards against writes whose outcome is unknown because they were sent to a
+// primary that was known not to answer.
+func TestWritesAreNotSentToSilentPrimary(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, write("x", "1"))
+		w.service.Silence("s1")
+		time.Sleep(2 * time.Second)
+		c.want(statement.Busy, write("x", "2"))
+		w.service.Start("s1")
+		time.Sleep(time.Second)
+		c.want(statement.OK, write("x", "3"))
+	})
+}
--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -116,9 +116,9 @@
 // answer that says it did not run.
 func (r *run) write(u unit) statement.Answer {
 	for {
-		p, err := r.group.WaitPrimary(r.ctx, nil)
+		p, err := r.group.WaitPrimary(r.ctx)
 		if err != nil {
-			return refuse(statement.Busy, "service has no primary")
+			return refuse(statement.Busy, "service has no primary that answers")
 		}
 		c, err := p.Acquire(r.ctx, classOf(r.route))
 		if err != nil {
@@ -164,9 +164,9 @@
 // because a server that was replaced still answers plain reads.
 func (r *run) readPrimary(u unit) statement.Answer {
 	for {
-		p, err := r.group.WaitPrimary(r.ctx, nil)
+		p, err := r.group.WaitPrimary(r.ctx)
 		if err != nil {
-			return refuse(statement.Busy, "service has no primary")
+			return refuse(statement.Busy, "service has no primary that answers")
 		}
 		a, done := r.readOnPrimary(p, u)
 		if done {
--- a/daemon/internal/front/transaction.go
+++ b/daemon/internal/front/transaction.go
@@ -67,9 +67,9 @@
 
 func (r *run) startOnPrimary(tx *transaction) (statement.Answer, bool) {
 	for {
-		p, err := r.group.WaitPrimary(r.ctx, nil)
+		p, err := r.group.WaitPrimary(r.ctx)
 		if err != nil {
-			return refuse(statement.Busy, "service has no primary"), false
+			return refuse(statement.Busy, "service has no primary that answers"), false
 		}
 		c, err := p.Acquire(r.ctx, classOf(r.route))
 		if err == nil {
