--- a/Makefile
+++ b/Makefile
@@ -18,6 +18,7 @@
 	go test -race -timeout 30m -skip '$(RACE_RED)' $(PACKAGES)
 	go test -timeout 30m -run 'Goal|Together' ./core/failover
 	go test -timeout 30m -run '$(RACE_RED)' ./daemon/internal/control
+	$(MAKE) soak-short
 	@if [ -s KNOWN-RED.txt ]; then echo 'known red:'; cat KNOWN-RED.txt; fi
 
 check: $(STATICCHECK)
@@ -43,6 +44,18 @@
 explore:
 	GYPSUMGAP_EXPLORE=1 go test -count=1 -timeout 6h -rapid.checks=2000 $$(grep -rl --include='*_test.go' pgregory.net/rapid $(MODULES) | xargs -n1 dirname | sort -u | sed 's,^,./,')
 
+# Runs the real processes before stand-ins of the users' platform: a calm run, a
+# short run with faults, and the seeds that ever failed.
+SOAK_SEEDS := 1
+.PHONY: soak soak-short
+soak-short: build
+	bin/gypsumgap-soak --calm --duration 5s
+	for seed in $(SOAK_SEEDS); do bin/gypsumgap-soak --seed $$seed --duration 10s || exit 1; done
+
+# Plays fresh seeds; one that fails is printed with its settings and logs.
+soak: build
+	bin/gypsumgap-soak --seed $$(date +%s) --seeds 20 --duration 15s
+
 # Runs the whole system on this machine, kills primaries under load, and checks.
 demo: build
 	bin/gypsumgap-demo
--- a/standin/fleet/processes.go
+++ b/standin/fleet/processes.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"io"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -114,6 +117,25 @@
 	_ = p.command.Process.Signal(s)
 }
 
+// checkMetrics fails unless the process counts the statements that it answers.
+func (p *Process) checkMetrics() error {
+	response, err := http.Get(fmt.Sprintf("http://%s:%d/metrics", p.IP, metricsPort))
+	if err != nil {
+		return fmt.Errorf("metrics of %s: %w", p.Name, err)
+	}
+	defer response.Body.Close()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		return fmt.Errorf("metrics of %s: %w", p.Name, err)
+	}
+	for _, name := range []string{"gypsumgap_statements{", "gypsumgap_statement_seconds_bucket{"} {
+		if !strings.Contains(string(body), name) {
+			return fmt.Errorf("metrics of %s lack %s", p.Name, name)
+		}
+	}
+	return nil
+}
+
 // Stop stops the process for good; it fails if the process does not end in time.
 func (p *Process) Stop() error {
 	p.mu.Lock()
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -324,6 +324,11 @@
 	if s.options.Calm && result.Promotions > 0 {
 		result.Problems = append(result.Problems, fmt.Sprintf("%d primaries were replaced without a fault", result.Promotions))
 	}
+	for _, p := range s.processes {
+		if err := p.checkMetrics(); err != nil {
+			result.Problems = append(result.Problems, err.Error())
+		}
+	}
 	var mu sync.Mutex
 	var stops sync.WaitGroup
 	for _, p := range s.processes {
