Let hosts take turns with scarce connections

Unused connections are now closed after 250 ms, after 80 ms where the server refused one, and connections older than 2 s are given up, with a pause of 150 ms.

--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -65,7 +65,7 @@
 	// limit does not give as many to each host, hosts share the connections in
 	// time: one that is unused for scarceIdle is closed.
 	minShare   = 3
-	scarceIdle = 1500 * time.Millisecond
+	scarceIdle = 250 * time.Millisecond
 	// usualIdle is how long unused connections are kept elsewhere; the backend
 	// servers close them after a minute.
 	usualIdle = 30 * time.Second
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -30,6 +30,15 @@
 	// fullPause is how long no connection is opened after the backend server
 	// refused one for its limit.
 	fullPause = 300 * time.Millisecond
+	// scarceAge is the age at which a connection is given up where hosts share
+	// connections in time: a host that uses its own all the time does not learn
+	// that others lack one. It opens none for yieldPause then.
+	scarceAge  = 2 * time.Second
+	yieldPause = 150 * time.Millisecond
+	// pressedIdle is how long an unused connection is kept while other hosts may
+	// lack one, fullMemory how long a refusal for the limit is taken for that.
+	pressedIdle = 80 * time.Millisecond
+	fullMemory  = 3 * time.Second
 	// failPause is how long a server counts as failing after a connection to it
 	// failed, and lagPause how long after its log lacked a position.
 	failPause = 500 * time.Millisecond
@@ -173,7 +182,7 @@
 	}
 	p.group.options.Recorder.ConnectionOpened(server.Service)
 	p.hear()
-	return &Conn{pool: p, conn: conn, values: map[string]string{}, prepared: map[string]bool{}}, nil
+	return &Conn{pool: p, conn: conn, opened: p.group.options.Now(), values: map[string]string{}, prepared: map[string]bool{}}, nil
 }
 
 func (p *Pool) dialFailed(err error) {
@@ -214,9 +223,7 @@
 	until := p.group.options.Now().Add(d)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if until.After(p.failingUntil) {
-		p.failingUntil = until
-	}
+	p.failingUntil = later(p.failingUntil, until)
 }
 
 // candidate describes the server for the choice of one for a read.
@@ -262,6 +269,7 @@
 	ticket   *admission.Ticket
 	values   map[string]string
 	prepared map[string]bool
+	opened   time.Time
 	// idleSince is when the connection was last given back after a statement;
 	// probed holds it while a probe uses the connection.
 	idleSince, probed time.Time
@@ -321,6 +329,11 @@
 	if p.closed || p.server.Draining && !leads {
 		return false
 	}
+	now := p.group.options.Now()
+	if p.group.scarce.Load() && now.Sub(c.opened) >= scarceAge {
+		p.fullUntil = later(p.fullUntil, now.Add(yieldPause))
+		return false
+	}
 	c.idleSince = p.group.options.Now()
 	if !c.probed.IsZero() {
 		c.idleSince, c.probed = c.probed, time.Time{}
@@ -329,16 +342,27 @@
 	return true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (p *Pool) hasIdle() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return len(p.idle) > 0
 }
 
-// closeIdle closes the connections that no statement used for the given time.
+// closeIdle closes the connections that no statement used for the given time, or
+// for pressedIdle while the server has none left for others.
 func (p *Pool) closeIdle(unused time.Duration) {
 	now := p.group.options.Now()
 	p.mu.Lock()
+	if now.Sub(p.fullUntil) < fullMemory {
+		unused = min(unused, pressedIdle)
+	}
 	var closing []*Conn
 	p.idle = slices.DeleteFunc(p.idle, func(c *Conn) bool {
 		expired := now.Sub(c.idleSince) >= unused
--- a/daemon/internal/backend/probe_test.go
+++ b/daemon/internal/backend/probe_test.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -41,3 +42,41 @@
 		synctest.Wait()
 	})
 }
+
+// Guards against connections that a host keeps unused while the server has none
+// left for the others.
+func TestScarceConnectionsAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := statementtest.New("service", statementtest.Options{Dial: 10 * time.Millisecond, ConnectionLimit: 2}, "s1")
+		var hosts []*Group
+		for range 3 {
+			g := NewGroup("service", Options{
+				Backends: statementtest.Backends{service}, Recorder: &countingRecorder{}, Now: time.Now, Zone: "a", RegionOf: map[string]string{"a": "r"},
+			})
+			g.SetService(catalog.Service{Name: "service", ConnectionLimit: 2}, 3)
+			g.SetServers(service.Catalog())
+			hosts = append(hosts, g)
+		}
+		served := make([]int, len(hosts))
+		for range 100 {
+			for i, g := range hosts {
+				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+				if c, err := g.Primary().Acquire(ctx, probeClass); err == nil {
+					served[i]++
+					c.Release(true)
+				}
+				cancel()
+				g.CloseIdle()
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		for i, n := range served {
+			if n < 20 {
+				t.Errorf("host %d got a connection %d times of 100, want at least 20: %v", i, n, served)
+			}
+		}
+		for _, g := range hosts {
+			g.Close()
+		}
+	})
+}
