--- a/core/objects/objects.go
+++ b/core/objects/objects.go
@@ -25,6 +25,11 @@
 	Hosts
 )
 
+var kindNames = [...]string{"configurations", "servers", "leases", "reports", "hosts"}
+
+// String returns the name used in logs.
+func (k Kind) String() string { return kindNames[k] }
+
 // Object is one stored object. Exactly one of Configuration, Server, Value and
 // Err is set in an object that exists.
 type Object struct {
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -215,7 +215,7 @@
 	}
 	if since, failed := c.failing[ch.kind]; failed {
 		delete(c.failing, ch.kind)
-		c.log.WithFields(logrus.Fields{"event": "store_regained", "kind": int(ch.kind), "lost_ms": c.now().Sub(since).Milliseconds()}).
+		c.log.WithFields(logrus.Fields{"event": "store_regained", "kind": ch.kind.String(), "lost_ms": c.now().Sub(since).Milliseconds()}).
 			Info("object store answers again")
 	}
 	switch ch.kind {
@@ -233,7 +233,7 @@
 		return
 	}
 	c.failing[ch.kind] = c.now()
-	c.log.WithFields(logrus.Fields{"event": "store_lost", "kind": int(ch.kind)}).WithError(ch.err).
+	c.log.WithFields(logrus.Fields{"event": "store_lost", "kind": ch.kind.String()}).WithError(ch.err).
 		Warn("object store does not answer")
 }
 
--- a/daemon/internal/fleet/settings.go
+++ b/daemon/internal/fleet/settings.go
@@ -34,15 +34,22 @@
 	Store      string `yaml:"store"`
 	Promotions string `yaml:"promotions"`
 	// StopTimeout bounds a graceful shutdown.
-	StopTimeout time.Duration `yaml:"stop_timeout"`
+	StopTimeout time.Duration `yaml:"-"`
 	// CatchUpTimeout is the time after a fault of the store, or of connections to
 	// it, in which the host must have learned every change.
-	CatchUpTimeout time.Duration `yaml:"catch_up_timeout"`
+	CatchUpTimeout time.Duration `yaml:"-"`
 	// MemoryLimitMB is the memory above which the process is ended, in MB; 0 for
 	// no limit.
 	MemoryLimitMB int `yaml:"memory_limit_mb"`
 }
 
+// file is the form of the settings in the file, where durations are texts.
+type file struct {
+	Settings       `yaml:",inline"`
+	StopTimeout    string `yaml:"stop_timeout"`
+	CatchUpTimeout string `yaml:"catch_up_timeout"`
+}
+
 // IsStatements reports whether the file holds settings of this package.
 func IsStatements(data []byte) bool {
 	var s struct {
@@ -53,23 +60,24 @@
 
 // LoadSettings reads and checks the file. It fails with *finding.InputError,
 // or with the error of reading the file.
-func LoadSettings(file string) (*Settings, error) {
-	data, err := os.ReadFile(file)
+func LoadSettings(name string) (*Settings, error) {
+	data, err := os.ReadFile(name)
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
-	return ParseSettings(file, data)
+	return ParseSettings(name, data)
 }
 
 // ParseSettings checks settings that were read from the file.
-func ParseSettings(file string, data []byte) (*Settings, error) {
-	var s Settings
+func ParseSettings(name string, data []byte) (*Settings, error) {
+	var f file
 	var findings finding.List
-	place := finding.Place{File: file}
-	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&s); err != nil {
+	place := finding.Place{File: name}
+	if err := yaml.NewDecoder(bytes.NewReader(data), yaml.Strict()).Decode(&f); err != nil {
 		findings.Errorf(place, "known keys with values of their type", "%s", yaml.FormatError(err, false, false))
 		return nil, findings.Err()
 	}
+	s := f.Settings
 	for _, required := range []struct{ key, value string }{
 		{"host", s.Host}, {"availability_zone", s.AvailabilityZone},
 	} {
@@ -89,12 +97,14 @@
 		findings.Errorf(place, "the region of each availability zone", "setting zones lacks %q", s.AvailabilityZone)
 	}
 	for _, duration := range []struct {
-		key   string
-		value time.Duration
-	}{{"stop_timeout", s.StopTimeout}, {"catch_up_timeout", s.CatchUpTimeout}} {
-		if duration.value <= 0 {
-			findings.Errorf(place, "a duration with a unit, such as 6s", "setting %s is not positive", duration.key)
+		key, text string
+		to        *time.Duration
+	}{{"stop_timeout", f.StopTimeout, &s.StopTimeout}, {"catch_up_timeout", f.CatchUpTimeout, &s.CatchUpTimeout}} {
+		d, err := time.ParseDuration(duration.text)
+		if err != nil || d <= 0 {
+			findings.Errorf(place, "a positive duration with a unit, such as 6s", "setting %s is %q", duration.key, duration.text)
 		}
+		*duration.to = d
 	}
 	if s.MemoryLimitMB < 0 {
 		findings.Errorf(place, "a number of megabytes", "setting memory_limit_mb is negative")
--- a/daemon/internal/front/session.go
+++ b/daemon/internal/front/session.go
@@ -237,8 +237,6 @@
 		reason := ss.tx.reason
 		ss.tx = nil
 		return refuse(statement.Aborted, reason)
-	case statement.Malformed, statement.Begin, statement.BeginRead:
-		return refuse(statement.MalformedStatement, "transaction has failed: "+ss.tx.reason)
 	default:
 		return refuse(statement.MalformedStatement, "transaction has failed: "+ss.tx.reason)
 	}
