--- a/daemon/cmd/gypsumgap/main.go
+++ b/daemon/cmd/gypsumgap/main.go
@@ -64,6 +64,10 @@
 	if args.Settings == "" {
 		args.Settings, _ = platform.SettingsFile(os.LookupEnv)
 	}
+	if args.Settings == "" {
+		fmt.Fprintln(os.Stderr, "no settings: give --settings FILE")
+		return exitFindings
+	}
 	if data, err := os.ReadFile(args.Settings); err == nil && fleet.IsStatements(data) {
 		return runStatements(args)
 	}
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -143,6 +143,8 @@
 	reporting   bool
 	report      report
 	reportAt    time.Time
+	// reportRevision is that of the last write of the report.
+	reportRevision uint64
 	// peers holds the addresses of the other hosts, opinions what they answered, by
 	// service.
 	peers    map[string]string
@@ -170,8 +172,10 @@
 func (c *controller) run(ctx context.Context) {
 	c.background = func(work func(context.Context)) { go work(ctx) }
 	post := func(ch change) { c.post(ctx, func() { c.take(ch) }) }
-	go watcher{c.store, objects.Configurations, c.watchWait, post}.run(ctx)
-	go watcher{c.store, objects.Servers, c.watchWait, post}.run(ctx)
+	go watcher{store: c.store, kind: objects.Configurations, wait: c.watchWait, post: post}.run(ctx)
+	go watcher{
+		store: c.store, kind: objects.Servers, wait: c.watchWait, post: post, gatherUntil: time.Now().Add(gatherTime),
+	}.run(ctx)
 	go c.register(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -90,7 +90,8 @@
 	c.background(func(ctx context.Context) {
 		ctx, cancel := context.WithCancel(ctx)
 		c.post(ctx, func() { c.stopReports = cancel })
-		watcher{c.store, objects.Reports, reportWatch, func(ch change) { c.post(ctx, func() { c.take(ch) }) }}.run(ctx)
+		post := func(ch change) { c.post(ctx, func() { c.take(ch) }) }
+		watcher{store: c.store, kind: objects.Reports, wait: reportWatch, post: post}.run(ctx)
 	})
 }
 
@@ -208,12 +209,13 @@
 // register keeps the host's registration and counts those of all hosts.
 func (c *controller) register(ctx context.Context) {
 	seen := map[string]sighting{}
-	renewals := 0
+	renewals, revision := 0, uint64(0)
 	var renewed time.Time
 	for i := 0; ctx.Err() == nil; i++ {
 		if renewed.IsZero() || c.now().Sub(renewed) >= registerInterval {
 			renewals++
-			if c.writeRegistration(ctx, renewals) == nil {
+			var err error
+			if revision, err = c.writeRegistration(ctx, renewals, revision); err == nil {
 				renewed = c.now()
 			}
 		}
@@ -226,28 +228,37 @@
 		case <-ctx.Done():
 			return
 		}
-		c.countHosts(ctx, seen, i > 0)
+		c.countHosts(ctx, seen)
 	}
 }
 
-func (c *controller) writeRegistration(ctx context.Context, renewal int) error {
+func (c *controller) writeRegistration(ctx context.Context, renewal int, known uint64) (uint64, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	value, err := json.Marshal(registration{Zone: c.zone, Incarnation: c.incarnation, PeerAddress: c.peerAddress, Renewal: renewal})
 	if err != nil {
-		return err
+		return known, err
 	}
-	return c.overwrite(ctx, objects.Hosts, c.host, value)
+	return c.overwrite(ctx, objects.Hosts, value, known)
 }
 
-// overwrite writes an object that only this host writes, whatever its revision.
-func (c *controller) overwrite(ctx context.Context, kind objects.Kind, name string, value []byte) error {
-	o, err := c.store.Get(ctx, kind, name)
+// overwrite writes an object that only this host writes, whatever its revision,
+// and returns the new one. known is the revision that the host wrote last, 0 for
+// none.
+func (c *controller) overwrite(ctx context.Context, kind objects.Kind, value []byte, known uint64) (uint64, error) {
+	o, err := c.store.Put(ctx, kind, c.host, value, known)
+	if err == nil {
+		return o.Revision, nil
+	}
+	if !errors.Is(err, objects.ErrConflict) && !errors.Is(err, objects.ErrNotFound) {
+		return known, err
+	}
+	o, err = c.store.Get(ctx, kind, c.host)
 	if err != nil && !errors.Is(err, objects.ErrNotFound) {
-		return err
+		return known, err
 	}
-	_, err = c.store.Put(ctx, kind, name, value, o.Revision)
-	return err
+	o, err = c.store.Put(ctx, kind, c.host, value, o.Revision)
+	return o.Revision, err
 }
 
 // sighting is when a revision of a registration was first seen.
@@ -256,10 +267,10 @@
 	at       time.Time
 }
 
-func (c *controller) countHosts(ctx context.Context, seen map[string]sighting, stale bool) {
+func (c *controller) countHosts(ctx context.Context, seen map[string]sighting) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	snapshot, err := c.store.List(callCtx, objects.Hosts, stale)
+	snapshot, err := c.store.List(callCtx, objects.Hosts, true)
 	if err != nil {
 		return
 	}
@@ -322,6 +333,7 @@
 		return
 	}
 	next := report{Missing: missing, Renewal: c.report.Renewal + 1}
+	known := c.reportRevision
 	c.reporting, c.reportAt = true, now
 	c.log.WithFields(logrus.Fields{"event": "report", "missing": missing}).Info("reporting primaries that do not answer")
 	c.background(func(ctx context.Context) {
@@ -329,10 +341,10 @@
 		defer cancel()
 		value, err := json.Marshal(next)
 		if err == nil {
-			err = c.overwrite(callCtx, objects.Reports, c.host, value)
+			known, err = c.overwrite(callCtx, objects.Reports, value, known)
 		}
 		c.post(ctx, func() {
-			c.reporting = false
+			c.reporting, c.reportRevision = false, known
 			if err == nil {
 				c.report = next
 			}
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -18,6 +18,11 @@
 	watchSlack = 500 * time.Millisecond
 	// callTimeout bounds other calls to the store.
 	callTimeout = 2 * time.Second
+	// gatherTime is how long after a host's start changes are taken together, since
+	// backend servers that start with it register one after the other, and
+	// gatherPause how long they are gathered.
+	gatherTime  = 5 * time.Second
+	gatherPause = 600 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call; before
 	// the first list it is firstRetry throughout, since the host cannot serve.
 	firstRetry = 150 * time.Millisecond
@@ -42,6 +47,8 @@
 	// may leave a watch unanswered, so changes may be found this late.
 	wait time.Duration
 	post func(change)
+	// gatherUntil is the time up to which changes are taken together.
+	gatherUntil time.Time
 }
 
 // run lists the kind and then follows its changes until ctx ends.
@@ -80,6 +87,9 @@
 		retry = backoff{limit: lastRetry}
 		since = max(since, snapshot.Revision)
 		w.post(change{kind: w.kind, objects: snapshot.Objects})
+		if time.Now().Before(w.gatherUntil) {
+			pause(ctx, gatherPause)
+		}
 	}
 }
 
@@ -88,7 +98,12 @@
 
 func (b *backoff) wait(ctx context.Context) {
 	b.last = min(max(2*b.last, firstRetry), b.limit)
-	t := time.NewTimer(b.last/2 + rand.N(b.last))
+	pause(ctx, b.last/2+rand.N(b.last))
+}
+
+// pause waits for the time to pass or for ctx to end.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
