Watch only the primaries of services in use, and take the reset of a new connection for no evidence

Hosts that do not hold the promotion duty now probe services used within 3 s; the holder's question makes a host look at once. No connection is opened for 120 ms after one failed.

--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -40,6 +40,9 @@
 
 	// share is the number of connections that this host may have to a server.
 	share atomic.Int32
+	// used is when a statement last looked for a server, in nanoseconds of the
+	// clock.
+	used atomic.Int64
 	// scarce tells that the hosts cannot all have minShare connections.
 	scarce atomic.Bool
 
@@ -242,6 +245,7 @@
 // while the known one does not answer: the outcome of a write that is sent to a
 // lost server would be unknown, one that was not sent can be refused.
 func (g *Group) WaitPrimary(ctx context.Context) (*Pool, error) {
+	g.used.Store(g.options.Now().UnixNano())
 	for {
 		g.mu.Lock()
 		p, changed, suspected := g.primary, g.changed, g.probes.suspects()
@@ -267,6 +271,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
+	g.used.Store(now.UnixNano())
 	var pools []*Pool
 	var candidates []placement.Candidate
 	for _, p := range g.pools {
@@ -302,8 +307,9 @@
 	// Primary is the ID of the primary, empty for none.
 	Primary string
 	Term    group.Term
-	// Suspected tells that the primary does not answer.
-	Suspected bool
+	// Doubted tells that the primary missed a probe, Suspected that it does not
+	// answer.
+	Doubted, Suspected bool
 	// Verified is when the primary last proved to lead, Vacant since when none
 	// is known.
 	Verified time.Time
@@ -314,7 +320,7 @@
 func (g *Group) Health() Health {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	h := Health{Term: g.term, Verified: g.verified, Vacant: g.vacant, Suspected: g.probes.suspects()}
+	h := Health{Term: g.term, Verified: g.verified, Vacant: g.vacant, Doubted: g.probes.misses+g.probes.refusals > 0, Suspected: g.probes.suspects()}
 	if g.primary != nil {
 		h.Primary = g.primary.Server().ID
 	}
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -39,6 +39,9 @@
 	// lack one, fullMemory how long a refusal for the limit is taken for that.
 	pressedIdle = 80 * time.Millisecond
 	fullMemory  = 3 * time.Second
+	// dialPause is how long no connection is opened after one could not be, for
+	// example because the server reset it.
+	dialPause = 120 * time.Millisecond
 	// failPause is how long a server counts as failing after a connection to it
 	// failed, and lagPause how long after its log lacked a position.
 	failPause = 500 * time.Millisecond
@@ -197,6 +200,7 @@
 		return
 	}
 	p.failingUntil = now.Add(failPause)
+	p.fullUntil = later(p.fullUntil, now.Add(dialPause))
 }
 
 // hear notes that the server answered.
--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"syscall"
 	"time"
 
@@ -18,13 +19,17 @@
 	HolderProbeInterval = 250 * time.Millisecond
 	// probeTimeout bounds one probe, overdue is the age of the last answer after
 	// which a host that waits for another one probes.
-	probeTimeout = 300 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
 	overdue      = 300 * time.Millisecond
 	// suspectMisses and suspectRefusals raise a suspicion.
 	suspectMisses   = 2
 	suspectRefusals = 2
 	// searchInterval separates probes of all servers while no primary is known.
 	searchInterval = 200 * time.Millisecond
+	// useMemory is how long after its last use a host that does not hold the
+	// promotion duty watches the primary of a service: with many services most are
+	// used by few hosts.
+	useMemory = 3 * time.Second
 	// probeQueue bounds the probes that wait for a connection.
 	probeQueue = 1
 )
@@ -53,6 +58,9 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
+	if !holder && now.Sub(time.Unix(0, g.used.Load())) > useMemory {
+		return
+	}
 	if g.probes.running || now.Sub(g.probes.last) < min(searchInterval, interval) {
 		return
 	}
@@ -84,6 +92,22 @@
 	}()
 }
 
+// Look probes the primary now, unless it is suspected or was proved lately, and
+// returns what the host knows then. known tells whether the host can tell if it
+// reaches the primary.
+func (g *Group) Look() (h Health, known bool) {
+	g.used.Store(g.options.Now().UnixNano())
+	h = g.Health()
+	if p := g.Primary(); p != nil && !h.Suspected && g.options.Now().Sub(h.Verified) >= ProbeInterval {
+		if err := g.prove(p, true); err != nil && !errors.Is(err, errNotLeading) {
+			h.Suspected = !errors.Is(err, syscall.ECONNRESET) && !errors.Is(err, io.EOF)
+			return h, h.Suspected
+		}
+		h = g.Health()
+	}
+	return h, h.Primary != ""
+}
+
 // search asks every server whether it leads.
 func (g *Group) search() {
 	done := make(chan struct{})
@@ -116,6 +140,8 @@
 		g.probes.refusals++
 	case errors.Is(err, errFull), errors.Is(err, errRemoved), p.Heard().After(started):
 		// The server was not asked, or it answers others.
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, io.EOF):
+		// A server that has more connections than it may have closes new ones.
 	default:
 		g.probes.misses++
 	}
--- a/daemon/internal/fleet/peers.go
+++ b/daemon/internal/fleet/peers.go
@@ -12,14 +12,11 @@
 
 // The timing of questions to other hosts.
 const (
-	askTimeout = 250 * time.Millisecond
+	askTimeout = 500 * time.Millisecond
 	// askInterval separates questions about the same primary, and opinionLife is
 	// how long the answers count.
 	askInterval = 250 * time.Millisecond
 	opinionLife = time.Second
-	// provedLately is the age of a proof of leadership up to which a host says that
-	// it reaches the primary.
-	provedLately = time.Second
 	// maxAsked bounds the hosts that are asked at once.
 	maxAsked = 30
 )
@@ -45,7 +42,7 @@
 		c.opinions[service] = o
 	}
 	now := c.now()
-	if !h.Suspected || h.Primary == "" || o.asking || now.Sub(o.at) < askInterval {
+	if !h.Doubted || h.Primary == "" || o.asking || now.Sub(o.at) < askInterval {
 		return
 	}
 	next := opinion{at: now, primary: h.Primary}
@@ -105,17 +102,17 @@
 
 var _ peerapi.Peer = peerServer{}
 
-// Observe tells how this host sees the primary of a service. It does not watch
-// a primary that it has not heard for long but does not suspect either.
+// Observe tells how this host sees the primary of a service, which it probes if
+// it has not heard it lately.
 func (s peerServer) Observe(_ context.Context, r *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error) {
 	g := s.board.View().Groups[r.GetDatabase()]
 	if g == nil {
 		return &peerapi.ObserveResponse{}, nil
 	}
-	h := g.Health()
+	h, known := g.Look()
 	age := s.now().Sub(h.Verified)
 	return &peerapi.ObserveResponse{
-		Watching:         h.Primary != "" && (h.Suspected || age < provedLately),
+		Watching:         known,
 		PrimaryReachable: !h.Suspected,
 		Term:             uint64(h.Term),
 		PrimarySlot:      h.Primary,
