--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -68,14 +68,16 @@
 	outstanding atomic.Int32
 	waiting     atomic.Int32
 
-	mu           sync.Mutex
-	server       catalog.Server
-	idle         []*Conn
-	open         int
-	closed       bool
-	fullUntil    time.Time
-	failingUntil time.Time
-	estimate     placement.Estimate
+	mu     sync.Mutex
+	server catalog.Server
+	idle   []*Conn
+	open   int
+	closed bool
+	// noDialUntil is until when no connection is opened, refusedAt when the server
+	// last refused one for its limit.
+	noDialUntil, refusedAt time.Time
+	failingUntil           time.Time
+	estimate               placement.Estimate
 }
 
 func newPool(g *Group, server catalog.Server) *Pool {
@@ -97,7 +99,7 @@
 	share := int(p.group.share.Load())
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.group.options.Now().Before(p.fullUntil) {
+	if p.group.options.Now().Before(p.noDialUntil) {
 		return max(1, min(share, p.open))
 	}
 	return share
@@ -154,7 +156,7 @@
 // The reasons for which no connection is opened.
 var (
 	errRemoved = errors.New("backend server was removed")
-	errFull    = errors.New("backend server has no connection left")
+	errFull    = errors.New("backend server gave no connection lately")
 )
 
 // reserve counts a connection that is about to be opened.
@@ -164,7 +166,7 @@
 	switch {
 	case p.closed:
 		return p.server, errRemoved
-	case p.group.options.Now().Before(p.fullUntil):
+	case p.group.options.Now().Before(p.noDialUntil):
 		return p.server, errFull
 	}
 	p.open++
@@ -195,12 +197,12 @@
 	defer p.mu.Unlock()
 	p.open--
 	if errors.As(err, &refused) && refused.Code == statement.TooManyConnections {
-		p.fullUntil = now.Add(fullPause)
+		p.noDialUntil, p.refusedAt = now.Add(fullPause), now
 		p.heard.Store(now.UnixNano())
 		return
 	}
 	p.failingUntil = now.Add(failPause)
-	p.fullUntil = later(p.fullUntil, now.Add(dialPause))
+	p.noDialUntil = later(p.noDialUntil, now.Add(dialPause))
 }
 
 // hear notes that the server answered.
@@ -335,7 +337,7 @@
 	}
 	now := p.group.options.Now()
 	if p.group.scarce.Load() && now.Sub(c.opened) >= scarceAge {
-		p.fullUntil = later(p.fullUntil, now.Add(yieldPause))
+		p.noDialUntil = later(p.noDialUntil, now.Add(yieldPause))
 		return false
 	}
 	c.idleSince = p.group.options.Now()
@@ -364,7 +366,7 @@
 func (p *Pool) closeIdle(unused time.Duration) {
 	now := p.group.options.Now()
 	p.mu.Lock()
-	if now.Sub(p.fullUntil) < fullMemory {
+	if now.Sub(p.refusedAt) < fullMemory {
 		unused = min(unused, pressedIdle)
 	}
 	var closing []*Conn
