Follow up a suspicion also when the service is no longer used

Found while reading: a host that stopped using a service kept its suspicion of the primary, and reported it, for good; enough such reports would replace a healthy primary. The test that guards it failed before.

--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -49,7 +49,8 @@
 
 func (p *probes) suspects() bool { return p.misses >= suspectMisses || p.refusals >= suspectRefusals }
 
-// Tick starts the probes that are due. It must be called several times a second.
+// Tick starts the probes that are due. A suspicion is followed up also if the
+// service is no longer used, since it is reported. It must be called several times a second.
 func (g *Group) Tick(holder bool) {
 	interval := ProbeInterval
 	if holder {
@@ -58,7 +59,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	now := g.options.Now()
-	if !holder && now.Sub(time.Unix(0, g.used.Load())) > useMemory {
+	suspicious := g.probes.misses+g.probes.refusals > 0
+	if !holder && !suspicious && now.Sub(time.Unix(0, g.used.Load())) > useMemory {
 		return
 	}
 	if g.probes.running || now.Sub(g.probes.last) < min(searchInterval, interval) {
@@ -68,7 +70,6 @@
 		g.begin(now, g.search)
 		return
 	}
-	suspicious := g.probes.misses+g.probes.refusals > 0
 	unanswered := g.primary.outstanding.Load() > 0 && now.Sub(g.primary.Heard()) > overdue
 	if now.Sub(g.verified) < interval && !suspicious && !unanswered {
 		return
--- a/daemon/internal/backend/probe_test.go
+++ b/daemon/internal/backend/probe_test.go
@@ -43,6 +43,38 @@
 	})
 }
 
+// Guards against a suspicion that stays, and is reported, after the primary answers
+// again, because the service is no longer used.
+func TestSuspicionEndsWithoutUse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := statementtest.New("service", statementtest.Options{Dial: 10 * time.Millisecond}, "s1")
+		g := NewGroup("service", Options{
+			Backends: statementtest.Backends{service}, Recorder: &countingRecorder{}, Now: time.Now, Zone: "a", RegionOf: map[string]string{"a": "r"},
+		})
+		g.SetService(catalog.Service{Name: "service", ConnectionLimit: 10}, 1)
+		g.SetServers(service.Catalog())
+		tick := func(d time.Duration) {
+			for until := time.Now().Add(d); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+				g.Tick(false)
+			}
+		}
+		g.Choose(nil)
+		service.Silence("s1")
+		tick(2 * time.Second)
+		if !g.Health().Suspected {
+			t.Fatal("a silent primary is not suspected after 2 s")
+		}
+		tick(2 * useMemory)
+		service.Start("s1")
+		tick(2 * time.Second)
+		if g.Health().Suspected {
+			t.Error("the primary is still suspected 2 s after it answers again")
+		}
+		g.Close()
+		synctest.Wait()
+	})
+}
+
 // Guards against connections that a host keeps unused while the server has none
 // left for the others.
 func TestScarceConnectionsAreGivenUp(t *testing.T) {
