Bound the end of a drain; count listed reports only once they are renewed

Found while reading. A drain waited for connections on which no session was started, for up to the time limit of a start, beyond the stop timeout. A new holder of the duty counted reports that hosts had left behind, which could replace a healthy primary. Both tests failed before.

--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -375,7 +375,12 @@
 				since[service] = at
 			}
 		}
-		c.reports[o.Name] = received{report: r, at: now, since: since}
+		at := now
+		if ch.full {
+			// It may be a report of a host that is gone: it counts once renewed.
+			at = old.at
+		}
+		c.reports[o.Name] = received{report: r, at: at, since: since}
 	}
 }
 
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -450,6 +450,14 @@
 			old, _ := c.missed("service", "s1")
 			return [2]int{fresh, old}
 		})
+		listed := ask(c, func() int {
+			c.takeReports(change{kind: objects.Reports, full: true, objects: []objects.Object{{Name: "gone", Value: []byte(`{"missing":{"service":"s2"}}`)}}})
+			n, _ := c.missed("service", "s2")
+			return n
+		})
+		if listed != 0 {
+			t.Errorf("%d reports that were only listed count, want none before they are renewed", listed)
+		}
 		if got != [2]int{1, 0} {
 			t.Errorf("fresh and old reports count as %v, want 1 and 0", got)
 		}
--- a/daemon/internal/front/front_test.go
+++ b/daemon/internal/front/front_test.go
@@ -307,6 +307,24 @@
 	})
 }
 
+// Guards against a stop that waits for connections on which nothing was started.
+func TestDrainDoesNotWaitForSilentConnections(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		w.server.running.Add(1)
+		go func() {
+			defer w.server.running.Done()
+			time.Sleep(4 * time.Second)
+		}()
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		began := time.Now()
+		w.server.Drain(ctx, time.Now().Add(3*time.Second))
+		if took := time.Since(began); took > time.Second {
+			t.Errorf("drain without sessions took %s", took)
+		}
+	})
+}
+
 // Guards against writes whose outcome is unknown because they were sent to a
 // primary that was known not to answer.
 func TestWritesAreNotSentToSilentPrimary(t *testing.T) {
--- a/daemon/internal/front/server.go
+++ b/daemon/internal/front/server.go
@@ -182,8 +182,12 @@
 	return true
 }
 
-// drainPoll separates looks at the sessions during a drain.
-const drainPoll = 20 * time.Millisecond
+const (
+	// drainPoll separates looks at the sessions during a drain, which ends when
+	// there were none for drainQuiet.
+	drainPoll  = 20 * time.Millisecond
+	drainQuiet = 200 * time.Millisecond
+)
 
 // Drain closes sessions as soon as they rest outside a transaction. After
 // transactionsUntil open transactions are rolled back, and when ctx ends the
@@ -192,11 +196,14 @@
 	s.draining.Store(true)
 	ticker := time.NewTicker(drainPoll)
 	defer ticker.Stop()
+	used := time.Now()
 	for {
-		late := time.Now().After(transactionsUntil)
-		left := s.closeResting(late)
-		if left == 0 {
-			s.running.Wait()
+		now := time.Now()
+		if s.closeResting(now.After(transactionsUntil)) > 0 {
+			used = now
+		}
+		// Connections on which no session was started hold nothing up.
+		if now.Sub(used) >= drainQuiet {
 			return 0
 		}
 		select {
