Raise the fencing token after an order for a promotion that had no answer

Cause: a call to the platform without an answer may be executed seconds later, and its fence is checked then. The holder kept its token for the next promotion, so a late order passed the check and undid a newer promotion. Now an order with an unanswered call, even if a later try succeeded, makes the lease claim a higher token at once; until it is stored, only the same server may be named again. Ruled out: a new token for each promotion, since it needs a write to the store before each change of primary. lease.Raise has its caller; promotion.now, which nothing read, is removed.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -57,6 +57,8 @@
 	// since is when the revision was first seen.
 	since   time.Time
 	renewed time.Time
+	// raise is set until a higher token is stored.
+	raise bool
 }
 
 // New returns a machine for a host. The delay is added to the duration before
@@ -73,6 +75,9 @@
 	if !m.known || revision != m.revision {
 		m.since = now
 	}
+	if record.Token != m.record.Token {
+		m.raise = false
+	}
 	m.record, m.revision, m.known = record, revision, true
 }
 
@@ -110,6 +115,9 @@
 		return None, Record{}, 0
 	}
 	if m.Holding() {
+		if m.raise {
+			return Write, m.claim(), m.revision
+		}
 		if now.Sub(m.renewed) < RenewInterval {
 			return None, Record{}, 0
 		}
@@ -139,9 +147,10 @@
 	return Record{Holder: m.host, Incarnation: m.incarnation, Token: m.record.Token + 1, Renewal: m.record.Renewal + 1}
 }
 
-// Raise returns the write that gives the holder a higher token, so that a call
-// with the present one that is still under way is refused when it arrives.
-func (m *Machine) Raise() (Record, uint64) { return m.claim(), m.revision }
+// Raise makes the holder take a higher token with its next write, which is due
+// at once, so that a call with the present one that is still under way is
+// refused when it arrives after a call with the new one.
+func (m *Machine) Raise() { m.raise = true }
 
 // Release returns the write that gives the lease up.
 func (m *Machine) Release() (Record, uint64) {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -152,3 +152,24 @@
 		}
 	}
 }
+
+// Guards against a holder that goes on with a token that it was told to raise,
+// and against one that raises it again after it was stored.
+func TestRaise(t *testing.T) {
+	m := New("a", "1", 0)
+	held := Record{Holder: "a", Incarnation: "1", Token: 4}
+	m.Wrote(start, start, held, 1)
+	m.Raise()
+	action, record, expected := m.Next(start)
+	if action != Write || record.Token != 5 || expected != 1 {
+		t.Fatalf("got %v %+v at revision %d, want token 5 at once", action, record, expected)
+	}
+	m.Observe(start, Record{Holder: "a", Incarnation: "1", Token: 4, Renewal: 1}, 2)
+	if action, record, _ = m.Next(start); action != Write || record.Token != 5 {
+		t.Fatalf("got %v %+v after a renewal that was under way, want token 5", action, record)
+	}
+	m.Wrote(start, start, record, 3)
+	if action, _, _ = m.Next(start); action != None || m.Token() != 5 {
+		t.Errorf("got %v with token %d after the token was raised", action, m.Token())
+	}
+}
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -50,6 +50,9 @@
 	// draining holds the servers that announced their end.
 	draining map[string]bool
 	orders   []objects.Promotion
+	// lateOrder, if positive, is when the next order for a promotion is executed,
+	// without an answer.
+	lateOrder time.Duration
 }
 
 // deploy must be called in a bubble. It starts the hosts and waits until they
@@ -143,8 +146,15 @@
 func (p recordingPromoter) Promote(ctx context.Context, o objects.Promotion) error {
 	p.d.mu.Lock()
 	p.d.orders = append(p.d.orders, o)
+	late := p.d.lateOrder
+	p.d.lateOrder = 0
 	p.d.mu.Unlock()
-	return p.d.service.Promote(ctx, o)
+	if late == 0 {
+		return p.d.service.Promote(ctx, o)
+	}
+	time.AfterFunc(late, func() { p.d.service.Promote(context.Background(), o) })
+	<-ctx.Done()
+	return fmt.Errorf("%w: %w", objects.ErrUnknown, ctx.Err())
 }
 
 // ask reads the state of a host on its own goroutine.
@@ -298,6 +308,60 @@
 	})
 }
 
+// Guards against a promotion that the platform executes late, after a newer one
+// of another server, which then loses what it has committed since.
+func TestLateOrderDoesNotUndoLaterPromotion(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.lateOrder = 9 * time.Second
+		d.service.Crash("s1")
+		d.gap("s1", 5*time.Second)
+		first := d.service.Primary()
+		d.service.Start("s1")
+		time.Sleep(2 * time.Second)
+		d.service.Crash(first)
+		d.gap(first, 5*time.Second)
+		second := d.service.Primary()
+		d.service.Start(first)
+		time.Sleep(12 * time.Second)
+		if now := d.service.Primary(); now != second || d.service.Promotions() != 2 {
+			t.Errorf("primary is %s after %d promotions, want %s after 2: %+v", now, d.service.Promotions(), second, d.orders)
+		}
+	})
+}
+
+// Guards against a holder that, while the store is away, names another server
+// with the token of an order that may still be executed.
+func TestOrderWithoutAnswerWhileStoreIsDown(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.lateOrder = 20 * time.Second
+		d.service.Crash("s1")
+		d.gap("s1", 5*time.Second)
+		first := d.service.Primary()
+		d.store.SetDown(true)
+		d.service.Start("s1")
+		time.Sleep(500 * time.Millisecond)
+		d.service.Crash(first)
+		time.Sleep(4 * time.Second)
+		d.store.SetDown(false)
+		d.gap(first, 5*time.Second)
+		second := d.service.Primary()
+		d.service.Start(first)
+		time.Sleep(20 * time.Second)
+		if now := d.service.Primary(); now != second {
+			t.Errorf("primary is %s, want %s: %+v", now, second, d.orders)
+		}
+		for i, o := range d.orders {
+			for _, later := range d.orders[i:] {
+				if later.Token == o.Token && later.Server != o.Server {
+					t.Errorf("token %d names %s and %s", o.Token, o.Server, later.Server)
+				}
+			}
+		}
+	})
+}
+
 // Guards against two hosts that promote with the same token, and against a
 // former holder that goes on once it is refused, while answers of the store are
 // lost, writes are executed late, and the holder is cut off from the store.
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -43,6 +43,9 @@
 	ordered  time.Time
 	refused  bool
 	excluded map[string]time.Time
+	// open is the last order of which a call had no answer. It may be executed
+	// until the platform has seen a higher token.
+	open objects.Promotion
 }
 
 // stepSuccession replaces primaries while this host holds the duty.
@@ -103,12 +106,17 @@
 	return v
 }
 
-// candidates returns the servers that may take over.
+// candidates returns the servers that may take over. While an order is open with
+// the present token, only its server may be named again.
 func (c *controller) candidates(g *backend.Group, s *succeeding, primary string) []*backend.Pool {
 	now := c.now()
+	bound := s.open.Server != "" && s.open.Token == c.lease.Token()
 	var out []*backend.Pool
 	for _, p := range g.Pools() {
 		server := p.Server()
+		if bound && server.ID != s.open.Server {
+			continue
+		}
 		r := c.servers[server.ID]
 		if server.ID == primary || server.Draining || r == nil || !r.missing.IsZero() || now.Before(s.excluded[server.ID]) {
 			continue
@@ -124,7 +132,7 @@
 		group: g, reason: reason, primary: g.Primary(), term: h.Term, candidates: c.candidates(g, s, h.Primary),
 		sync: c.configuration.Services[g.Name()].SyncReplicas, members: c.members(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
-		promoter: c.promoter, now: c.now, near: c.near,
+		promoter: c.promoter, near: c.near,
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.Missing, "hosts": v.Hosts}),
 	}
@@ -138,6 +146,10 @@
 
 func (c *controller) endSuccession(s *succeeding, job *promotion, err error) {
 	s.running = false
+	if job.open {
+		s.open = job.order
+		c.lease.Raise()
+	}
 	if err == nil {
 		job.log.WithFields(logrus.Fields{"event": "promoted", "server": job.order.Server,
 			"took_ms": c.now().Sub(s.ordered).Milliseconds()}).Info("platform made a backend server the primary")
@@ -172,9 +184,10 @@
 	sync, members int
 	order         objects.Promotion
 	promoter      objects.Promoter
-	now           func() time.Time
 	near          func(zone string) bool
 	log           *logrus.Entry
+	// open is set when a call had no answer, so that it may still be executed.
+	open bool
 }
 
 var errNoSuccessor = errors.New("too few replicas answered")
@@ -298,8 +311,12 @@
 		callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 		err = p.promoter.Promote(callCtx, p.order)
 		cancel()
-		if err == nil || errors.Is(err, objects.ErrRefused) {
+		switch {
+		case err == nil, errors.Is(err, objects.ErrRefused):
 			return err
+		case errors.Is(err, objects.ErrLimited), errors.Is(err, objects.ErrUnavailable):
+		default:
+			p.open = true
 		}
 	}
 	return err
