Answer the first statement after an unannounced rollback as aborted

The test failed first (got malformed, want aborted). Ruled out for other failures: their own answer tells, so that later statements stay malformed.

--- a/daemon/internal/front/front_test.go
+++ b/daemon/internal/front/front_test.go
@@ -189,6 +189,23 @@
 	})
 }
 
+// Guards against a well-formed statement that is called malformed because its
+// transaction was rolled back since the caller was last answered.
+func TestStatementAfterUnannouncedRollback(t *testing.T) {
+	runWorld(t, serviceOptions, func(w *world) {
+		c := w.connect("c", onPrimary)
+		c.want(statement.OK, plain(statement.Begin))
+		c.want(statement.OK, write("x", "1"))
+		time.Sleep(3100 * time.Millisecond)
+		if a := c.want(statement.Aborted, write("x", "2")); a.State != statement.Aborting {
+			t.Errorf("state is %d, want aborting", a.State)
+		}
+		c.want(statement.MalformedStatement, write("x", "3"))
+		c.want(statement.OK, plain(statement.Rollback))
+		c.rows(read("x"))
+	})
+}
+
 // Guards against session values and prepared statements that leak between the
 // sessions that share a connection.
 func TestSessionsShareConnections(t *testing.T) {
--- a/daemon/internal/front/session.go
+++ b/daemon/internal/front/session.go
@@ -52,7 +52,9 @@
 	wrote  bool
 	failed bool
 	reason string
-	idle   *time.Timer
+	// unannounced tells that the caller has had no answer since the failure.
+	unannounced bool
+	idle        *time.Timer
 }
 
 func newSession(s *Server, conn statement.CallerConn, database string) *session {
@@ -118,7 +120,7 @@
 	if ss.busy || ss.tx != tx {
 		return
 	}
-	tx.fail(reason)
+	tx.failAtRest(reason)
 }
 
 // closeIfResting closes the connection if the session rests outside a
@@ -135,7 +137,7 @@
 		return
 	}
 	if late {
-		ss.tx.fail("host is stopping")
+		ss.tx.failAtRest("host is stopping")
 	}
 }
 
@@ -175,6 +177,16 @@
 	}
 }
 
+// failAtRest fails the transaction between two statements, so that the answer to
+// the next one is the first that can tell.
+func (tx *transaction) failAtRest(reason string) {
+	if tx.failed {
+		return
+	}
+	tx.unannounced = true
+	tx.fail(reason)
+}
+
 // drop gives up a connection that may not be used again. The backend server
 // rolls back what was open on it.
 func (tx *transaction) drop(reason string) {
@@ -238,6 +250,10 @@
 		ss.tx = nil
 		return refuse(statement.Aborted, reason)
 	default:
+		if ss.tx.unannounced {
+			ss.tx.unannounced = false
+			return refuse(statement.Aborted, ss.tx.reason)
+		}
 		return refuse(statement.MalformedStatement, "transaction has failed: "+ss.tx.reason)
 	}
 }
