--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 
 # The generated files are committed, so a build does not run this.
 generate:
-	cd tools && GOWORK=off go build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp ./cmd/protogen
+	cd tools && GOWORK=off go build -o ../bin/ google.golang.org/protobuf/cmd/protoc-gen-go github.com/twitchtv/twirp/protoc-gen-twirp ./protogen
 	bin/protogen core/peerapi peer.proto bin/protoc-gen-go bin/protoc-gen-twirp
 
 clean:
