Probe for a failed connection only instead of relying on another host's samples

Since samples are passed on, every failed connection made a host open another one to probe, also where no samples are passed on, and an overloaded primary spends a slot for 27 ms on each. Now such a failure only ends the reliance on passed-on samples; groups without them probe as they did before.

--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -70,8 +70,9 @@
 		g.begin(now, g.search)
 		return
 	}
-	unanswered := g.primary.outstanding.Load() > 0 && now.Sub(g.primary.Heard()) > overdue || g.troubled(now)
-	proved := now.Sub(g.verified) < interval || !holder && now.Sub(g.relayed) < relayedLife
+	unanswered := g.primary.outstanding.Load() > 0 && now.Sub(g.primary.Heard()) > overdue
+	relayed := !holder && now.Sub(g.relayed) < relayedLife && !g.troubled(now)
+	proved := now.Sub(g.verified) < interval || relayed
 	if proved && !suspicious && !unanswered {
 		return
 	}
--- a/daemon/internal/backend/relay.go
+++ b/daemon/internal/backend/relay.go
@@ -20,7 +20,8 @@
 	// relayProbeInterval, so that they are young enough for the hosts that ask.
 	askedMemory        = 2 * time.Second
 	relayProbeInterval = 400 * time.Millisecond
-	// troubleMemory is how long a failed connection is a reason to probe.
+	// troubleMemory is how long a failed connection keeps a host from relying on
+	// the samples of another one.
 	troubleMemory = time.Second
 )
 
