Revert "Let eight hosts look at the lease often, the others every 10 s"

Cause: a host that has not looked for 2.5 s takes the lease for lapsed, and reads it in full before it would take it over, which costs more than the looks saved.

--- a/core/placement/relay.go
+++ b/core/placement/relay.go
@@ -16,18 +16,6 @@
 	return best
 }
 
-// Rank returns the number of other hosts that precede a host in the order in
-// which Relay chooses.
-func Rank(host string, others []string) int {
-	rank := 0
-	for _, name := range others {
-		if name != host && precedes(name, host) {
-			rank++
-		}
-	}
-	return rank
-}
-
 func precedes(a, b string) bool {
 	x, y := xxhash.Sum64String(a), xxhash.Sum64String(b)
 	return x > y || x == y && a < b
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -11,7 +11,6 @@
 
 	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
-	"github.com/gypsumgap/gypsumgap/core/placement"
 )
 
 // promotionLease is the name of the lease of the promotion duty.
@@ -19,13 +18,10 @@
 
 // The timing of registrations and reports.
 const (
-	// standbyLeasePoll separates looks at the lease by the standbyHosts hosts that
-	// are to take it over, usualLeasePoll by all others, and urgentLeasePoll by hosts that
-	// miss a primary.
-	standbyLeasePoll = 2 * time.Second
-	usualLeasePoll   = 10 * time.Second
-	urgentLeasePoll  = 400 * time.Millisecond
-	standbyHosts     = 8
+	// leasePoll separates looks at the lease by hosts that do not hold it, and
+	// urgentLeasePoll while they miss a primary.
+	leasePoll       = 2 * time.Second
+	urgentLeasePoll = 400 * time.Millisecond
 	// leaseRetry follows a call for the lease that failed.
 	leaseRetry = 600 * time.Millisecond
 	// registerInterval separates renewals of a host's registration; a host whose
@@ -71,20 +67,7 @@
 			return urgentLeasePoll
 		}
 	}
-	if c.standsBy() {
-		return standbyLeasePoll
-	}
-	return usualLeasePoll
-}
-
-// standsBy reports whether this host is one of those that look at the lease
-// often. A host that knows of no others is.
-func (c *controller) standsBy() bool {
-	names := make([]string, 0, len(c.peers))
-	for name := range c.peers {
-		names = append(names, name)
-	}
-	return placement.Rank(c.host, names) < standbyHosts
+	return leasePoll
 }
 
 // noteHolder logs a change of the holder and follows the reports while this
