Use one wait that ends with its context

daemon/internal/route had sleep; daemon/internal/fleet (pause, and a select of its own), daemon/internal/front and core/confstore had written it again. It is core/retry Sleep now. No behaviour changes.

--- a/core/confstore/apply.go
+++ b/core/confstore/apply.go
@@ -14,6 +14,7 @@
 
 	"github.com/gypsumgap/gypsumgap/core/config"
 	"github.com/gypsumgap/gypsumgap/core/platform"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 const (
@@ -348,14 +349,7 @@
 // waitBackoff waits for an exponential delay with random jitter.
 func waitBackoff(ctx context.Context, attempt int) error {
 	limit := min(minBackoff<<min(attempt-1, 10), maxBackoff)
-	timer := time.NewTimer(limit/2 + mathrand.N(limit/2))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
+	return retry.Sleep(ctx, limit/2+mathrand.N(limit/2))
 }
 
 func hasKey[K comparable, V any](m map[K]V, key K) bool {
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 // promotionLease is the name of the lease of the promotion duty.
@@ -223,9 +224,7 @@
 		if i < len(firstCounts) {
 			pause = firstCounts[i]
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		if retry.Sleep(ctx, pause) != nil {
 			return
 		}
 		c.countHosts(ctx, seen)
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 // The timing of watches.
@@ -53,17 +54,17 @@
 
 // run lists the kind and then follows its changes until ctx ends.
 func (w watcher) run(ctx context.Context) {
-	retry := backoff{limit: firstRetry}
+	pauses := backoff{limit: firstRetry}
 	for ctx.Err() == nil {
 		listCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		snapshot, err := w.store.List(listCtx, w.kind, false)
 		cancel()
 		if err != nil {
 			w.post(change{kind: w.kind, err: err})
-			retry.wait(ctx)
+			pauses.wait(ctx)
 			continue
 		}
-		retry = backoff{limit: lastRetry}
+		pauses = backoff{limit: lastRetry}
 		w.post(change{kind: w.kind, full: true, objects: snapshot.Objects})
 		w.follow(ctx, snapshot.Revision)
 	}
@@ -71,7 +72,7 @@
 
 // follow watches from a revision until its history is no longer kept.
 func (w watcher) follow(ctx context.Context, since uint64) {
-	retry := backoff{limit: lastRetry}
+	pauses := backoff{limit: lastRetry}
 	for ctx.Err() == nil {
 		watchCtx, cancel := context.WithTimeout(ctx, w.wait+watchSlack)
 		snapshot, err := w.store.Watch(watchCtx, w.kind, since, w.wait)
@@ -81,14 +82,14 @@
 		}
 		if err != nil {
 			w.post(change{kind: w.kind, err: err})
-			retry.wait(ctx)
+			pauses.wait(ctx)
 			continue
 		}
-		retry = backoff{limit: lastRetry}
+		pauses = backoff{limit: lastRetry}
 		since = max(since, snapshot.Revision)
 		w.post(change{kind: w.kind, objects: snapshot.Objects})
 		if time.Now().Before(w.gatherUntil) {
-			pause(ctx, gatherPause)
+			_ = retry.Sleep(ctx, gatherPause)
 		}
 	}
 }
@@ -98,15 +99,5 @@
 
 func (b *backoff) wait(ctx context.Context) {
 	b.last = min(max(2*b.last, firstRetry), b.limit)
-	pause(ctx, b.last/2+rand.N(b.last))
-}
-
-// pause waits for the time to pass or for ctx to end.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
+	_ = retry.Sleep(ctx, b.last/2+rand.N(b.last))
 }
--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -7,6 +7,7 @@
 	"github.com/gypsumgap/gypsumgap/core/admission"
 	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
@@ -83,16 +84,7 @@
 }
 
 // pause waits before another attempt; it reports false if no time is left.
-func (r *run) pause() bool {
-	t := time.NewTimer(retryPause)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-r.ctx.Done():
-		return false
-	}
-}
+func (r *run) pause() bool { return retry.Sleep(r.ctx, retryPause) == nil }
 
 // single runs a statement that is a transaction of its own.
 func (ss *session) single(u unit) statement.Answer {
--- a/daemon/internal/route/entry.go
+++ b/daemon/internal/route/entry.go
@@ -11,6 +11,7 @@
 
 	"github.com/gypsumgap/gypsumgap/core/admission"
 	"github.com/gypsumgap/gypsumgap/core/config"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 // maxHops is the number of hosts that may forward a request. A second hop
@@ -310,7 +311,7 @@
 		if reached {
 			return t, nil
 		}
-		if err := sleep(ctx, noOwnerRetry); err != nil {
+		if err := retry.Sleep(ctx, noOwnerRetry); err != nil {
 			return nil, fmt.Errorf("no owner of the database is reachable: %w", err)
 		}
 		owners = e.cfg.Owners.Owners(t.request.Database)
--- a/daemon/internal/route/follow.go
+++ b/daemon/internal/route/follow.go
@@ -7,6 +7,7 @@
 
 	"github.com/gypsumgap/gypsumgap/core/admission"
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 const (
@@ -77,7 +78,7 @@
 		if running, _ := o.primary.Load(); running == 0 {
 			return nil
 		}
-		if err := sleep(ctx, holdPoll); err != nil {
+		if err := retry.Sleep(ctx, holdPoll); err != nil {
 			return fmt.Errorf("wait for transactions on the primary to end: %w", err)
 		}
 	}
--- a/daemon/internal/route/owner.go
+++ b/daemon/internal/route/owner.go
@@ -11,6 +11,7 @@
 	"github.com/gypsumgap/gypsumgap/core/admission"
 	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/replication"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 const (
@@ -305,7 +306,7 @@
 		case errors.As(err, &refused), errors.Is(err, ErrPoolClosed), errors.Is(err, errRebarrier):
 			return nil, err
 		}
-		if sleep(ctx, connectRetry) != nil {
+		if retry.Sleep(ctx, connectRetry) != nil {
 			return nil, err
 		}
 	}
@@ -349,17 +350,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 func (o *OwnerRouter) target(slot group.Slot, q *pending) Target {
 	return o.slotTarget(slot, q.request.User)
 }
--- a/daemon/internal/route/owner_read.go
+++ b/daemon/internal/route/owner_read.go
@@ -9,6 +9,7 @@
 	"github.com/gypsumgap/gypsumgap/core/admission"
 	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/replication"
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 func (o *OwnerRouter) replica(id group.SlotID) *admission.Limiter {
@@ -46,7 +47,7 @@
 		} else if !errors.Is(err, replication.ErrTermChanged) {
 			return nil, fmt.Errorf("read barrier: %w", err)
 		}
-		if err := sleep(ctx, connectRetry); err != nil {
+		if err := retry.Sleep(ctx, connectRetry); err != nil {
 			return nil, err
 		}
 	}
--- a/daemon/internal/route/pool_test.go
+++ b/daemon/internal/route/pool_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/retry"
 )
 
 // fakeNet opens fake connections and keeps count of them.
@@ -37,7 +39,7 @@
 		ctx = context.Background()
 	}
 	n.mu.Unlock()
-	err := sleep(ctx, latency)
+	err := retry.Sleep(ctx, latency)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if err == nil && n.refuse[t.Peer] {
@@ -105,7 +107,7 @@
 		<-ctx.Done()
 		return ctx.Err()
 	}
-	return sleep(ctx, 2*time.Millisecond)
+	return retry.Sleep(ctx, 2*time.Millisecond)
 }
 
 func (c *fakeConn) Close() error {
