Give the attempts on the primary, and those on fresh servers, one loop each

Writes, reads on the primary and transactions each had the loop that waits for the primary, tries and pauses; reads anywhere and read-only transactions each had the loop over servers that are fresh enough. onPrimary and onFresh serve them now, and a single write notes its commit with committed, as transactions do. Answers and their texts are the same.

--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -104,43 +104,73 @@
 	return r.finish(r.readAnywhere(u))
 }
 
-// write runs a single write on the primary. It is sent again only after an
-// answer that says it did not run.
-func (r *run) write(u unit) statement.Answer {
+// onPrimary makes attempts on the primary until one is final or no time is left,
+// and returns the answer of the last.
+func (r *run) onPrimary(attempt func(*backend.Pool) (a statement.Answer, final bool)) statement.Answer {
 	for {
 		p, err := r.group.WaitPrimary(r.ctx)
 		if err != nil {
 			return refuse(statement.Busy, "service has no primary that answers")
 		}
-		c, err := p.Acquire(r.ctx, classOf(r.route))
-		if err != nil {
-			if r.ctx.Err() != nil || !r.pause() {
-				return refuse(statement.Busy, err.Error())
-			}
-			continue
-		}
-		r.used(p)
-		sent := r.ss.server.options.Now()
-		a, mayRun, err := r.exchange(c, u)
-		switch {
-		case err != nil && mayRun:
-			return refuse(statement.InDoubt, err.Error())
-		case err != nil:
-		case a.Code == statement.OK:
-			r.group.Leads(p, sent, a.Position)
-			r.ss.written[r.route.Service] = later(r.ss.written[r.route.Service], a.Position)
-			return a
-		case a.Code == statement.ReadOnly:
-			r.group.Denies(p)
-		case !a.Code.NotRun() || a.Code == statement.MalformedStatement:
+		if a, final := attempt(p); final || !r.pause() {
 			return a
 		}
-		if !r.pause() {
-			return refuse(statement.Busy, "statement did not run: "+a.Code.String())
+	}
+}
+
+// onFresh makes attempts on servers whose log is fresh enough for a read that
+// began at the given time, each server once, until one is final. It reports
+// false if none was.
+func (r *run) onFresh(began time.Time, attempt func(p *backend.Pool, after group.Position) (final bool)) bool {
+	for {
+		after, ok := r.ss.required(r.route, r.group, began)
+		if !ok {
+			return false
+		}
+		p := r.group.Choose(r.tried)
+		if p == nil {
+			return false
+		}
+		r.tried[p] = true
+		if attempt(p, after) {
+			return true
 		}
 	}
 }
 
+func notRun(why string) statement.Answer {
+	return refuse(statement.Busy, "statement did not run: "+why)
+}
+
+// write runs a single write on the primary. It is sent again only after an
+// answer that says it did not run.
+func (r *run) write(u unit) statement.Answer {
+	return r.onPrimary(func(p *backend.Pool) (statement.Answer, bool) { return r.writeOn(p, u) })
+}
+
+func (r *run) writeOn(p *backend.Pool, u unit) (a statement.Answer, final bool) {
+	c, err := p.Acquire(r.ctx, classOf(r.route))
+	if err != nil {
+		return refuse(statement.Busy, err.Error()), r.ctx.Err() != nil
+	}
+	r.used(p)
+	sent := r.ss.server.options.Now()
+	a, mayRun, err := r.exchange(c, u)
+	switch {
+	case err != nil && mayRun:
+		return refuse(statement.InDoubt, err.Error()), true
+	case err != nil:
+	case a.Code == statement.OK:
+		r.committed(p, sent, a.Position)
+		return a, true
+	case a.Code == statement.ReadOnly:
+		r.group.Denies(p)
+	case !a.Code.NotRun() || a.Code == statement.MalformedStatement:
+		return a, true
+	}
+	return notRun(a.Code.String()), false
+}
+
 // exchange sets the connection up, runs the unit on it and gives it back.
 func (r *run) exchange(c *backend.Conn, u unit) (statement.Answer, bool, error) {
 	setup := c.Setup(r.ss.values, u.prepare)
@@ -155,19 +185,13 @@
 // readPrimary runs a read inside a transaction of its own on the primary,
 // because a server that was replaced still answers plain reads.
 func (r *run) readPrimary(u unit) statement.Answer {
-	for {
-		p, err := r.group.WaitPrimary(r.ctx)
-		if err != nil {
-			return refuse(statement.Busy, "service has no primary that answers")
+	return r.onPrimary(func(p *backend.Pool) (statement.Answer, bool) {
+		a, final := r.readOnPrimary(p, u)
+		if !final {
+			a = notRun(a.Detail)
 		}
-		a, done := r.readOnPrimary(p, u)
-		if done {
-			return a
-		}
-		if !r.pause() {
-			return refuse(statement.Busy, "statement did not run: "+a.Detail)
-		}
-	}
+		return a, final
+	})
 }
 
 // readOnPrimary makes one attempt; done tells that the answer is final.
@@ -254,23 +278,16 @@
 
 // readAnywhere runs a read on any server whose log is fresh enough, and on the
 // primary if there is none or no sample is young enough.
-func (r *run) readAnywhere(u unit) statement.Answer {
-	for {
-		after, ok := r.ss.required(r.route, r.group, r.began)
-		if !ok {
-			return r.readPrimary(u)
-		}
-		p := r.group.Choose(r.tried)
-		if p == nil {
-			return r.readPrimary(u)
-		}
-		r.tried[p] = true
+func (r *run) readAnywhere(u unit) (a statement.Answer) {
+	done := r.onFresh(r.began, func(p *backend.Pool, after group.Position) (final bool) {
 		u.statement.After = after
-		a, done := r.readOn(p, u)
-		if done {
-			return a
-		}
+		a, final = r.readOn(p, u)
+		return final
+	})
+	if done {
+		return a
 	}
+	return r.readPrimary(u)
 }
 
 func (r *run) readOn(p *backend.Pool, u unit) (statement.Answer, bool) {
--- a/daemon/internal/front/transaction.go
+++ b/daemon/internal/front/transaction.go
@@ -57,59 +57,39 @@
 // start gives the transaction a connection on which it has begun. Otherwise it
 // returns the refusal.
 func (r *run) start(tx *transaction) (statement.Answer, bool) {
-	if tx.readOnly && tx.route.Consistency != catalog.Primary {
-		if done := r.startAnywhere(tx); done {
-			return statement.Answer{}, true
-		}
+	if tx.readOnly && tx.route.Consistency != catalog.Primary && r.startAnywhere(tx) {
+		return statement.Answer{}, true
 	}
-	return r.startOnPrimary(tx)
-}
-
-func (r *run) startOnPrimary(tx *transaction) (statement.Answer, bool) {
-	for {
-		p, err := r.group.WaitPrimary(r.ctx)
-		if err != nil {
-			return refuse(statement.Busy, "service has no primary that answers"), false
-		}
-		c, err := p.Acquire(r.ctx, classOf(r.route))
-		if err == nil {
-			r.outcome.Attempts++
-			code, err := r.open(c, nil, statement.Statement{Kind: statement.Begin})
-			if err == nil && code == statement.OK {
-				tx.conn, tx.leads = c, true
-				return statement.Answer{}, true
-			}
-		}
-		if !r.pause() {
+	a := r.onPrimary(func(p *backend.Pool) (statement.Answer, bool) {
+		if !r.startOn(p, tx, statement.Statement{Kind: statement.Begin}) {
 			return refuse(statement.Busy, "transaction could not begin"), false
 		}
-	}
+		tx.leads = true
+		return statement.Answer{}, true
+	})
+	return a, tx.conn != nil
 }
 
 // startAnywhere begins a read-only transaction on any server whose log is fresh
 // enough; it reports false if there is none.
 func (r *run) startAnywhere(tx *transaction) bool {
-	for {
-		after, ok := r.ss.required(tx.route, tx.group, tx.began)
-		if !ok {
-			return false
-		}
-		p := r.group.Choose(r.tried)
-		if p == nil {
-			return false
-		}
-		r.tried[p] = true
-		c, err := p.Acquire(r.ctx, classOf(r.route))
-		if err != nil {
-			continue
-		}
-		r.outcome.Attempts++
-		code, err := r.open(c, nil, statement.Statement{Kind: statement.BeginRead, After: after})
-		if err == nil && code == statement.OK {
-			tx.conn = c
-			return true
-		}
+	return r.onFresh(tx.began, func(p *backend.Pool, after group.Position) bool {
+		return r.startOn(p, tx, statement.Statement{Kind: statement.BeginRead, After: after})
+	})
+}
+
+// startOn makes one attempt to begin the transaction.
+func (r *run) startOn(p *backend.Pool, tx *transaction, begin statement.Statement) bool {
+	c, err := p.Acquire(r.ctx, classOf(r.route))
+	if err != nil {
+		return false
+	}
+	r.outcome.Attempts++
+	if code, err := r.open(c, nil, begin); err != nil || code != statement.OK {
+		return false
 	}
+	tx.conn = c
+	return true
 }
 
 // commit ends the open transaction. Once the commit is sent, a missing answer
