--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -60,7 +60,7 @@
 	now := g.options.Now()
 	interval := g.probeInterval(now, holder)
 	suspicious := g.probes.misses+g.probes.refusals > 0
-	if !holder && !suspicious && now.Sub(time.Unix(0, g.used.Load())) > useMemory {
+	if !holder && !suspicious && !g.usedLately(now) {
 		return
 	}
 	if g.probes.running || now.Sub(g.probes.last) < min(searchInterval, interval) {
@@ -85,11 +85,17 @@
 	})
 }
 
+// usedLately reports whether a statement, or another host, lately looked for a
+// server.
+func (g *Group) usedLately(now time.Time) bool {
+	return now.Sub(time.Unix(0, g.used.Load())) <= useMemory
+}
+
 func (g *Group) probeInterval(now time.Time, holder bool) time.Duration {
 	switch {
 	case holder:
 		return HolderProbeInterval
-	case now.Sub(time.Unix(0, g.asked.Load())) < askedMemory:
+	case g.askedLately(now):
 		return relayProbeInterval
 	default:
 		return ProbeInterval
--- a/daemon/internal/backend/relay.go
+++ b/daemon/internal/backend/relay.go
@@ -34,7 +34,12 @@
 
 // TakesSamples reports whether the host should ask another one for samples.
 func (g *Group) TakesSamples() bool {
-	return g.crowded.Load() && g.options.Now().Sub(time.Unix(0, g.used.Load())) <= useMemory
+	return g.crowded.Load() && g.usedLately(g.options.Now())
+}
+
+// askedLately reports whether another host asked for samples lately.
+func (g *Group) askedLately(now time.Time) bool {
+	return now.Sub(time.Unix(0, g.asked.Load())) < askedMemory
 }
 
 // Sample returns the latest sample for another host, false if there is no young
@@ -77,7 +82,7 @@
 // time. Without samples replicas serve no reads, and the primary would stay
 // overloaded.
 func (g *Group) keepsStanding() bool {
-	return g.crowded.Load() && g.options.Now().Sub(time.Unix(0, g.asked.Load())) < askedMemory
+	return g.crowded.Load() && g.askedLately(g.options.Now())
 }
 
 func (p *Pool) takeStanding() statement.Conn {
