Read the settings once and start both modes alike

Now main hands the bytes to fleet.ParseSettings or the new settings.Parse, and start does the rest for both. Output and exit status of six calls with bad settings, a missing file and a bad log level are the same as before.

--- a/daemon/cmd/gypsumgap/main.go
+++ b/daemon/cmd/gypsumgap/main.go
@@ -2,6 +2,7 @@
 package main
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"os"
@@ -68,28 +69,43 @@
 		fmt.Fprintln(os.Stderr, "no settings: give --settings FILE")
 		return exitFindings
 	}
-	if data, err := os.ReadFile(args.Settings); err == nil && fleet.IsStatements(data) {
-		return runStatements(args)
-	}
-	s, err := settings.Load(args.Settings, os.LookupEnv, args.overrides())
+	data, err := os.ReadFile(args.Settings)
 	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
+		fmt.Fprintln(os.Stderr, fmt.Errorf("read settings: %w", err))
 		return exitFindings
 	}
-	level, err := logrus.ParseLevel(args.LogLevel)
-	if err != nil {
+	if fleet.IsStatements(data) {
+		s, err := fleet.ParseSettings(args.Settings, data)
+		return args.start(err, func(ctx context.Context, logger *logrus.Logger) int {
+			return runStatements(ctx, s, args.Settings, logger)
+		})
+	}
+	s, err := settings.Parse(args.Settings, data, os.LookupEnv, args.overrides())
+	return args.start(err, func(ctx context.Context, logger *logrus.Logger) int { return runHost(ctx, s, logger) })
+}
+
+// start serves until a signal unless the settings, whose error is given, are bad
+// or only to be checked.
+func (a arguments) start(bad error, serve func(context.Context, *logrus.Logger) int) int {
+	level, err := logrus.ParseLevel(a.LogLevel)
+	if err := cmp.Or(bad, err); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFindings
 	}
-	if args.Check {
+	if a.Check {
 		fmt.Println("settings are good")
 		return 0
 	}
 	logger := logrus.New()
 	logger.SetLevel(level)
-	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
+	return serve(ctx, logger)
+}
+
+// runHost runs a host that serves PostgreSQL callers.
+func runHost(ctx context.Context, s *settings.Settings, logger *logrus.Logger) int {
+	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	h, err := host.New(s, logger.WithField("host", s.Host))
 	if err == nil {
 		err = h.Run(ctx)
--- a/daemon/cmd/gypsumgap/statements.go
+++ b/daemon/cmd/gypsumgap/statements.go
@@ -2,12 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"net/netip"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/sirupsen/logrus"
 
@@ -24,35 +21,17 @@
 
 // runStatements runs a host that serves single statements on the users'
 // platform.
-func runStatements(args arguments) int {
-	s, err := fleet.LoadSettings(args.Settings)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFindings
-	}
-	level, err := logrus.ParseLevel(args.LogLevel)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return exitFindings
-	}
-	if args.Check {
-		fmt.Println("settings are good")
-		return 0
-	}
+func runStatements(ctx context.Context, s *fleet.Settings, file string, logger *logrus.Logger) int {
 	debug.SetGCPercent(gcPercent)
 	if s.MemoryLimitMB > 0 {
 		debug.SetMemoryLimit(int64(softLimitShare * float64(s.MemoryLimitMB) * (1 << 20)))
 	}
 	lines := fleet.NewAsyncWriter(os.Stdout)
 	defer lines.Close()
-	logger := logrus.New()
-	logger.SetLevel(level)
 	logger.SetOutput(lines)
 	logger.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true, TimestampFormat: "15:04:05.000"})
 	log := logger.WithField("host", s.Host)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
-	if err := fleet.New(s, args.Settings, platformOf(s), log).Run(ctx); err != nil {
+	if err := fleet.New(s, file, platformOf(s), log).Run(ctx); err != nil {
 		log.WithField("event", "stopped").WithError(err).Error("host stopped after a failure")
 		return exitFailed
 	}
--- a/daemon/internal/settings/settings.go
+++ b/daemon/internal/settings/settings.go
@@ -128,6 +128,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("read settings: %w", err)
 	}
+	return Parse(file, data, environment, flags)
+}
+
+// Parse is Load for settings that were read from the file.
+func Parse(file string, data []byte, environment func(string) (string, bool), flags map[string]string) (*Settings, error) {
 	r := &reader{file: file, settings: Settings{DrainTimeout: DefaultDrainTimeout}, seen: map[string]bool{}}
 	r.yaml(data)
 	for _, k := range keys {
