Choose the relay of a zone with the ranking that owners of databases have

Another host of a zone may be chosen than before, with the same properties. core/confsync sorts watchers by a hash of its own; it is left, since another order would move the watchers of running deployments.

--- a/core/membership/owners.go
+++ b/core/membership/owners.go
@@ -45,7 +45,7 @@
 		scores[i] = scored{m, score(database, m.Name)}
 	}
 	slices.SortFunc(scores, func(a, b scored) int {
-		return cmp.Or(cmp.Compare(b.score, a.score), cmp.Compare(a.Name, b.Name))
+		return byScore(a.score, a.Name, b.score, b.Name)
 	})
 	out := make([]Member, len(scores))
 	for i, s := range scores {
@@ -93,6 +93,23 @@
 	return living
 }
 
+// First returns the first of the hosts for a purpose in the order in which Owners
+// ranks those of a database, so that hosts with the same list choose the same one
+// and a change of the list moves few. It returns an empty string for an empty
+// list.
+func First(purpose string, hosts []string) string {
+	if len(hosts) == 0 {
+		return ""
+	}
+	return slices.MinFunc(hosts, func(a, b string) int {
+		return byScore(score(purpose, a), a, score(purpose, b), b)
+	})
+}
+
+func byScore(scoreA uint64, a string, scoreB uint64, b string) int {
+	return cmp.Or(cmp.Compare(scoreB, scoreA), cmp.Compare(a, b))
+}
+
 func score(database, host string) uint64 {
 	d := xxhash.New()
 	// Writes to a digest do not fail.
--- a/daemon/internal/fleet/relay.go
+++ b/daemon/internal/fleet/relay.go
@@ -7,8 +7,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
-	"github.com/gypsumgap/gypsumgap/core/placement"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -20,6 +20,9 @@
 	relayPause = 5 * time.Second
 )
 
+// relayPurpose tells the choice of a relay from others by the same hash.
+const relayPurpose = "sample relay"
+
 // relay is the source of samples of primaries in this host's availability zone.
 type relay struct {
 	asking bool
@@ -91,7 +94,7 @@
 			hosts = append(hosts, name)
 		}
 	}
-	if host := placement.Relay(hosts); host != c.host {
+	if host := membership.First(relayPurpose, hosts); host != c.host {
 		return host
 	}
 	return ""
