--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -24,6 +24,7 @@
 	"github.com/gypsumgap/gypsumgap/daemon/internal/front"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/metrics"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/peer"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/web"
 )
 
 // The timing of a stop.
@@ -33,8 +34,6 @@
 	noticeTime = 2200 * time.Millisecond
 	// stopMargin is left between the last cut and the end of the stop timeout.
 	stopMargin = 700 * time.Millisecond
-	// headerTimeout bounds the headers of readiness and metrics requests.
-	headerTimeout = 5 * time.Second
 )
 
 // Platform is what a host needs of the adapter to its platform.
@@ -129,9 +128,9 @@
 	var running errgroup.Group
 	running.Go(func() error { h.control.run(controlCtx); return nil })
 	running.Go(func() error { return h.front.Serve(callers) })
-	readyServer := serve(&running, ready, h.platform.Ready(h.ready))
-	adminServer := serve(&running, admin, h.metrics.Handler(h.ready))
-	peerServer := serve(&running, peers, peerapi.NewPeerServer(peerServer{h.control.board, bootTime}))
+	readyServer := web.Serve(&running, ready, h.platform.Ready(h.ready))
+	adminServer := web.Serve(&running, admin, h.metrics.Handler(h.ready))
+	peerServer := web.Serve(&running, peers, peerapi.NewPeerServer(peerServer{h.control.board, bootTime}))
 	go h.reload(controlCtx)
 	h.log.WithFields(logrus.Fields{"event": "started", "listen": h.settings.Listen, "zone": h.settings.AvailabilityZone}).
 		Info("host serves callers")
@@ -225,14 +224,3 @@
 	}
 	return ln, nil
 }
-
-func serve(running *errgroup.Group, ln net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	running.Go(func() error {
-		if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
-			return err
-		}
-		return nil
-	})
-	return server
-}
--- a/daemon/internal/host/host.go
+++ b/daemon/internal/host/host.go
@@ -27,10 +27,10 @@
 	"github.com/gypsumgap/gypsumgap/daemon/internal/session"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/settings"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/upstream"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/web"
 )
 
 const (
-	headerTimeout = 5 * time.Second
 	// leaveDelay lets the other hosts learn that this one leaves before it
 	// stops taking statements from them.
 	leaveDelay = 2 * time.Second
@@ -196,8 +196,8 @@
 	running.Go(func() error { h.maintain(controlCtx); return nil })
 	running.Go(func() error { return served(h.callers.Serve(listeners.callers)) })
 	running.Go(func() error { return served(h.forwards.Serve(listeners.forwards)) })
-	peers := h.serveHTTP(&running, listeners.peers, h.peerHandler())
-	admin := h.serveHTTP(&running, listeners.admin, h.metrics.Handler(h.Ready))
+	peers := web.Serve(&running, listeners.peers, h.peerHandler())
+	admin := web.Serve(&running, listeners.admin, h.metrics.Handler(h.Ready))
 	h.log.WithField("event", "started").
 		WithField("listen", h.settings.Listen).
 		WithField("availability_zone", h.settings.AvailabilityZone).
@@ -304,12 +304,6 @@
 	return mux
 }
 
-func (h *Host) serveHTTP(running *errgroup.Group, ln net.Listener, handler http.Handler) *http.Server {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout}
-	running.Go(func() error { return served(server.Serve(ln)) })
-	return server
-}
-
 func stopHTTP(servers ...*http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
 	defer cancel()
@@ -320,9 +314,9 @@
 	}
 }
 
-// served drops the errors that a server returns after it was asked to stop.
+// served drops the error that a server returns after it was asked to stop.
 func served(err error) error {
-	if errors.Is(err, session.ErrServerClosed) || errors.Is(err, http.ErrServerClosed) {
+	if errors.Is(err, session.ErrServerClosed) {
 		return nil
 	}
 	return err
