--- a/Makefile
+++ b/Makefile
@@ -50,8 +50,10 @@
 	GYPSUMGAP_EXPLORE=1 go test -count=1 -timeout 6h -rapid.checks=2000 $$(grep -rl --include='*_test.go' pgregory.net/rapid $(MODULES) | xargs -n1 dirname | sort -u | sed 's,^,./,')
 
 # Runs the real processes before stand-ins of the users' platform: a calm run, a
-# short run with faults, and the seeds that ever failed.
-SOAK_SEEDS := 1
+# short run with faults on a platform of each kind (one that stops replaced
+# primaries with an even seed, one that does not with an odd one), and the seeds
+# that ever failed.
+SOAK_SEEDS := 1 2
 .PHONY: soak soak-short
 soak-short: build
 	bin/gypsumgap-soak --calm --duration 5s
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -12,7 +12,10 @@
 // it was replaced when one of its calls is refused or the store answers again.
 package lease
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // The timing of a lease.
 const (
@@ -23,6 +26,12 @@
 	// ConfirmAge is the age of the last renewal beyond which a holder renews
 	// before it acts, because it may have been suspended.
 	ConfirmAge = 2 * time.Second
+	// PredecessorPeriod is how long a holder keeps the names of earlier holders in
+	// the record.
+	PredecessorPeriod = 15 * time.Second
+	// maxPredecessors is the maximum number of names kept. Takeovers are at least
+	// Duration apart, so more of them do not fit into PredecessorPeriod.
+	maxPredecessors = 8
 )
 
 // Record is the stored form of a lease.
@@ -35,6 +44,9 @@
 	Token uint64 `json:"token"`
 	// Renewal increases with each write, so that a renewal changes the record.
 	Renewal uint64 `json:"renewal"`
+	// Predecessors holds the hosts that held the lease before and may not know yet
+	// that they lost it. A holder removes them after PredecessorPeriod.
+	Predecessors []string `json:"predecessors,omitempty"`
 }
 
 // Action is what the caller of Machine.Next has to do.
@@ -61,6 +73,8 @@
 	// revisionSeenAt is when the revision was first seen.
 	revisionSeenAt time.Time
 	renewedAt      time.Time
+	// claimedAt is when this process was first seen as the holder.
+	claimedAt time.Time
 	// raisePending is true from RaiseToken until a higher token is stored.
 	raisePending bool
 }
@@ -84,7 +98,11 @@
 	if record.Token != m.record.Token {
 		m.raisePending = false
 	}
+	wasHolding := m.Holding()
 	m.record, m.revision, m.known = record, revision, true
+	if m.Holding() && !wasHolding {
+		m.claimedAt = now
+	}
 }
 
 // ObserveWrite processes a write that the store accepted. The lease counts as
@@ -109,6 +127,17 @@
 // there is none.
 func (m *Machine) Holder() string { return m.record.Holder }
 
+// ClaimedAt returns when this process was first seen as the holder. It is valid
+// while Holding.
+func (m *Machine) ClaimedAt() time.Time { return m.claimedAt }
+
+// RenewedAt returns when the last renewal was sent, or the zero time if a renewal
+// is required.
+func (m *Machine) RenewedAt() time.Time { return m.renewedAt }
+
+// Predecessors returns the names of the earlier holders in the last known record.
+func (m *Machine) Predecessors() []string { return m.record.Predecessors }
+
 // Confirmed reports whether this process holds the lease and renewed it within
 // ConfirmAge.
 func (m *Machine) Confirmed(now time.Time) bool {
@@ -134,6 +163,9 @@
 		}
 		next := m.record
 		next.Renewal++
+		if now.Sub(m.claimedAt) >= PredecessorPeriod {
+			next.Predecessors = nil
+		}
 		return Write, next, m.revision
 	}
 	if !m.canTakeOver(now) {
@@ -159,7 +191,19 @@
 // nextClaim returns the record by which this process takes the lease with a higher
 // token.
 func (m *Machine) nextClaim() Record {
-	return Record{Holder: m.host, Incarnation: m.incarnation, Token: m.record.Token + 1, Renewal: m.record.Renewal + 1}
+	return Record{Holder: m.host, Incarnation: m.incarnation, Token: m.record.Token + 1, Renewal: m.record.Renewal + 1,
+		Predecessors: m.nextPredecessors()}
+}
+
+// nextPredecessors returns the predecessors of the next claim of this host.
+func (m *Machine) nextPredecessors() []string {
+	var out []string
+	for _, name := range append(slices.Clone(m.record.Predecessors), m.record.Holder) {
+		if name != "" && name != m.host && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out[max(0, len(out)-maxPredecessors):]
 }
 
 // RaiseToken makes the holder take a higher token with its next write, which is
@@ -170,7 +214,7 @@
 // Release returns the record that gives the lease up and the revision that the
 // write must replace.
 func (m *Machine) Release() (Record, uint64) {
-	return Record{Token: m.record.Token, Renewal: m.record.Renewal + 1}, m.revision
+	return Record{Token: m.record.Token, Renewal: m.record.Renewal + 1, Predecessors: m.record.Predecessors}, m.revision
 }
 
 // RequireRenewal makes Confirmed false until the next renewal. It is called when a
--- a/core/objects/objects.go
+++ b/core/objects/objects.go
@@ -23,9 +23,12 @@
 	Reports
 	// Hosts are the registrations of hosts.
 	Hosts
+	// Revocations are the primaries that must not be used any more, by service; see
+	// package writelease.
+	Revocations
 )
 
-var kindNames = [...]string{"configurations", "servers", "leases", "reports", "hosts"}
+var kindNames = [...]string{"configurations", "servers", "leases", "reports", "hosts", "revocations"}
 
 // String returns the name of the kind for logs.
 func (k Kind) String() string { return kindNames[k] }
--- a/core/statement/statementtest/conn.go
+++ b/core/statement/statementtest/conn.go
@@ -25,7 +25,7 @@
 	readOnly bool
 	failed   bool
 	writes   []Write
-	// term is the service's term at the start of the transaction. A read-write
+	// term is the server's term at the start of the transaction. A read-write
 	// transaction fails once the server is no longer the primary of that term.
 	term group.Term
 }
@@ -156,19 +156,15 @@
 		clear(c.values)
 		clear(c.prepared)
 	case statement.Status:
-		role := "replica"
-		if sv.primary {
-			role = "primary"
-		}
-		return statement.Answer{Rows: []string{role}}
+		return statement.Answer{Rows: []string{sv.status()}}
 	case statement.Pause:
 		sv.pauseTerm = r.Term
-		return statement.Answer{Rows: []string{"replica"}}
+		return statement.Answer{Rows: []string{sv.status()}}
 	case statement.Demote:
-		if r.Term > sv.service.term {
+		if r.Term > sv.term {
 			sv.primary = false
 		}
-		return statement.Answer{Rows: []string{"replica"}}
+		return statement.Answer{Rows: []string{sv.status()}}
 	case statement.Begin, statement.BeginRead:
 		return c.begin(r)
 	case statement.Rollback:
@@ -181,6 +177,15 @@
 	return statement.Answer{}
 }
 
+// status returns the role of the server and the term that it holds.
+func (sv *Server) status() string {
+	role := "replica"
+	if sv.primary {
+		role = "primary"
+	}
+	return fmt.Sprintf("%s %d", role, sv.term)
+}
+
 func (c *Conn) begin(r statement.Statement) statement.Answer {
 	if c.tx != nil {
 		return c.refuse(statement.MalformedStatement)
@@ -188,14 +193,14 @@
 	if r.Kind == statement.Begin && !c.server.primary {
 		return c.refuse(statement.ReadOnly)
 	}
-	c.tx = &openTransaction{readOnly: r.Kind == statement.BeginRead, term: c.server.service.term}
+	c.tx = &openTransaction{readOnly: r.Kind == statement.BeginRead, term: c.server.term}
 	return statement.Answer{}
 }
 
 // lostPrimaryRole reports whether a read-write transaction is open and the server
 // is no longer the primary of the term in which it began.
 func (c *Conn) lostPrimaryRole() bool {
-	return c.tx != nil && !c.tx.readOnly && (!c.server.primary || c.tx.term != c.server.service.term)
+	return c.tx != nil && !c.tx.readOnly && (!c.server.primary || c.tx.term != c.server.term)
 }
 
 func (c *Conn) commit() statement.Answer {
@@ -218,7 +223,10 @@
 
 func (c *Conn) append(writes []Write) {
 	sv := c.server
-	sv.log = append(sv.log, logEntry{term: sv.service.term, at: time.Now(), writes: writes})
+	if sv != sv.service.primaryServer() {
+		sv.service.splitCommits = append(sv.service.splitCommits, time.Now())
+	}
+	sv.log = append(sv.log, logEntry{term: sv.term, at: time.Now(), writes: writes})
 }
 
 // readOrWrite executes a Read, Write or Execute.
--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -32,10 +33,18 @@
 	// PromotionDelay is the time from the request for a promotion to the change of
 	// the primary.
 	PromotionDelay time.Duration
+	// ReplacedPrimaryContinues makes a replaced primary go on as one, and the
+	// promotion service accept any fencing token. The primary steps down on a Demote,
+	// or StepDownDelay after it can reach its successor; see SetIsolated.
+	ReplacedPrimaryContinues bool
 	// ConnectionLimit is the maximum number of connections to one server; 0 for no limit.
 	ConnectionLimit int
 }
 
+// StepDownDelay is the time after which a replaced primary that reaches its
+// successor steps down, if Options.ReplacedPrimaryContinues is set.
+const StepDownDelay = time.Second
+
 // logEntry is one commit in a log.
 type logEntry struct {
 	term   group.Term
@@ -62,6 +71,10 @@
 	// token is the highest fencing token received.
 	token      uint64
 	promotions int
+	// promotedLength is the length of the primary's log when it was promoted.
+	promotedLength int
+	// splitCommits holds the times of the commits of replaced primaries.
+	splitCommits []time.Time
 }
 
 // Server is one backend server.
@@ -69,8 +82,10 @@
 	service *Service
 	id      string
 	primary bool
-	log     []logEntry
-	conns   map[*Conn]bool
+	// term is the term that the server holds.
+	term  group.Term
+	log   []logEntry
+	conns map[*Conn]bool
 	// pauseTerm is the term of a Pause, during which the server receives no
 	// commits; 0 for none.
 	pauseTerm group.Term
@@ -78,6 +93,8 @@
 	lag time.Duration
 
 	down, hung, replicationPaused bool
+	// isolated is true if the other servers do not reach the server.
+	isolated bool
 	// loseAnswers is the number of statements still to be left unanswered.
 	loseAnswers int
 	// busyRefusals is the number of statements still to be refused as busy.
@@ -88,7 +105,7 @@
 func New(name string, o Options, ids ...string) *Service {
 	s := &Service{Name: name, options: o, servers: map[string]*Server{}, term: 1, runs: map[string]int{}}
 	for i, id := range ids {
-		s.servers[id] = &Server{service: s, id: id, primary: i == 0, conns: map[*Conn]bool{}}
+		s.servers[id] = &Server{service: s, id: id, primary: i == 0, term: 1, conns: map[*Conn]bool{}}
 	}
 	return s
 }
@@ -111,14 +128,20 @@
 func (s *Service) Primary() string {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for id, sv := range s.servers {
-		if sv.primary {
-			return id
-		}
+	if sv := s.primaryServer(); sv != nil {
+		return sv.id
 	}
 	return ""
 }
 
+// SplitCommits returns the times of the commits that servers executed after another
+// server had replaced them as the primary.
+func (s *Service) SplitCommits() []time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Clone(s.splitCommits)
+}
+
 // Promotions returns the number of promotions that changed the primary.
 func (s *Service) Promotions() int {
 	s.mu.Lock()
@@ -138,10 +161,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []Write
-	for _, sv := range s.servers {
-		if !sv.primary {
-			continue
-		}
+	if sv := s.primaryServer(); sv != nil {
 		for _, e := range sv.log {
 			out = append(out, e.writes...)
 		}
@@ -188,6 +208,14 @@
 	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.replicationPaused = deaf })
 }
 
+// SetIsolated cuts a server off from the other servers, or reconnects it.
+func (s *Service) SetIsolated(id string, isolated bool) {
+	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.isolated = isolated })
+	if !isolated {
+		time.AfterFunc(StepDownDelay, s.stepDownReplaced)
+	}
+}
+
 // SetLag sets the replication lag of one server; 0 restores that of the service.
 func (s *Service) SetLag(id string, lag time.Duration) {
 	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.lag = lag })
@@ -210,7 +238,7 @@
 func (s *Service) Promote(ctx context.Context, p objects.Promotion) error {
 	s.mu.Lock()
 	sv := s.servers[p.Server]
-	refused := sv == nil || sv.down || p.Token < s.token
+	refused := sv == nil || sv.down || p.Token < s.token && !s.options.ReplacedPrimaryContinues
 	s.token = max(s.token, p.Token)
 	s.mu.Unlock()
 	if refused {
@@ -232,30 +260,65 @@
 	next.receive(time.Now())
 	s.term++
 	s.promotions++
+	s.promotedLength = len(next.log)
+	next.primary, next.term = true, s.term
 	for _, sv := range s.servers {
-		sv.primary = sv == next
 		sv.pauseTerm = 0
-		if sv != next && len(sv.log) > len(next.log) {
-			sv.log = sv.log[:len(next.log)]
+		if sv != next && !(sv.primary && s.options.ReplacedPrimaryContinues) {
+			sv.follow()
 		}
 	}
+	if s.options.ReplacedPrimaryContinues {
+		time.AfterFunc(StepDownDelay, s.stepDownReplaced)
+	}
 }
 
+// follow makes the server a replica of the primary and drops the commits that the
+// primary did not have when it was promoted.
+func (sv *Server) follow() {
+	s := sv.service
+	sv.primary = false
+	if sv.term < s.term {
+		sv.term = s.term
+		sv.log = sv.log[:min(len(sv.log), s.promotedLength)]
+	}
+}
+
+// stepDownReplaced makes replaced primaries that reach their successor replicas.
+func (s *Service) stepDownReplaced() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	leader := s.primaryServer()
+	for _, sv := range s.servers {
+		if sv.primary && sv != leader && sv.reaches(leader) {
+			sv.follow()
+		}
+	}
+}
+
+// reaches reports whether the servers can exchange messages.
+func (sv *Server) reaches(other *Server) bool { return !sv.isolated && !other.isolated }
+
+// primaryServer returns the primary of the highest term, or nil if there is none.
 func (s *Service) primaryServer() *Server {
+	var leader *Server
 	for _, sv := range s.servers {
-		if sv.primary {
-			return sv
+		if sv.primary && (leader == nil || sv.term > leader.term) {
+			leader = sv
 		}
 	}
-	return nil
+	return leader
 }
 
 // receive appends the primary's commits that have arrived at a replica by now.
 func (sv *Server) receive(now time.Time) {
 	leader := sv.service.primaryServer()
-	if sv.primary || sv.replicationPaused || sv.down || sv.pauseTerm > 0 || leader == nil {
+	if sv.primary || sv.replicationPaused || sv.down || sv.pauseTerm > 0 || leader == nil || !sv.reaches(leader) {
 		return
 	}
+	if sv.term < leader.term {
+		sv.follow()
+	}
 	lag := sv.service.options.ReplicationLag
 	if sv.lag > 0 {
 		lag = sv.lag
@@ -269,16 +332,13 @@
 	}
 }
 
-// position returns the end of the server's log. For a primary its term is that of
-// the service even before the first commit of the term.
+// position returns the end of the server's log. Its term is that of the last
+// commit.
 func (sv *Server) position() group.Position {
 	term := group.Term(1)
 	if n := len(sv.log); n > 0 {
 		term = sv.log[n-1].term
 	}
-	if sv.primary {
-		term = sv.service.term
-	}
 	return group.Position{Term: term, Offset: uint64(len(sv.log)) + 1}
 }
 
@@ -349,7 +409,12 @@
 	if a.Code != statement.OK || len(a.Rows) != 1 {
 		return statement.ServerStatus{}, fmt.Errorf("status query failed: %s", a.Code)
 	}
-	return statement.ServerStatus{Primary: a.Rows[0] == "primary", Term: a.Position.Term, Received: a.Position}, nil
+	var role string
+	var term group.Term
+	if _, err := fmt.Sscanf(a.Rows[0], "%s %d", &role, &term); err != nil {
+		return statement.ServerStatus{}, fmt.Errorf("status %q: %w", a.Rows[0], err)
+	}
+	return statement.ServerStatus{Primary: role == "primary", Term: term, Received: a.Position}, nil
 }
 
 // ErrClosed is the error of statements on a closed connection.
@@ -398,5 +463,9 @@
 	defer s.mu.Unlock()
 	for _, sv := range s.servers {
 		sv.down, sv.hung, sv.replicationPaused, sv.lag, sv.busyRefusals, sv.loseAnswers = false, false, false, 0, 0, 0
+		sv.isolated = false
+	}
+	if s.options.ReplacedPrimaryContinues {
+		time.AfterFunc(StepDownDelay, s.stepDownReplaced)
 	}
 }
--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -12,6 +12,7 @@
 	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/placement"
 	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
 )
 
 // Recorder is notified of new connections and of changes of the primary.
@@ -34,6 +35,9 @@
 	Zone string
 	// RegionOf maps each availability zone to its region.
 	RegionOf map[string]string
+	// WriteLease limits the use of primaries; nil if the platform stops replaced
+	// primaries by itself.
+	WriteLease *writelease.Lease
 }
 
 // Group is a service and its backend servers as seen by this host.
@@ -79,6 +83,8 @@
 	// primaryChanged is closed and replaced when the primary changes.
 	primaryChanged chan struct{}
 	probes         probeState
+	// retiringPools holds the removed pools on which statements are outstanding.
+	retiringPools []*Pool
 }
 
 const (
@@ -158,8 +164,9 @@
 			removed = append(removed, g.removePool(id))
 		}
 	}
-	g.applyRegistrations(servers)
+	unverified := g.applyRegistrations(servers)
 	g.mu.Unlock()
+	g.verifyClaims(unverified)
 	for _, p := range removed {
 		p.close()
 	}
@@ -169,6 +176,9 @@
 // caller must hold g.mu.
 func (g *Group) removePool(id string) *Pool {
 	p := g.pools[id]
+	if p.outstanding.Load() > 0 {
+		g.retiringPools = append(g.retiringPools, p)
+	}
 	delete(g.pools, id)
 	delete(g.notPrimaryAt, id)
 	if g.primary == p {
@@ -185,8 +195,9 @@
 // newly registers as the primary is accepted at once. One that was already
 // registered so is accepted only if the current primary is unknown or no longer
 // registered as such, because the entry of a lost primary remains until it
-// lapses. The caller must hold g.mu.
-func (g *Group) applyRegistrations(servers []catalog.Server) {
+// lapses. It returns the servers whose claim has to be verified first. The caller
+// must hold g.mu.
+func (g *Group) applyRegistrations(servers []catalog.Server) (unverified []*Pool) {
 	var otherRegistered, newlyRegistered *Pool
 	primaryRegistered := false
 	registered := map[string]bool{}
@@ -201,6 +212,8 @@
 		case p == g.primary:
 			primaryRegistered = true
 		case g.options.Now().Sub(g.notPrimaryAt[s.ID]) < claimIgnorePeriod:
+		case g.isRevoked(p.primaryTerm()):
+			unverified = append(unverified, p)
 		case !g.registeredPrimaries[s.ID]:
 			newlyRegistered = p
 		default:
@@ -214,6 +227,7 @@
 	case !primaryRegistered && otherRegistered != nil:
 		g.setPrimary(otherRegistered)
 	}
+	return unverified
 }
 
 // setPrimary replaces the known primary and wakes waiting statements. The
@@ -234,15 +248,26 @@
 }
 
 // ConfirmPrimary records that the server was the primary when a statement was
-// sent at the given time, and the end of its log that the statement returned.
+// sent at the given time, and the end of its log that the statement returned. The
+// host must have been allowed to use the server as the primary at that time.
 func (g *Group) ConfirmPrimary(p *Pool, sent time.Time, position group.Position) {
+	g.confirmPrimary(p, sent, position, true)
+}
+
+// confirmPrimary implements ConfirmPrimary. isSample is false if the host held no
+// write lease when the statement was sent: another server may have been the
+// primary by then, so the position does not show how fresh a log is.
+func (g *Group) confirmPrimary(p *Pool, sent time.Time, position group.Position, isSample bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if position.Term < g.term || g.pools[p.Server().ID] != p {
+	if position.Term < g.term || g.pools[p.Server().ID] != p || g.isRevoked(max(position.Term, p.primaryTerm())) {
 		return
 	}
 	g.term = position.Term
-	g.Freshness.Add(sent, position)
+	p.raiseTerm(position.Term)
+	if isSample {
+		g.Freshness.Add(sent, position)
+	}
 	if sent.After(g.verifiedAt) {
 		g.verifiedAt = sent
 	}
@@ -269,7 +294,7 @@
 }
 
 // ErrNoPrimary means that the host knows no primary of the service.
-var ErrNoPrimary = errors.New("service has no primary")
+var ErrNoPrimary = errors.New("service has no primary that answers")
 
 // suspectPollInterval is the time between checks of a primary that is suspected
 // to have failed.
@@ -278,18 +303,24 @@
 // WaitPrimary returns the pool of the primary. It waits while none is known or
 // the known one is suspected to have failed, because the outcome of a write
 // sent to a failed server would be unknown, whereas a write that was not sent
-// can be refused. It fails with ErrNoPrimary when ctx ends.
+// can be refused. It fails with ErrNoPrimary when ctx ends, and with
+// ErrNoWriteLease if the host has held no lease for writeLeaseWait.
 func (g *Group) WaitPrimary(ctx context.Context) (*Pool, error) {
-	g.lastUsed.Store(g.options.Now().UnixNano())
+	startedAt := g.options.Now()
+	g.lastUsed.Store(startedAt.UnixNano())
 	for {
+		leased := g.hasWriteLease()
+		if !leased && g.options.Now().Sub(startedAt) >= writeLeaseWait {
+			return nil, ErrNoWriteLease
+		}
 		g.mu.Lock()
 		p, changed, suspected := g.primary, g.primaryChanged, g.probes.isSuspected()
 		g.mu.Unlock()
-		if p != nil && !suspected {
+		if p != nil && !suspected && leased {
 			return p, nil
 		}
 		var poll <-chan time.Time
-		if suspected {
+		if suspected || !leased {
 			poll = time.After(suspectPollInterval)
 		}
 		select {
@@ -342,8 +373,11 @@
 type Health struct {
 	// Primary is the ID of the primary; empty if none is known.
 	Primary string
-	// Term is the highest term known to this host.
+	// Term is the highest term of a log position known to this host.
 	Term group.Term
+	// PrimaryTerm is the highest term in which this host verified the primary; 0 if
+	// it has not.
+	PrimaryTerm group.Term
 	// ProbeFailed is true if a probe of the primary failed since it was last
 	// verified, and Suspected if enough of them failed for it to count as
 	// unreachable.
@@ -361,7 +395,7 @@
 	defer g.mu.Unlock()
 	h := Health{Term: g.term, VerifiedAt: g.verifiedAt, NoPrimarySince: g.noPrimarySince, ProbeFailed: g.probes.misses+g.probes.refusals > 0, Suspected: g.probes.isSuspected()}
 	if g.primary != nil {
-		h.Primary = g.primary.Server().ID
+		h.Primary, h.PrimaryTerm = g.primary.Server().ID, g.primary.primaryTerm()
 	}
 	return h
 }
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -82,6 +82,11 @@
 	// clock. New connections that the server refused for its limit, or reset at
 	// once, do not count.
 	lastFailure atomic.Int64
+	// verifiedTerm is the highest term in which the server was verified as the
+	// primary; 0 if it never was.
+	verifiedTerm atomic.Uint64
+	// verifyingClaim is true while the server's claim to be the primary is verified.
+	verifyingClaim atomic.Bool
 
 	mu     sync.Mutex
 	server catalog.Server
@@ -318,11 +323,29 @@
 // Exchange sends the statements in one batch and returns their answers; see
 // statement.Conn.
 func (c *Conn) Exchange(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error) {
+	c.pool.outstanding.Add(1)
+	defer c.pool.outstanding.Add(-1)
+	return c.exchange(deadline, requests)
+}
+
+// ExchangeAsPrimary is like Exchange, for statements that only the primary may
+// execute. It fails with ErrNoWriteLease, and sends nothing, if this host may not
+// use the server as the primary.
+func (c *Conn) ExchangeAsPrimary(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error) {
+	// The statement counts as outstanding before the check, so that a revocation
+	// is confirmed only after statements that passed the check have ended.
+	c.pool.outstanding.Add(1)
+	defer c.pool.outstanding.Add(-1)
+	if !c.pool.group.mayUse(c.pool) {
+		return nil, false, ErrNoWriteLease
+	}
+	return c.exchange(deadline, requests)
+}
+
+func (c *Conn) exchange(deadline time.Time, requests []statement.Statement) ([]statement.Answer, bool, error) {
 	p := c.pool
-	p.outstanding.Add(1)
 	sent := p.group.options.Now()
 	answers, mayRun, err := c.conn.Exchange(deadline, requests...)
-	p.outstanding.Add(-1)
 	if len(answers) > 0 {
 		p.recordAnswer()
 	}
--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -251,7 +251,7 @@
 
 func (g *Group) sendProbe(ctx context.Context, p *Pool, conn statement.Conn) error {
 	deadline, _ := ctx.Deadline()
-	sent := g.options.Now()
+	sent, leased := g.options.Now(), g.mayUse(p)
 	answers, _, err := conn.Exchange(deadline, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
 	if err != nil {
 		return err
@@ -261,7 +261,12 @@
 		g.RecordNotPrimary(p)
 		return errNotPrimary
 	}
-	g.ConfirmPrimary(p, sent, answers[0].Position)
+	if g.isRevoked(max(answers[0].Position.Term, p.primaryTerm())) {
+		if err := g.verifyTerm(deadline, p, conn); err != nil {
+			return err
+		}
+	}
+	g.confirmPrimary(p, sent, answers[0].Position, leased)
 	return nil
 }
 
--- a/daemon/internal/backend/relay.go
+++ b/daemon/internal/backend/relay.go
@@ -34,6 +34,8 @@
 	Primary  string
 	Position group.Position
 	SentAt   time.Time
+	// PrimaryTerm is the term that the primary leads; 0 if it is unknown.
+	PrimaryTerm group.Term
 }
 
 // NeedsSamples reports whether this host should request samples from another
@@ -60,7 +62,7 @@
 	if h.Primary == "" || h.Suspected || position.Term != h.Term || now.Sub(sent) > maxProofAge {
 		return Sample{}, false
 	}
-	return Sample{Primary: h.Primary, Position: position, SentAt: sent}, true
+	return Sample{Primary: h.Primary, Position: position, SentAt: sent, PrimaryTerm: h.PrimaryTerm}, true
 }
 
 // AddSample records a sample from another host. On this host's clock, s.SentAt
@@ -74,7 +76,8 @@
 		return
 	}
 	g.Freshness.Add(s.SentAt, s.Position)
-	if s.Position.Term > g.term {
+	p.raiseTerm(max(s.PrimaryTerm, s.Position.Term))
+	if s.Position.Term > g.term || g.primary == nil && !g.isRevoked(p.primaryTerm()) {
 		g.term = s.Position.Term
 		g.setPrimary(p)
 	}
--- a/daemon/internal/control/peerserver.go
+++ b/daemon/internal/control/peerserver.go
@@ -84,6 +84,19 @@
 	return nil, twirp.NewError(twirp.Unimplemented, "owners of a database pass no samples on")
 }
 
+// WriteLease implements peerapi.Peer. It always fails, because the primaries of
+// owned databases are fenced by their terms.
+func (PeerServer) WriteLease(context.Context, *peerapi.WriteLeaseRequest) (*peerapi.WriteLeaseResponse, error) {
+	return nil, errNoWriteLeases
+}
+
+// Revoke implements peerapi.Peer. It always fails, as WriteLease does.
+func (PeerServer) Revoke(context.Context, *peerapi.RevokeRequest) (*peerapi.RevokeResponse, error) {
+	return nil, errNoWriteLeases
+}
+
+var errNoWriteLeases = twirp.NewError(twirp.Unimplemented, "owners of a database need no write leases")
+
 // Status implements peerapi.Operator.
 func (s PeerServer) Status(_ context.Context, r *peerapi.StatusRequest) (*peerapi.StatusResponse, error) {
 	v := s.c.board.View()
--- a/daemon/internal/control/simulation_test.go
+++ b/daemon/internal/control/simulation_test.go
@@ -628,3 +628,11 @@
 
 // inVirtualTime runs a test in a synctest bubble.
 func inVirtualTime(t *testing.T, f func(t *testing.T)) { synctest.Test(t, f) }
+
+func (l link) WriteLease(ctx context.Context, r *peerapi.WriteLeaseRequest) (*peerapi.WriteLeaseResponse, error) {
+	return callPeer(ctx, l, r, PeerServer.WriteLease)
+}
+
+func (l link) Revoke(ctx context.Context, r *peerapi.RevokeRequest) (*peerapi.RevokeResponse, error) {
+	return callPeer(ctx, l, r, PeerServer.Revoke)
+}
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -16,11 +16,13 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -109,14 +111,18 @@
 	zones    map[string]string
 	store    objects.Store
 	promoter objects.Promoter
-	groups   backend.Options
+	// groups are the options of the groups. Its WriteLease is also that of the
+	// controller.
+	groups backend.Options
 	// watchWait is how long a watch waits for a change. It bounds the delay of
 	// changes that the store fails to report.
 	watchWait time.Duration
 	// now returns the current time. Its clock must also advance while the host is
 	// suspended.
 	now func() time.Time
-	log *logrus.Entry
+	// scope receives the metrics of the control state.
+	scope tally.Scope
+	log   *logrus.Entry
 }
 
 // controller owns the control state of a host. Only the goroutine of run accesses
@@ -161,6 +167,19 @@
 	// polls holds the answers of other hosts about primaries, by service.
 	polls map[string]*peerPoll
 	relay relayState
+	// writeLease is the write lease of this host; nil if the platform stops
+	// replaced primaries by itself.
+	writeLease   *writelease.Lease
+	leaseRenewal leaseRenewal
+	vouching     *vouching
+	// revocationsReadAt is when the last successful read of the stored revocations
+	// was sent.
+	revocationsReadAt time.Time
+	registrations     *registrationAges
+	// dutyHeldUntil is the time until which this host certainly holds the
+	// promotion duty with the token in dutyToken.
+	dutyHeldUntil atomic.Int64
+	dutyToken     atomic.Uint64
 	// successions holds the state of promotions by service.
 	successions map[string]*successionState
 	// runAsync runs a function in a new goroutine with the context of run.
@@ -176,6 +195,7 @@
 		reports:      map[string]receivedReport{},
 		successions:  map[string]*successionState{},
 		polls:        map[string]*peerPoll{},
+		writeLease:   o.groups.WriteLease, vouching: &vouching{}, registrations: &registrationAges{},
 	}
 	c.publish()
 	return c
@@ -222,6 +242,8 @@
 	}
 	c.stepRelay()
 	c.stepLease()
+	c.publishDuty()
+	c.stepWriteLease()
 	c.stepReport()
 	c.stepSuccession()
 }
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"maps"
+	"sync"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -58,7 +59,7 @@
 	case action == lease.Write:
 		c.leaseCallRunning = true
 		holding := c.lease.Holding()
-		c.runAsync(func(ctx context.Context) { c.writeLease(ctx, record, expected, holding) })
+		c.runAsync(func(ctx context.Context) { c.updateLease(ctx, record, expected, holding) })
 	case !c.lease.Holding() && now.Sub(c.leaseReadAt) >= c.leasePollInterval():
 		c.leaseCallRunning, c.leaseReadAt = true, now
 		c.runAsync(c.readLease)
@@ -130,9 +131,9 @@
 	c.lease.Observe(c.now(), r, o.Revision)
 }
 
-// writeLease renews the lease or takes it over. A host that does not hold the
+// updateLease renews the lease or takes it over. A host that does not hold the
 // lease reads it first, because its knowledge may be stale.
-func (c *controller) writeLease(ctx context.Context, record lease.Record, expected uint64, holding bool) {
+func (c *controller) updateLease(ctx context.Context, record lease.Record, expected uint64, holding bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if !holding && expected != 0 {
@@ -201,6 +202,22 @@
 	}
 }
 
+// publishDuty makes the state of the duty visible to running promotions.
+func (c *controller) publishDuty() {
+	if !c.lease.Holding() || c.draining {
+		c.dutyHeldUntil.Store(0)
+		return
+	}
+	c.dutyToken.Store(c.lease.Token())
+	c.dutyHeldUntil.Store(c.lease.RenewedAt().Add(lease.Duration).UnixNano())
+}
+
+// holdsDuty reports whether no other host can have taken the duty over from this
+// one, which holds it with the token. It is safe for concurrent use.
+func (c *controller) holdsDuty(token uint64) bool {
+	return c.now().UnixNano() < c.dutyHeldUntil.Load() && c.dutyToken.Load() == token
+}
+
 // registration is the stored registration of a host.
 type registration struct {
 	Zone        string `json:"zone"`
@@ -214,15 +231,18 @@
 // maintainRegistration renews the registration of this host and counts the
 // registered hosts.
 func (c *controller) maintainRegistration(ctx context.Context) {
-	seen := map[string]revisionSeen{}
 	renewals, revision := 0, uint64(0)
 	var renewed time.Time
 	for i := 0; ctx.Err() == nil; i++ {
 		if renewed.IsZero() || c.now().Sub(renewed) >= registerInterval {
 			renewals++
 			var err error
+			sentAt := c.now()
 			if revision, err = c.writeRegistration(ctx, renewals, revision); err == nil {
 				renewed = c.now()
+				if c.writeLease != nil {
+					c.writeLease.SetRegistered(sentAt, renewed)
+				}
 			}
 		}
 		pause := countInterval
@@ -232,7 +252,7 @@
 		if retry.Sleep(ctx, pause) != nil {
 			return
 		}
-		c.countHosts(ctx, seen)
+		c.countHosts(ctx)
 	}
 }
 
@@ -265,16 +285,37 @@
 	return o.Revision, err
 }
 
+// registrationAges tells which registered hosts are live. It is safe for
+// concurrent use.
+type registrationAges struct {
+	mu   sync.Mutex
+	seen map[string]revisionSeen
+}
+
 // revisionSeen is a revision of a registration and when it was first seen.
 type revisionSeen struct {
 	revision    uint64
 	firstSeenAt time.Time
 }
 
+// isLive reports whether the registration was renewed within registrationMaxAge,
+// as far as this host can tell.
+func (a *registrationAges) isLive(o objects.Object, now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.seen == nil {
+		a.seen = map[string]revisionSeen{}
+	}
+	if s := a.seen[o.Name]; s.revision < o.Revision {
+		a.seen[o.Name] = revisionSeen{o.Revision, now}
+	}
+	return now.Sub(a.seen[o.Name].firstSeenAt) < registrationMaxAge
+}
+
 // countHosts counts the hosts whose registration was renewed within
 // registrationMaxAge, and updates the list of peers. A host is live even if its
 // registration cannot be decoded.
-func (c *controller) countHosts(ctx context.Context, seen map[string]revisionSeen) {
+func (c *controller) countHosts(ctx context.Context) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	snapshot, err := c.store.List(callCtx, objects.Hosts, true)
@@ -285,10 +326,7 @@
 	count := 0
 	peers := map[string]peerHost{}
 	for _, o := range snapshot.Objects {
-		if s := seen[o.Name]; s.revision != o.Revision {
-			seen[o.Name] = revisionSeen{o.Revision, now}
-		}
-		if now.Sub(seen[o.Name].firstSeenAt) >= registrationMaxAge {
+		if !c.registrations.isLive(o, now) {
 			continue
 		}
 		count++
@@ -415,8 +453,8 @@
 	return count, first
 }
 
-// leave stops control work, releases the duty and removes the registration and
-// report of this host. The returned channel is closed when that is done.
+// leave stops control work, releases the duty and removes the report of this host.
+// The returned channel is closed when that is done.
 func (c *controller) leave(ctx context.Context) <-chan struct{} {
 	done := make(chan struct{})
 	c.draining = true
@@ -431,11 +469,20 @@
 				c.log.WithField("event", "lease_kept").WithError(err).Warn("promotion duty could not be released; its lease will expire")
 			}
 		}
-		for _, kind := range []objects.Kind{objects.Hosts, objects.Reports} {
-			if err := c.store.Delete(ctx, kind, c.host); err != nil && !errors.Is(err, objects.ErrNotFound) {
-				c.log.WithField("event", "deregister_failed").WithError(err).Warn("registration or report of this host could not be removed")
-			}
-		}
+		c.deleteOwn(ctx, objects.Reports)
 	}()
 	return done
 }
+
+// deregister removes the registration of this host. It must not be called before
+// the last session has ended: a holder that replaces a primary waits for the
+// registered hosts only.
+func (c *controller) deregister(ctx context.Context) { c.deleteOwn(ctx, objects.Hosts) }
+
+// deleteOwn removes the object of this host.
+func (c *controller) deleteOwn(ctx context.Context, kind objects.Kind) {
+	if err := c.store.Delete(ctx, kind, c.host); err != nil && !isNotFound(err) {
+		c.log.WithFields(logrus.Fields{"event": "deregister_failed", "kind": kind.String()}).WithError(err).
+			Warn("registration or report of this host could not be removed")
+	}
+}
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/uber-go/tally/v4"
 
 	"github.com/gypsumgap/gypsumgap/core/admission"
 	"github.com/gypsumgap/gypsumgap/core/catalog"
@@ -21,6 +22,7 @@
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -51,6 +53,10 @@
 	opened map[string]*atomic.Int64
 	// limit is the connection limit of the service.
 	limit int
+	// network is what the hosts reach; nil if they reach everything.
+	network *network
+	// leased makes the hosts use write leases.
+	leased bool
 
 	mu sync.Mutex
 	// draining holds the servers that announced their stop.
@@ -70,13 +76,20 @@
 func deploy(t *testing.T, test func(*deployment)) { deployWithLimit(t, ampleLimit, test) }
 
 func deployWithLimit(t *testing.T, limit int, test func(*deployment)) {
+	deployWith(t, &deployment{limit: limit}, test)
+}
+
+// deployWith is deploy with a deployment whose options are set.
+func deployWith(t *testing.T, d *deployment, test func(*deployment)) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
-		d := &deployment{t: t, ctx: ctx, store: objectstest.New(1), draining: map[string]bool{}, opened: map[string]*atomic.Int64{}, limit: limit}
+		d.t, d.ctx, d.store = t, ctx, objectstest.New(1)
+		d.draining, d.opened = map[string]bool{}, map[string]*atomic.Int64{}
 		d.service = statementtest.New("service", statementtest.Options{
 			ReplicationLag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, DialTime: 10 * time.Millisecond, PromotionDelay: promotionDelay,
+			ReplacedPrimaryContinues: d.leased,
 		}, "s1", "s2", "s3")
-		d.store.Configure(configuration(1, limit))
+		d.store.Configure(configuration(1, d.limit))
 		go d.runHeartbeats(ctx)
 		for i := range testHosts {
 			d.start(fmt.Sprintf("h%d", i))
@@ -128,17 +141,23 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d.opened[name] = &atomic.Int64{}
+	var writeLease *writelease.Lease
+	if d.leased {
+		writeLease = writelease.New()
+	}
 	c := newController(options{
 		host: name, incarnation: fmt.Sprint(len(d.hosts)), zone: "a", zones: map[string]string{"a": "r"},
-		peerAddress: name, peer: d.peer,
+		peerAddress: name, peer: func(address string) peerapi.Peer { return remotePeer{d: d, from: name, address: address} },
 		store: objectstest.Client{Store: d.store, Host: name}, promoter: recordingPromoter{d}, watchWait: 3750 * time.Millisecond,
-		now: time.Now, log: logrus.NewEntry(log),
-		groups: backend.Options{Backends: statementtest.Backends{d.service}, Recorder: countingRecorder{d.opened[name]}, Now: time.Now,
-			Zone: "a", RegionOf: map[string]string{"a": "r"}},
+		now: time.Now, scope: tally.NoopScope, log: logrus.NewEntry(log),
+		groups: backend.Options{Backends: d.network.backends(name, statementtest.Backends{d.service}), Recorder: countingRecorder{d.opened[name]}, Now: time.Now,
+			Zone: "a", RegionOf: map[string]string{"a": "r"}, WriteLease: writeLease},
 	})
 	ctx, cancel := context.WithCancel(d.ctx)
+	d.mu.Lock()
 	d.hosts = append(d.hosts, c)
 	d.stops = append(d.stops, cancel)
+	d.mu.Unlock()
 	d.running.Go(func() { c.run(ctx) })
 	return len(d.hosts) - 1
 }
@@ -146,31 +165,55 @@
 // remotePeer is a host as other hosts reach it while it runs.
 type remotePeer struct {
 	peerServer
-	d       *deployment
-	address string
+	d             *deployment
+	from, address string
 }
 
-func (d *deployment) peer(address string) peerapi.Peer { return remotePeer{d: d, address: address} }
-
-func (r remotePeer) server() (peerapi.Peer, error) {
+// server returns the host at the address. It fails when ctx ends if the network
+// does not connect the two.
+func (r remotePeer) server(ctx context.Context) (peerapi.Peer, error) {
+	if r.d.network.isCut(r.from, r.address) {
+		<-ctx.Done()
+		return nil, ctx.Err()
+	}
 	for i, c := range r.d.hosts {
 		if c.host == r.address && !r.d.stopped(i) {
-			return peerServer{c.published, time.Now}, nil
+			return c.peerServer(), nil
 		}
 	}
 	return nil, errNotServed
 }
 
 func (r remotePeer) Observe(ctx context.Context, q *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error) {
-	s, err := r.server()
+	s, err := r.server(ctx)
 	if err != nil {
 		return nil, err
 	}
 	return s.Observe(ctx, q)
 }
 
+func (r remotePeer) WriteLease(ctx context.Context, q *peerapi.WriteLeaseRequest) (*peerapi.WriteLeaseResponse, error) {
+	s, err := r.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(r.d.network.delay(r.from, r.address))
+	response, err := s.WriteLease(ctx, q)
+	time.Sleep(r.d.network.delay(r.from, r.address))
+	return response, err
+}
+
+func (r remotePeer) Revoke(ctx context.Context, q *peerapi.RevokeRequest) (*peerapi.RevokeResponse, error) {
+	s, err := r.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(r.d.network.delay(r.from, r.address))
+	return s.Revoke(ctx, q)
+}
+
 func (r remotePeer) Samples(ctx context.Context, q *peerapi.SamplesRequest) (*peerapi.SamplesResponse, error) {
-	s, err := r.server()
+	s, err := r.server(ctx)
 	if err != nil {
 		return nil, err
 	}
@@ -219,9 +262,15 @@
 	return -1
 }
 
-func (d *deployment) stopped(i int) bool { return d.stops[i] == nil }
+func (d *deployment) stopped(i int) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.stops[i] == nil
+}
 
 func (d *deployment) stop(i int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	d.stops[i]()
 	d.stops[i] = nil
 }
--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -20,6 +20,7 @@
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/front"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/metrics"
@@ -88,12 +89,16 @@
 		peers: peer.NewClient(netip.MustParseAddrPort(s.PeerListen).Addr()),
 	}
 	recorder := newRecorder(h.metrics.Scope(), bootTime, log)
+	var lease *writelease.Lease
+	if !s.PlatformFencing {
+		lease = writelease.New()
+	}
 	h.control = newController(options{
 		host: s.Host, incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), zone: s.AvailabilityZone, zones: s.Zones,
 		peerAddress: s.PeerListen, peer: h.peers.Peer,
-		store: p.Store, promoter: p.Promoter, now: bootTime, log: log,
+		store: p.Store, promoter: p.Promoter, now: bootTime, scope: h.metrics.Scope(), log: log,
 		watchWait: time.Duration(watchTimeoutShare * float64(s.CatchUpTimeout)),
-		groups:    backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones},
+		groups:    backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones, WriteLease: lease},
 	})
 	h.front = front.NewServer(front.Options{Catalog: h.control.published, Recorder: recorder, Wrap: p.Wrap, Now: bootTime})
 	return h
@@ -139,7 +144,7 @@
 	running.Go(func() error { return h.front.Serve(callers) })
 	readyServer := web.Serve(&running, ready, h.platform.Ready(h.checkReady))
 	adminServer := web.Serve(&running, admin, h.metrics.Handler(h.checkReady))
-	peerServer := web.Serve(&running, peers, peerapi.NewPeerServer(peerServer{h.control.published, bootTime}))
+	peerServer := web.Serve(&running, peers, peerapi.NewPeerServer(h.control.peerServer()))
 	go h.watchSettings(controlCtx)
 	h.log.WithFields(logrus.Fields{"event": "started", "listen": h.settings.Listen, "zone": h.settings.AvailabilityZone}).
 		Info("host accepts callers")
@@ -171,6 +176,9 @@
 		<-done
 	case <-ctx.Done():
 	}
+	deregisterCtx, cancelDeregister := context.WithTimeout(context.Background(), stopMargin/2)
+	defer cancelDeregister()
+	h.control.deregister(deregisterCtx)
 	h.log.WithFields(logrus.Fields{"event": "drained", "cut": cut, "took_ms": time.Since(startedAt).Milliseconds()}).Info("drain finished")
 }
 
--- a/daemon/internal/fleet/peers.go
+++ b/daemon/internal/fleet/peers.go
@@ -7,6 +7,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -104,10 +105,17 @@
 type peerServer struct {
 	published *PublishedView
 	now       func() time.Time
+	// writeLease is the write lease of the host; nil if it needs none.
+	writeLease *writelease.Lease
+	vouching   *vouching
 }
 
 var _ peerapi.Peer = peerServer{}
 
+func (c *controller) peerServer() peerServer {
+	return peerServer{published: c.published, now: c.now, writeLease: c.writeLease, vouching: c.vouching}
+}
+
 // Observe returns the state of the primary of a service as seen by this host.
 // It probes the primary if this host has not verified it recently.
 func (s peerServer) Observe(_ context.Context, r *peerapi.ObserveRequest) (*peerapi.ObserveResponse, error) {
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/core/succession"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -68,6 +69,11 @@
 	if !c.lease.Confirmed(now) && c.leaseErr == nil {
 		return
 	}
+	if c.writeLease != nil && !c.lease.Confirmed(now) {
+		// Nothing but this check protects the service: without write leases the
+		// platform refuses the token of a former holder.
+		return
+	}
 	for name, g := range c.groups {
 		s := c.successions[name]
 		if s == nil {
@@ -140,13 +146,17 @@
 func (c *controller) startSuccession(g *backend.Group, s *successionState, v succession.View, reason succession.Reason) {
 	h := g.Health()
 	job := &promotion{
-		group: g, reason: reason, primary: g.Primary(), term: h.Term, candidates: c.candidates(g, s, h.Primary),
+		group: g, reason: reason, primary: g.Primary(), term: g.HighestTerm(), candidates: c.candidates(g, s, h.Primary),
 		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, possibleCommitHolders: c.countPossibleCommitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
 		promoter: c.promoter, isSameRegion: c.isSameRegion,
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
+	if c.writeLease != nil {
+		job.revocation = c.newRevocation(g, job)
+		job.holdsDuty = job.revocation.holdsDuty
+	}
 	s.running, s.startedAt, s.refused = true, c.now(), false
 	job.log.WithField("event", "succession").Info("replacing the primary")
 	c.runAsync(func(ctx context.Context) {
@@ -158,6 +168,10 @@
 // endSuccession processes the result of a replacement.
 func (c *controller) endSuccession(s *successionState, job *promotion, err error) {
 	s.running = false
+	if err == nil {
+		// The state of the service is evaluated again after succession.PromotionTimeout.
+		s.startedAt = c.now()
+	}
 	if job.unresolved {
 		s.unresolvedOrder = job.order
 		c.lease.RaiseToken()
@@ -181,14 +195,29 @@
 	}
 }
 
+// newRevocation returns the revocation that precedes the promotion.
+func (c *controller) newRevocation(g *backend.Group, job *promotion) *revocation {
+	unconfirmed := map[string]string{}
+	for name, p := range c.peers {
+		unconfirmed[name] = p.address
+	}
+	token := job.order.Token
+	return &revocation{
+		lease: c.writeLease, store: c.store, peer: c.peer, host: c.host, group: g, primary: job.primary,
+		predecessors: c.lease.Predecessors(), progress: writelease.Progress{TookOverAt: c.lease.ClaimedAt()}, registrations: c.registrations, now: c.now,
+		holdsDuty: func() bool { return c.holdsDuty(token) }, log: job.log, unconfirmed: unconfirmed, confirmed: map[string]bool{},
+	}
+}
+
 // isSameRegion reports whether the zone is in the region of this host.
 func (c *controller) isSameRegion(zone string) bool { return c.zones[zone] == c.zones[c.zone] }
 
 // promotion is one replacement of a primary.
 type promotion struct {
-	group      *backend.Group
-	reason     succession.Reason
-	primary    *backend.Pool
+	group   *backend.Group
+	reason  succession.Reason
+	primary *backend.Pool
+	// term is the highest known term of the service.
 	term       group.Term
 	candidates []*backend.Pool
 	// syncReplicas is the number of replicas that must receive a commit before it
@@ -198,7 +227,12 @@
 	order                               objects.Promotion
 	promoter                            objects.Promoter
 	isSameRegion                        func(zone string) bool
-	log                                 *logrus.Entry
+	// revocation precedes the order; nil if the platform stops replaced primaries.
+	revocation *revocation
+	// holdsDuty reports whether this host still holds the duty; nil if the platform
+	// checks fencing tokens.
+	holdsDuty func() bool
+	log       *logrus.Entry
 	// unresolved is true if the outcome of a call is unknown, so that the order
 	// may still be executed.
 	unresolved bool
@@ -223,7 +257,13 @@
 	if !ok {
 		return fmt.Errorf("%w: got %d replies, need %d", errNoSuccessor, len(replicas), p.requiredReplies())
 	}
-	if p.reason == succession.PrimaryDraining {
+	switch {
+	case p.revocation != nil:
+		var err error
+		if best, err = p.revokePrimary(ctx, best); err != nil {
+			return err
+		}
+	case p.reason == succession.PrimaryDraining:
 		var err error
 		if best, err = p.demotePrimary(ctx, best); err != nil && p.syncReplicas > 0 {
 			return err
@@ -278,22 +318,33 @@
 	if p.pausesReplicas() {
 		command = statement.Statement{Kind: statement.Pause, Term: p.term + 1}
 	}
-	answers := make(chan *succession.Replica, len(p.candidates))
+	type answer struct {
+		replica *succession.Replica
+		term    group.Term
+	}
+	answers := make(chan answer, len(p.candidates))
 	for _, pool := range p.candidates {
 		go func() {
 			status, err := pool.SendCommand(ctx, command)
 			if err != nil {
-				answers <- nil
+				answers <- answer{}
 				return
 			}
-			server := pool.Server()
-			answers <- &succession.Replica{ID: server.ID, Received: status.Received, SameRegion: p.isSameRegion(server.Zone)}
+			a := answer{term: max(status.Term, status.Received.Term)}
+			if p.revocation == nil || !status.Primary {
+				// A replaced primary that has not noticed it cannot be promoted.
+				server := pool.Server()
+				a.replica = &succession.Replica{ID: server.ID, Received: status.Received, SameRegion: p.isSameRegion(server.Zone)}
+			}
+			answers <- a
 		}()
 	}
 	var out []succession.Replica
 	for range p.candidates {
-		if r := <-answers; r != nil {
-			out = append(out, *r)
+		a := <-answers
+		p.term = max(p.term, a.term)
+		if a.replica != nil {
+			out = append(out, *a.replica)
 		}
 	}
 	return out
@@ -313,13 +364,38 @@
 		p.log.WithField("event", "step_down_failed").WithError(err).Warn("draining primary did not accept the command to step down")
 		return best, err
 	}
+	return p.awaitCatchUp(ctx, best, status.Received), nil
+}
+
+// awaitCatchUp waits until a candidate has received the log up to the position,
+// for catchUpTimeout at most, and returns the best candidate.
+func (p *promotion) awaitCatchUp(ctx context.Context, best succession.Replica, position group.Position) succession.Replica {
 	until := time.Now().Add(catchUpTimeout)
-	for best.Received.Compare(status.Received) < 0 && time.Now().Before(until) {
+	for best.Received.Compare(position) < 0 && time.Now().Before(until) {
 		time.Sleep(catchUpPollInterval)
 		if next, ok := succession.Successor(p.queryCandidates(ctx), 1); ok {
 			best = next
 		}
 	}
+	return best
+}
+
+// revokePrimary makes all hosts stop using the primary, and returns the candidate
+// with the longest log after that.
+func (p *promotion) revokePrimary(ctx context.Context, best succession.Replica) (succession.Replica, error) {
+	p.revocation.term = p.term
+	if err := p.revocation.run(ctx); err != nil {
+		return best, err
+	}
+	replicas := p.queryCandidates(ctx)
+	best, ok := succession.Successor(replicas, p.requiredReplies())
+	if !ok {
+		return best, fmt.Errorf("%w: got %d replies after the revocation, need %d", errNoSuccessor, len(replicas), p.requiredReplies())
+	}
+	best = p.awaitCatchUp(ctx, best, p.revocation.finalPosition())
+	if !p.holdsDuty() {
+		return best, fmt.Errorf("%w: promotion duty may have been taken over", errNotRevoked)
+	}
 	return best, nil
 }
 
@@ -332,6 +408,9 @@
 		if try > 0 {
 			time.Sleep(promoteRetryPause)
 		}
+		if p.holdsDuty != nil && !p.holdsDuty() {
+			return fmt.Errorf("%w: promotion duty may have been taken over", errNotRevoked)
+		}
 		callCtx, cancel := context.WithTimeout(ctx, promoteTimeout)
 		err = p.promoter.Promote(callCtx, p.order)
 		cancel()
--- a/daemon/internal/fleet/relay.go
+++ b/daemon/internal/fleet/relay.go
@@ -79,10 +79,16 @@
 
 func (c *controller) endSampleRequest(host string, err error) {
 	c.relay.requestRunning = false
-	if err == nil {
-		return
+	if err != nil {
+		c.recordRelayFailure(host, err)
+	}
+}
+
+// recordRelayFailure makes this host ask another relay for relayRetryPause.
+func (c *controller) recordRelayFailure(host string, err error) {
+	if now := c.now(); now.Sub(c.relay.failedAt[host]) >= relayRetryPause {
+		c.log.WithFields(logrus.Fields{"event": "relay_lost", "from": host}).WithError(err).Warn("host did not answer; not selecting it as the relay for a while")
 	}
-	c.log.WithFields(logrus.Fields{"event": "relay_lost", "from": host}).WithError(err).Warn("relay of primary samples did not answer; selecting another one")
 	if c.relay.failedAt == nil {
 		c.relay.failedAt = map[string]time.Time{}
 	}
@@ -117,6 +123,8 @@
 			Primary:  s.GetPrimarySlot(),
 			Position: group.Position{Term: group.Term(s.GetTerm()), Offset: s.GetOffset()},
 			SentAt:   requestedAt.Add(-time.Duration(s.GetAgeUs()) * time.Microsecond),
+
+			PrimaryTerm: group.Term(s.GetPrimaryTerm()),
 		})
 	}
 }
@@ -139,7 +147,7 @@
 		response.Samples = append(response.Samples, &peerapi.Sample{
 			Database: name, PrimarySlot: sample.Primary,
 			Term: uint64(sample.Position.Term), Offset: sample.Position.Offset,
-			AgeUs: uint64(max(age, 0)/time.Microsecond) + 1,
+			AgeUs: uint64(max(age, 0)/time.Microsecond) + 1, PrimaryTerm: uint64(sample.PrimaryTerm),
 		})
 	}
 	return response, nil
--- a/daemon/internal/fleet/settings.go
+++ b/daemon/internal/fleet/settings.go
@@ -42,6 +42,9 @@
 	// CatchUpTimeout is the time after a failure of the store, or of connections
 	// to it, within which the host must have learned every change.
 	CatchUpTimeout time.Duration `yaml:"-"`
+	// PlatformFencing is true if the platform stops a replaced primary and checks
+	// fencing tokens. Otherwise the hosts use write leases.
+	PlatformFencing bool `yaml:"platform_fencing"`
 	// MemoryLimitMB is the memory in MB above which the process is killed; 0 means
 	// no limit.
 	MemoryLimitMB int `yaml:"memory_limit_mb"`
--- a/daemon/internal/fleet/settings_test.go
+++ b/daemon/internal/fleet/settings_test.go
@@ -21,6 +21,7 @@
 stop_timeout: 6s
 catch_up_timeout: 5000ms
 memory_limit_mb: 206
+platform_fencing: true
 `
 
 // Guards against settings that are parsed incorrectly.
@@ -29,7 +30,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Host != "h1" || s.Zones["b"] != "s" || s.StopTimeout != 6*time.Second || s.CatchUpTimeout != 5*time.Second || s.MemoryLimitMB != 206 {
+	if s.Host != "h1" || s.Zones["b"] != "s" || s.StopTimeout != 6*time.Second || s.CatchUpTimeout != 5*time.Second || s.MemoryLimitMB != 206 || !s.PlatformFencing {
 		t.Errorf("got settings %+v, want those of the file", s)
 	}
 	if !IsStatements([]byte(goodSettings)) || IsStatements([]byte("host: e1\n")) {
--- /dev/null
+++ b/daemon/internal/fleet/writelease.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/writelease"
+)
+
+// Timeouts and limits of the renewal of the write lease.
+const (
+	// proofTimeout bounds one request for a proof.
+	proofTimeout = 400 * time.Millisecond
+	// urgentRenewInterval replaces writelease.RenewInterval while the proof is old.
+	urgentRenewInterval = 300 * time.Millisecond
+	// oldRelayProof is the age of its proof above which a relay, and oldProof that
+	// above which any other host, asks further sources. While the store is down, a
+	// relay has its proofs from the holder, and the others theirs from the relay.
+	oldRelayProof = 900 * time.Millisecond
+	oldProof      = 1700 * time.Millisecond
+	// randomSources is the number of randomly chosen hosts that are asked for a
+	// proof while the own one is old.
+	randomSources = 2
+)
+
+// revocationRecord is the stored form of the revocation of a service.
+type revocationRecord struct {
+	// Term is the highest revoked term.
+	Term group.Term `json:"term"`
+}
+
+// leaseRenewal is the state of the renewal of the write lease.
+type leaseRenewal struct {
+	// pending counts the requests for proofs that have not ended.
+	pending   int
+	startedAt time.Time
+	// valid is true if the lease was valid at the last check.
+	valid bool
+}
+
+// vouching is the time until which this host, as the holder of the promotion
+// duty, may prove the leases of other hosts. It is safe for concurrent use.
+type vouching struct{ untilNanos atomic.Int64 }
+
+func (v *vouching) set(until time.Time) { v.untilNanos.Store(until.UnixNano()) }
+func (v *vouching) clear()              { v.untilNanos.Store(0) }
+
+func (v *vouching) allowed(now time.Time) bool { return now.UnixNano() < v.untilNanos.Load() }
+
+// stepWriteLease renews the write lease of this host, and updates whether it may
+// vouch for others.
+func (c *controller) stepWriteLease() {
+	if c.writeLease == nil {
+		return
+	}
+	now := c.now()
+	c.updateVouching(now)
+	c.recordWriteLease(now)
+	isRelay := c.chooseRelay(now) == ""
+	age := c.writeLease.Age(now)
+	isOld := age >= oldProof || isRelay && age >= oldRelayProof
+	interval := writelease.RenewInterval
+	if isOld {
+		interval = urgentRenewInterval
+	}
+	if c.leaseRenewal.pending > 0 || now.Sub(c.leaseRenewal.startedAt) < interval {
+		return
+	}
+	c.leaseRenewal.startedAt = now
+	for _, source := range c.proofSources(now, isRelay, isOld) {
+		c.leaseRenewal.pending++
+		c.runAsync(func(ctx context.Context) {
+			callCtx, cancel := context.WithTimeout(ctx, proofTimeout)
+			defer cancel()
+			source(callCtx, now)
+			c.post(ctx, func() {
+				c.leaseRenewal.pending--
+				c.applyRevocations()
+			})
+		})
+	}
+}
+
+// updateVouching lets this host vouch while it holds the promotion duty. It must
+// first have read the revocations that earlier holders stored.
+func (c *controller) updateVouching(now time.Time) {
+	if !c.lease.Holding() || c.draining || !c.revocationsReadAt.After(c.lease.ClaimedAt()) || !writelease.CanVouch(now, c.lease.RenewedAt()) {
+		c.vouching.clear()
+		return
+	}
+	c.vouching.set(c.lease.RenewedAt().Add(writelease.VouchPeriod))
+	c.writeLease.Renew(now, nil)
+}
+
+// recordWriteLease updates the metrics of the lease, and logs when it is lost or
+// regained.
+func (c *controller) recordWriteLease(now time.Time) {
+	valid := c.writeLease.Valid(now)
+	c.scope.Gauge("write_lease_proof_age_seconds").Update(c.writeLease.Age(now).Seconds())
+	c.scope.Gauge("write_lease_valid").Update(map[bool]float64{true: 1}[valid])
+	if valid == c.leaseRenewal.valid {
+		return
+	}
+	c.leaseRenewal.valid = valid
+	entry := c.log.WithFields(logrus.Fields{"event": "write_lease", "valid": valid, "proof_age_ms": c.writeLease.Age(now).Milliseconds(), "holder": c.lease.Holder()})
+	if valid {
+		entry.Info("write lease is valid; primaries may be used")
+		return
+	}
+	entry.Warn("write lease expired; statements that need a primary are refused")
+}
+
+// proofSource requests a proof and renews the lease by it. requestedAt is the
+// time of the request.
+type proofSource func(ctx context.Context, requestedAt time.Time)
+
+// proofSources returns the sources to ask now. The relay of each availability zone
+// reads the store, and the other hosts ask their relay. A host whose proof is old
+// also asks the holder of the promotion duty and some other hosts.
+func (c *controller) proofSources(now time.Time, isRelay, isOld bool) []proofSource {
+	var sources []proofSource
+	if relay := c.chooseRelay(now); isRelay {
+		sources = append(sources, c.proveByStore)
+	} else {
+		sources = append(sources, c.proveByPeer(relay))
+	}
+	if !isOld {
+		return sources
+	}
+	if holder := c.lease.Holder(); holder != c.host && c.peers[holder].address != "" {
+		sources = append(sources, c.proveByPeer(holder))
+	}
+	names := make([]string, 0, len(c.peers))
+	for name := range c.peers {
+		names = append(names, name)
+	}
+	for range min(randomSources, len(names)) {
+		sources = append(sources, c.proveByPeer(names[rand.N(len(names))]))
+	}
+	if !isRelay && c.writeLease.Age(now) >= writelease.Duration {
+		sources = append(sources, c.proveByStore)
+	}
+	return sources
+}
+
+// proveByStore reads the stored revocations.
+func (c *controller) proveByStore(ctx context.Context, requestedAt time.Time) {
+	snapshot, err := c.store.List(ctx, objects.Revocations, false)
+	if err != nil {
+		return
+	}
+	c.writeLease.Renew(requestedAt, c.decodeRevocations(snapshot.Objects))
+	c.post(ctx, func() { c.revocationsReadAt = requestedAt })
+}
+
+func (c *controller) decodeRevocations(stored []objects.Object) writelease.Revocations {
+	out := writelease.Revocations{}
+	for _, o := range stored {
+		var r revocationRecord
+		if !decode(o.Value, &r) {
+			c.log.WithFields(logrus.Fields{"event": "revocation_skipped", "service": o.Name, "revision": o.Revision}).
+				Error("stored revocation could not be decoded; ignoring it until it is written again")
+			continue
+		}
+		out[o.Name] = r.Term
+	}
+	return out
+}
+
+// proveByPeer returns a source that asks another host.
+func (c *controller) proveByPeer(host string) proofSource {
+	client := c.peer(c.peers[host].address)
+	return func(ctx context.Context, requestedAt time.Time) {
+		r, err := client.WriteLease(ctx, &peerapi.WriteLeaseRequest{})
+		if err != nil {
+			c.post(ctx, func() { c.recordRelayFailure(host, err) })
+			return
+		}
+		revoked := revocationsFromMessage(r.GetRevoked())
+		if !r.GetProven() {
+			c.writeLease.Revoke(revoked)
+			return
+		}
+		c.writeLease.Renew(requestedAt.Add(-time.Duration(r.GetAgeUs())*time.Microsecond), revoked)
+	}
+}
+
+// applyRevocations makes the groups forget primaries that have been revoked.
+func (c *controller) applyRevocations() {
+	for _, g := range c.groups {
+		g.ApplyRevocations()
+	}
+}
+
+// WriteLease returns the latest proof of this host. The holder of the promotion
+// duty proves by its word.
+func (s peerServer) WriteLease(context.Context, *peerapi.WriteLeaseRequest) (*peerapi.WriteLeaseResponse, error) {
+	if s.writeLease == nil {
+		return nil, errNotServed
+	}
+	// The order matters: a revocation that is recorded between the two is passed on.
+	now := s.now()
+	vouches := s.vouching.allowed(now)
+	provenAt, revoked := s.writeLease.Proof()
+	if vouches {
+		provenAt = now
+	}
+	response := &peerapi.WriteLeaseResponse{Revoked: revocationsToMessage(revoked)}
+	if age := s.now().Sub(provenAt); age < writelease.Duration {
+		response.Proven, response.AgeUs = true, uint64(max(age, 0)/time.Microsecond)+1
+	}
+	return response, nil
+}
+
+func revocationsToMessage(r writelease.Revocations) []*peerapi.RevokedTerm {
+	var out []*peerapi.RevokedTerm
+	for service, term := range r {
+		out = append(out, &peerapi.RevokedTerm{Service: service, Term: uint64(term)})
+	}
+	return out
+}
+
+func revocationsFromMessage(revoked []*peerapi.RevokedTerm) writelease.Revocations {
+	out := writelease.Revocations{}
+	for _, r := range revoked {
+		out.Merge(writelease.Revocations{r.GetService(): group.Term(r.GetTerm())})
+	}
+	return out
+}
+
+// storeRevocation raises the stored revocation of a service to the term.
+func storeRevocation(ctx context.Context, store objects.Store, service string, term group.Term) error {
+	stored, err := store.Get(ctx, objects.Revocations, service)
+	if err != nil && !isNotFound(err) {
+		return err
+	}
+	var record revocationRecord
+	if decode(stored.Value, &record) && record.Term >= term {
+		return nil
+	}
+	value, err := json.Marshal(revocationRecord{Term: term})
+	if err != nil {
+		return err
+	}
+	_, err = store.Put(ctx, objects.Revocations, service, value, stored.Revision)
+	return err
+}
--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -118,7 +118,7 @@
 	for {
 		p, err := r.group.WaitPrimary(r.ctx)
 		if err != nil {
-			return refuse(statement.Busy, "service has no primary that answers")
+			return refuse(statement.Busy, err.Error())
 		}
 		if a, final := attempt(p); final || !r.waitForRetry() {
 			return a
@@ -164,7 +164,7 @@
 	}
 	r.recordAttempt(p)
 	sent := r.ss.server.options.Now()
-	a, mayRun, err := r.exchange(c, req)
+	a, mayRun, err := r.exchange(c, req, c.ExchangeAsPrimary)
 	switch {
 	case err != nil && mayRun:
 		return refuse(statement.InDoubt, err.Error()), true
@@ -180,12 +180,15 @@
 	return notExecuted(a.Code.String()), false
 }
 
-// exchange applies the session to the connection, runs the request on it and
-// releases it. The second result reports whether the request may have been
+// exchangeFunc is Exchange or ExchangeAsPrimary of a connection.
+type exchangeFunc func(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error)
+
+// exchange applies the session to the connection, runs the request on it by send
+// and releases it. The second result reports whether the request may have been
 // sent.
-func (r *statementRun) exchange(c *backend.Conn, req request) (statement.Answer, bool, error) {
+func (r *statementRun) exchange(c *backend.Conn, req request, send exchangeFunc) (statement.Answer, bool, error) {
 	setup := c.SessionSetup(r.ss.values, req.prepare)
-	answers, sent, err := c.Exchange(r.deadline, append(setup, req.statement)...)
+	answers, sent, err := send(r.deadline, append(setup, req.statement)...)
 	c.Release(err == nil && answers[len(answers)-1].State == statement.Idle)
 	if err != nil {
 		return statement.Answer{}, sent, err
@@ -217,7 +220,7 @@
 		return refuse(statement.Busy, "transaction could not begin"), false
 	}
 	req.statement.MinPosition = group.Position{}
-	answers, _, err := c.Exchange(r.deadline, req.statement, statement.Statement{Kind: statement.Rollback})
+	answers, _, err := c.ExchangeAsPrimary(r.deadline, req.statement, statement.Statement{Kind: statement.Rollback})
 	c.Release(err == nil && answers[len(answers)-1].State == statement.Idle)
 	if len(answers) == 0 {
 		return r.handleReadError(err)
@@ -239,8 +242,12 @@
 // transaction has begun.
 func (r *statementRun) beginOn(c *backend.Conn, prepare *statement.Statement, begin statement.Statement) (statement.Code, error) {
 	p := c.Pool()
+	send := c.Exchange
+	if begin.Kind == statement.Begin {
+		send = c.ExchangeAsPrimary
+	}
 	sent := r.ss.server.options.Now()
-	answers, _, err := c.Exchange(r.deadline, append(c.SessionSetup(r.ss.values, prepare), begin)...)
+	answers, _, err := send(r.deadline, append(c.SessionSetup(r.ss.values, prepare), begin)...)
 	if err != nil {
 		c.Release(false)
 		return statement.Busy, err
@@ -310,7 +317,7 @@
 		return refuse(statement.Busy, err.Error()), r.ctx.Err() != nil
 	}
 	r.recordAttempt(p)
-	a, _, err := r.exchange(c, req)
+	a, _, err := r.exchange(c, req, c.Exchange)
 	if err != nil {
 		return r.handleReadError(err)
 	}
--- a/daemon/internal/front/transaction.go
+++ b/daemon/internal/front/transaction.go
@@ -32,7 +32,7 @@
 	p := tx.conn.Pool()
 	sent := r.ss.server.options.Now()
 	setup := tx.conn.SessionSetup(r.ss.values, req.prepare)
-	answers, _, err := tx.conn.Exchange(r.deadline, append(setup, req.statement)...)
+	answers, _, err := tx.send()(r.deadline, append(setup, req.statement)...)
 	if err != nil {
 		tx.discardConn(err.Error())
 		return refuse(statement.Aborted, "connection to the backend server failed: "+err.Error())
@@ -54,6 +54,14 @@
 	return a
 }
 
+// send returns the exchange for the statements of the transaction.
+func (tx *transaction) send() exchangeFunc {
+	if tx.onPrimary {
+		return tx.conn.ExchangeAsPrimary
+	}
+	return tx.conn.Exchange
+}
+
 // startTransaction acquires a connection for the transaction and begins the
 // transaction on it. It returns false and the refusal if that fails.
 func (r *statementRun) startTransaction(tx *transaction) (statement.Answer, bool) {
@@ -114,16 +122,16 @@
 }
 
 func (r *statementRun) commitOn(tx *transaction, st statement.Statement) statement.Answer {
-	c := tx.conn
+	c, send := tx.conn, tx.send()
 	tx.conn = nil
 	p := c.Pool()
 	r.recordAttempt(p)
 	sent := r.ss.server.options.Now()
-	answers, _, err := c.Exchange(r.deadline, append(c.SessionSetup(r.ss.values, nil), st)...)
+	answers, mayRun, err := send(r.deadline, append(c.SessionSetup(r.ss.values, nil), st)...)
 	c.Release(err == nil && answers[len(answers)-1].State == statement.Idle)
 	if err != nil {
-		if !tx.wrote {
-			return refuse(statement.Aborted, "transaction wrote nothing: "+err.Error())
+		if !tx.wrote || !mayRun {
+			return refuse(statement.Aborted, "transaction was rolled back: "+err.Error())
 		}
 		return refuse(statement.InDoubt, err.Error())
 	}
--- a/standin/fleet/database.go
+++ b/standin/fleet/database.go
@@ -152,8 +152,8 @@
 	var out strings.Builder
 	position := fmt.Sprintf("%d.%d", a.Position.Term, a.Position.Offset)
 	for _, row := range a.Rows {
-		if row == "primary" || row == "replica" {
-			row = fmt.Sprintf("%s %d %s 0 0 0 0", row, a.Position.Term, position)
+		if strings.HasPrefix(row, "primary ") || strings.HasPrefix(row, "replica ") {
+			row = fmt.Sprintf("%s %s 0 0 0 0", row, position)
 		}
 		out.WriteString("ROW " + row + "\r\n")
 	}
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -38,6 +38,7 @@
 	{"server crash", func(s *Soak) { sv, id := s.randomServer(); sv.Crash(id) }},
 	{"primary crash", func(s *Soak) { sv, _ := s.randomServer(); sv.CrashPrimary() }},
 	{"server silent", func(s *Soak) { sv, id := s.randomServer(); sv.Hang(id) }},
+	{"server isolated", func(s *Soak) { sv, id := s.randomServer(); sv.SetIsolated(id, true) }},
 	{"replica deaf", func(s *Soak) { sv, id := s.randomServer(); sv.SetReplicationPaused(id, true) }},
 	{"replica lags", func(s *Soak) {
 		sv, id := s.randomServer()
@@ -56,6 +57,7 @@
 		p := s.randomProxy()
 		for _, x := range s.processes {
 			if s.rng.IntN(2) == 0 {
+				s.startDisturbance()
 				p.Set(x.IP, Cut)
 			}
 		}
@@ -67,7 +69,10 @@
 
 func (s *Soak) randomProcess() *Process { return s.processes[s.rng.IntN(len(s.processes))] }
 func (s *Soak) randomProxy() *Proxy     { return s.proxies[s.rng.IntN(len(s.proxies))] }
-func (s *Soak) randomProxyFault() Fault { return []Fault{Cut, CutAnswers, Delay}[s.rng.IntN(3)] }
+func (s *Soak) randomProxyFault() Fault {
+	s.startDisturbance()
+	return []Fault{Cut, CutAnswers, Delay}[s.rng.IntN(3)]
+}
 
 // randomServer returns a random backend server and its service.
 func (s *Soak) randomServer() (*statementtest.Service, string) {
@@ -78,6 +83,7 @@
 // pause suspends a random process with SIGSTOP for up to maxProcessPause.
 func (s *Soak) pause() {
 	p, duration := s.randomProcess(), time.Duration(s.rng.Int64N(int64(maxProcessPause)))
+	s.startDisturbance()
 	p.Signal(syscall.SIGSTOP)
 	time.AfterFunc(duration, func() { p.Signal(syscall.SIGCONT) })
 }
--- a/standin/fleet/processes.go
+++ b/standin/fleet/processes.go
@@ -55,13 +55,15 @@
 stop_timeout: %s
 catch_up_timeout: 5s
 memory_limit_mb: 200
+platform_fencing: %t
 `
 
 // NewProcess writes the settings of a process to a folder and creates its log file
-// there. Start starts the process.
-func NewProcess(binary, folder, name, ip, zone, store, promotions string) (*Process, error) {
+// there. platformFencing is true if the platform stops replaced primaries. Start
+// starts the process.
+func NewProcess(binary, folder, name, ip, zone, store, promotions string, platformFencing bool) (*Process, error) {
 	p := &Process{Name: name, IP: ip, binary: binary, settings: filepath.Join(folder, name+".yaml")}
-	text := fmt.Sprintf(settingsText, name, zone, ip, callerPort, ip, readyPort, ip, metricsPort, ip, peerPort, store, promotions, stopTimeout)
+	text := fmt.Sprintf(settingsText, name, zone, ip, callerPort, ip, readyPort, ip, metricsPort, ip, peerPort, store, promotions, stopTimeout, platformFencing)
 	if err := os.WriteFile(p.settings, []byte(text), 0o600); err != nil {
 		return nil, fmt.Errorf("write settings: %w", err)
 	}
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -73,6 +73,49 @@
 	version   int
 	done      chan struct{}
 	running   sync.WaitGroup
+	// disturbed holds the periods in which messages and processes may have been held
+	// up; the last one has no end until the faults are lifted.
+	disturbed []period
+}
+
+// period is a time span; end is zero while it lasts.
+type period struct{ start, end time.Time }
+
+// disturbanceSlack is how long after the faults were lifted statements that were
+// held up may still be executed.
+const disturbanceSlack = 2 * time.Second
+
+// startDisturbance records that messages or processes may be held up from now on.
+func (s *Soak) startDisturbance() {
+	if n := len(s.disturbed); n > 0 && s.disturbed[n-1].end.IsZero() {
+		return
+	}
+	s.disturbed = append(s.disturbed, period{start: time.Now()})
+}
+
+func (s *Soak) endDisturbance() {
+	if n := len(s.disturbed); n > 0 && s.disturbed[n-1].end.IsZero() {
+		s.disturbed[n-1].end = time.Now().Add(disturbanceSlack)
+	}
+}
+
+func (s *Soak) wasDisturbed(at time.Time) bool {
+	for _, p := range s.disturbed {
+		if !at.Before(p.start) && (p.end.IsZero() || at.Before(p.end)) {
+			return true
+		}
+	}
+	return false
+}
+
+// checkSplitCommits reports commits of replaced primaries, other than those of
+// hosts or connections that were held up.
+func (s *Soak) checkSplitCommits(result *Result, service *statementtest.Service) {
+	for _, at := range service.SplitCommits() {
+		if !s.wasDisturbed(at) {
+			result.Problems = append(result.Problems, fmt.Sprintf("a replaced primary of %s executed a commit at %s", service.Name, at.Format(time.RFC3339Nano)))
+		}
+	}
 }
 
 // Result holds the results of a soak.
@@ -154,6 +197,10 @@
 	return p, front.Addr().String(), nil
 }
 
+// platformFencing reports whether the stand-in of the platform stops replaced
+// primaries, as it does in runs with an even seed.
+func (s *Soak) platformFencing() bool { return s.options.Seed%2 == 0 }
+
 func (s *Soak) start() error {
 	for i := range services {
 		name := fmt.Sprintf("service-%d", i)
@@ -163,7 +210,7 @@
 		}
 		service := statementtest.New(name, statementtest.Options{
 			ReplicationLag: 5 * time.Millisecond, StatementTime: 2 * time.Millisecond, DialTime: 2 * time.Millisecond, PromotionDelay: 200 * time.Millisecond,
-			ConnectionLimit: 40,
+			ConnectionLimit: 40, ReplacedPrimaryContinues: !s.platformFencing(),
 		}, ids...)
 		s.services = append(s.services, service)
 		s.histories = append(s.histories, statementtest.NewHistory(service, staleness, callerPause))
@@ -191,7 +238,7 @@
 	for i := range s.options.Hosts {
 		ip := fmt.Sprintf("%s.%d.1", s.prefix, i+1)
 		zone := []string{"zone-a", "zone-b", "zone-c"}[i%3]
-		p, err := NewProcess(s.options.Binary, s.options.Folder, fmt.Sprintf("host-%d", i), ip, zone, store, promotions)
+		p, err := NewProcess(s.options.Binary, s.options.Folder, fmt.Sprintf("host-%d", i), ip, zone, store, promotions, s.platformFencing())
 		if err != nil {
 			return err
 		}
@@ -350,6 +397,7 @@
 		result.Broken += broken
 		result.Reads += reads
 		result.Promotions += s.services[i].Promotions()
+		s.checkSplitCommits(result, s.services[i])
 	}
 	if s.options.NoFaults && result.Promotions > 0 {
 		result.Problems = append(result.Problems, fmt.Sprintf("%d primaries were replaced without a fault", result.Promotions))
@@ -396,6 +444,7 @@
 	for _, p := range s.proxies {
 		p.Heal()
 	}
+	s.endDisturbance()
 	s.store.SetDown(false)
 	s.store.SetSlow(0)
 	s.store.LoseAnswers(0, 0)
