Let one host of a zone follow the store for the others

Cause: each host kept two watches, read the lease each 2 s and renewed its registration each 20 s.

Ruled out: longer watches (a host would learn late of changes that the store fails to report); a relay for the fleet (its loss would concern every zone).

Change: in zones of eight hosts or more, the host that rendezvous hashing selects watches the store with waits of 1 s, and the others follow it over twirp. A relay that is older than 1.6 s, unreachable or behind what the follower has seen is left for the next host, then for the store. Followers learn the lease record from the relay and report unreachable primaries through it. Registrations are renewed each 30 s, and a restarted host takes its revision from the list of hosts.

In virtual time with 200 hosts (TestIdleStoreCallsAreFlat and others): 34 calls/s or less idle, a restart of all hosts 320 calls or less.

Found by the tests: hosts that asked a relay before they had listed the others, a relay that was blocked in its own request when it was asked, and a relay whose proofs were twice as old as its watches.

--- a/core/objects/objectstest/store.go
+++ b/core/objects/objectstest/store.go
@@ -32,6 +32,8 @@
 	lossShare  float64
 	writeDelay time.Duration
 	calls      int
+	// staleReads is the number of calls that were stale reads.
+	staleReads int
 }
 
 // latency is the duration of a call.
@@ -78,6 +80,17 @@
 	return s.calls
 }
 
+// Cost returns the price of all calls so far in calls, where a stale read costs
+// staleReadCost.
+func (s *Store) Cost() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return float64(s.calls-s.staleReads) + staleReadCost*float64(s.staleReads)
+}
+
+// staleReadCost is the price of a stale read in calls.
+const staleReadCost = 0.1
+
 func (s *Store) withLock(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -150,7 +163,10 @@
 }
 
 // List reads all objects of a kind.
-func (c Client) List(ctx context.Context, kind objects.Kind, _ bool) (objects.Snapshot, error) {
+func (c Client) List(ctx context.Context, kind objects.Kind, stale bool) (objects.Snapshot, error) {
+	if stale {
+		c.Store.withLock(func() { c.Store.staleReads++ })
+	}
 	if err := c.call(ctx); err != nil {
 		return objects.Snapshot{}, err
 	}
--- a/core/writelease/writelease.go
+++ b/core/writelease/writelease.go
@@ -47,7 +47,7 @@
 	// RegistrationValidity is how long after the last renewal of its registration
 	// a host may use primaries. A holder counts hosts that have not renewed theirs
 	// for longer as dead.
-	RegistrationValidity = 40 * time.Second
+	RegistrationValidity = 70 * time.Second
 )
 
 // Revocations holds the highest revoked term by service. No server may be used as
--- a/daemon/internal/control/peerserver.go
+++ b/daemon/internal/control/peerserver.go
@@ -84,6 +84,12 @@
 	return nil, twirp.NewError(twirp.Unimplemented, "owners of a database pass no samples on")
 }
 
+// Follow implements peerapi.Peer. It always fails, because these hosts pass the
+// configuration on by FetchConfig.
+func (PeerServer) Follow(context.Context, *peerapi.FollowRequest) (*peerapi.FollowResponse, error) {
+	return nil, twirp.NewError(twirp.Unimplemented, "owners of a database do not pass on the store's changes")
+}
+
 // WriteLease implements peerapi.Peer. It always fails, because the primaries of
 // owned databases are fenced by their terms.
 func (PeerServer) WriteLease(context.Context, *peerapi.WriteLeaseRequest) (*peerapi.WriteLeaseResponse, error) {
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -133,6 +133,10 @@
 	// events holds functions that the goroutine of run calls.
 	events chan func()
 
+	feed        *feed
+	followState followState
+	startedAt   time.Time
+
 	configuration *catalog.Configuration
 	groups        map[string]*backend.Group
 	servers       map[string]*registeredServer
@@ -195,6 +199,8 @@
 		reports:      map[string]receivedReport{},
 		successions:  map[string]*successionState{},
 		polls:        map[string]*peerPoll{},
+		feed:         newFeed(o.host+"/"+o.incarnation, o.now),
+		followState:  followState{counted: make(chan struct{})},
 		writeLease:   o.groups.WriteLease, vouching: &vouching{}, registrations: &registrationAges{},
 	}
 	c.publish()
@@ -204,11 +210,8 @@
 // run processes events until ctx ends.
 func (c *controller) run(ctx context.Context) {
 	c.runAsync = func(work func(context.Context)) { go work(ctx) }
-	post := func(ch storeChange) { c.post(ctx, func() { c.applyChange(ch) }) }
-	go watcher{store: c.store, kind: objects.Configurations, wait: c.watchWait, post: post}.run(ctx)
-	go watcher{
-		store: c.store, kind: objects.Servers, wait: c.watchWait, post: post, batchUntil: time.Now().Add(batchPeriod),
-	}.run(ctx)
+	c.startedAt = time.Now()
+	go c.follow(ctx)
 	go c.maintainRegistration(ctx)
 	ticker := time.NewTicker(tickInterval)
 	defer ticker.Stop()
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -29,10 +29,10 @@
 	// leaseRetryPause is the time after a failed lease call before the next one.
 	leaseRetryPause = 600 * time.Millisecond
 	// registerInterval is the time between renewals of a host's registration.
-	registerInterval = 20 * time.Second
+	registerInterval = 30 * time.Second
 	// registrationMaxAge is the time since the last renewal of its registration
 	// after which a host does not count as live.
-	registrationMaxAge = 50 * time.Second
+	registrationMaxAge = 100 * time.Second
 	// countInterval is the time between counts of the hosts. The first counts use
 	// firstCountPauses instead, since hosts start at about the same time.
 	countInterval = 10 * time.Second
@@ -44,7 +44,7 @@
 	reportWritePause = 400 * time.Millisecond
 )
 
-var firstCountPauses = []time.Duration{1500 * time.Millisecond, 3 * time.Second, 5 * time.Second}
+var firstCountPauses = []time.Duration{500 * time.Millisecond, 1500 * time.Millisecond, 3 * time.Second, 5 * time.Second}
 
 // stepLease starts the lease call that is due, if any.
 func (c *controller) stepLease() {
@@ -56,6 +56,8 @@
 	action, record, expected := c.lease.Next(now)
 	switch {
 	case c.draining:
+	case c.followState.followsRelay.Load() && !c.lease.Holding():
+		// The relay passes the record on and takes the duty over if needed.
 	case action == lease.Write:
 		c.leaseCallRunning = true
 		holding := c.lease.Holding()
@@ -96,7 +98,7 @@
 		ctx, cancel := context.WithCancel(ctx)
 		c.post(ctx, func() { c.stopReports = cancel })
 		post := func(ch storeChange) { c.post(ctx, func() { c.applyChange(ch) }) }
-		watcher{store: c.store, kind: objects.Reports, wait: reportWatchTimeout, post: post}.run(ctx)
+		watcher{store: c.store, kind: objects.Reports, now: c.now, wait: func() time.Duration { return reportWatchTimeout }, post: post}.run(ctx)
 	})
 }
 
@@ -129,6 +131,7 @@
 		return
 	}
 	c.lease.Observe(c.now(), r, o.Revision)
+	c.feed.setLease(r, o.Revision)
 }
 
 // updateLease renews the lease or takes it over. A host that does not hold the
@@ -233,6 +236,8 @@
 func (c *controller) maintainRegistration(ctx context.Context) {
 	renewals, revision := 0, uint64(0)
 	var renewed time.Time
+	revision = c.countHosts(ctx)
+	c.post(ctx, func() { close(c.followState.counted) })
 	for i := 0; ctx.Err() == nil; i++ {
 		if renewed.IsZero() || c.now().Sub(renewed) >= registerInterval {
 			renewals++
@@ -314,18 +319,22 @@
 
 // countHosts counts the hosts whose registration was renewed within
 // registrationMaxAge, and updates the list of peers. A host is live even if its
-// registration cannot be decoded.
-func (c *controller) countHosts(ctx context.Context) {
+// registration cannot be decoded. countHosts returns the revision of the
+// registration of this host, or 0 if there is none.
+func (c *controller) countHosts(ctx context.Context) (own uint64) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	snapshot, err := c.store.List(callCtx, objects.Hosts, true)
 	if err != nil {
-		return
+		return 0
 	}
 	now := c.now()
 	count := 0
 	peers := map[string]peerHost{}
 	for _, o := range snapshot.Objects {
+		if o.Name == c.host {
+			own = o.Revision
+		}
 		if !c.registrations.isLive(o, now) {
 			continue
 		}
@@ -337,18 +346,23 @@
 	}
 	c.post(ctx, func() {
 		c.peers = peers
+		c.followState.peers.Store(&peers)
 		if count > 0 && count != c.hostCount {
 			c.log.WithFields(logrus.Fields{"event": "hosts", "count": count, "before": c.hostCount}).Info("number of live hosts changed")
 			c.hostCount = count
 			c.updateGroups()
 		}
 	})
+	return own
 }
 
 // report lists the primaries that a host cannot reach.
 type report struct {
 	// Missing holds the ID of the unreachable primary by service.
 	Missing map[string]string `json:"missing"`
+	// Hosts holds the number of hosts for which the report speaks, by service: the
+	// host itself and those that follow it.
+	Hosts map[string]int `json:"hosts,omitempty"`
 	// Renewal increases with each write, so that a renewal changes the object.
 	Renewal int `json:"renewal"`
 }
@@ -369,19 +383,19 @@
 	if c.reportWriteRunning || c.draining {
 		return
 	}
-	missing := map[string]string{}
-	for name, g := range c.groups {
-		if h := g.Health(); h.Suspected && h.Primary != "" {
-			missing[name] = h.Primary
-		}
+	own := c.missingPrimaries()
+	c.followState.missing.Store(&own)
+	if c.followState.followsRelay.Load() && len(c.report.Missing) == 0 {
+		return
 	}
+	missing, hosts := c.combineMissing(own)
 	now := c.now()
-	changed := !maps.Equal(missing, c.report.Missing)
+	changed := !maps.Equal(missing, c.report.Missing) || !maps.Equal(hosts, c.report.Hosts)
 	due := now.Sub(c.reportWrittenAt) >= reportRenewInterval && len(missing) > 0
 	if !changed && !due || now.Sub(c.reportWrittenAt) < reportWritePause {
 		return
 	}
-	next := report{Missing: missing, Renewal: c.report.Renewal + 1}
+	next := report{Missing: missing, Hosts: hosts, Renewal: c.report.Renewal + 1}
 	known := c.reportRevision
 	c.reportWriteRunning, c.reportWrittenAt = true, now
 	c.log.WithFields(logrus.Fields{"event": "report", "missing": missing}).Info("reporting the primaries that this host cannot reach")
@@ -401,6 +415,40 @@
 	})
 }
 
+// missingPrimaries returns the primaries that this host cannot reach, by service.
+func (c *controller) missingPrimaries() map[string]string {
+	missing := map[string]string{}
+	for name, g := range c.groups {
+		if h := g.Health(); h.Suspected && h.Primary != "" {
+			missing[name] = h.Primary
+		}
+	}
+	return missing
+}
+
+// combineMissing adds what the followers of this host report to its own missing
+// primaries. If hosts disagree on the primary of a service, the one that most of
+// them miss is reported. A host that follows a relay reports through it.
+func (c *controller) combineMissing(own map[string]string) (missing map[string]string, hosts map[string]int) {
+	if c.followState.followsRelay.Load() {
+		return nil, nil
+	}
+	counts := map[string]map[string]int{}
+	c.feed.countMissing(counts)
+	for service, primary := range own {
+		addMissing(counts, service, primary, 1)
+	}
+	missing, hosts = map[string]string{}, map[string]int{}
+	for service, primaries := range counts {
+		for primary, n := range primaries {
+			if n > hosts[service] || n == hosts[service] && primary < missing[service] {
+				missing[service], hosts[service] = primary, n
+			}
+		}
+	}
+	return missing, hosts
+}
+
 // applyReports records the reports of other hosts.
 func (c *controller) applyReports(ch storeChange) {
 	now := c.now()
@@ -445,7 +493,7 @@
 		if r.report.Missing[service] != primary || now.Sub(r.seenAt) >= reportMaxAge {
 			continue
 		}
-		count++
+		count += max(1, r.report.Hosts[service])
 		if at := r.missingSince[service]; first.IsZero() || at.Before(first) {
 			first = at
 		}
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -57,6 +57,9 @@
 	network *network
 	// leased makes the hosts use write leases.
 	leased bool
+	// size is the number of hosts, testHosts if it is 0, and zones the number of
+	// their availability zones, one if it is 0.
+	size, zones int
 
 	mu sync.Mutex
 	// draining holds the servers that announced their stop.
@@ -91,7 +94,10 @@
 		}, "s1", "s2", "s3")
 		d.store.Configure(configuration(1, d.limit))
 		go d.runHeartbeats(ctx)
-		for i := range testHosts {
+		if d.size == 0 {
+			d.size = testHosts
+		}
+		for i := range d.size {
 			d.start(fmt.Sprintf("h%d", i))
 		}
 		time.Sleep(6 * time.Second)
@@ -136,6 +142,16 @@
 	}
 }
 
+// zoneOf returns the availability zone of a host. All zones are in one region.
+func (d *deployment) zoneOf(name string) string {
+	if d.zones < 2 {
+		return "a"
+	}
+	n := 0
+	_, _ = fmt.Sscanf(name, "h%d", &n)
+	return fmt.Sprint("zone-", n%d.zones)
+}
+
 // start starts a host and returns its index for stop.
 func (d *deployment) start(name string) int {
 	log := logrus.New()
@@ -146,7 +162,7 @@
 		writeLease = writelease.New()
 	}
 	c := newController(options{
-		host: name, incarnation: fmt.Sprint(len(d.hosts)), zone: "a", zones: map[string]string{"a": "r"},
+		host: name, incarnation: fmt.Sprint(len(d.hosts)), zone: d.zoneOf(name), zones: map[string]string{"a": "r"},
 		peerAddress: name, peer: func(address string) peerapi.Peer { return remotePeer{d: d, from: name, address: address} },
 		store: objectstest.Client{Store: d.store, Host: name}, promoter: recordingPromoter{d}, watchWait: 3750 * time.Millisecond,
 		now: time.Now, scope: tally.NoopScope, log: logrus.NewEntry(log),
@@ -176,8 +192,10 @@
 		<-ctx.Done()
 		return nil, ctx.Err()
 	}
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
 	for i, c := range r.d.hosts {
-		if c.host == r.address && !r.d.stopped(i) {
+		if c.host == r.address && r.d.stops[i] != nil {
 			return c.peerServer(), nil
 		}
 	}
@@ -192,6 +210,14 @@
 	return s.Observe(ctx, q)
 }
 
+func (r remotePeer) Follow(ctx context.Context, q *peerapi.FollowRequest) (*peerapi.FollowResponse, error) {
+	s, err := r.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return s.Follow(ctx, q)
+}
+
 func (r remotePeer) WriteLease(ctx context.Context, q *peerapi.WriteLeaseRequest) (*peerapi.WriteLeaseResponse, error) {
 	s, err := r.server(ctx)
 	if err != nil {
--- a/daemon/internal/fleet/peers.go
+++ b/daemon/internal/fleet/peers.go
@@ -108,12 +108,13 @@
 	// writeLease is the write lease of the host; nil if it needs none.
 	writeLease *writelease.Lease
 	vouching   *vouching
+	feed       *feed
 }
 
 var _ peerapi.Peer = peerServer{}
 
 func (c *controller) peerServer() peerServer {
-	return peerServer{published: c.published, now: c.now, writeLease: c.writeLease, vouching: c.vouching}
+	return peerServer{published: c.published, now: c.now, writeLease: c.writeLease, vouching: c.vouching, feed: c.feed}
 }
 
 // Observe returns the state of the primary of a service as seen by this host.
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -41,6 +41,10 @@
 	full bool
 	// objects holds the changed objects, or all objects if full is true.
 	objects []objects.Object
+	// revision is the revision of the store up to which the change is complete. It
+	// was complete at provenAt, or later.
+	revision uint64
+	provenAt time.Time
 	// err is the error of a call. The watcher retries by itself.
 	err error
 }
@@ -49,9 +53,10 @@
 type watcher struct {
 	store objects.Store
 	kind  objects.Kind
-	// wait is how long a call waits for a change. A store that drops its history
+	now   func() time.Time
+	// wait returns how long a call waits for a change. A store that drops its history
 	// may leave a watch unanswered, so changes may be detected this late.
-	wait time.Duration
+	wait func() time.Duration
 	post func(storeChange)
 	// batchUntil is the time until which changes are batched.
 	batchUntil time.Time
@@ -62,6 +67,7 @@
 func (w watcher) run(ctx context.Context) {
 	pauses := backoff{limit: minRetryPause}
 	for ctx.Err() == nil {
+		requestedAt := w.now()
 		listCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		snapshot, err := w.store.List(listCtx, w.kind, false)
 		cancel()
@@ -71,7 +77,7 @@
 			continue
 		}
 		pauses = backoff{limit: maxRetryPause}
-		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects})
+		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects, revision: snapshot.Revision, provenAt: requestedAt})
 		w.follow(ctx, snapshot.Revision)
 	}
 }
@@ -81,8 +87,9 @@
 func (w watcher) follow(ctx context.Context, since uint64) {
 	pauses := backoff{limit: maxRetryPause}
 	for ctx.Err() == nil {
-		watchCtx, cancel := context.WithTimeout(ctx, w.wait+watchTimeoutMargin)
-		snapshot, err := w.store.Watch(watchCtx, w.kind, since, w.wait)
+		wait, requestedAt := w.wait(), w.now()
+		watchCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
+		snapshot, err := w.store.Watch(watchCtx, w.kind, since, wait)
 		cancel()
 		if errors.Is(err, objects.ErrCompacted) {
 			return
@@ -94,7 +101,12 @@
 		}
 		pauses = backoff{limit: maxRetryPause}
 		since = max(since, snapshot.Revision)
-		w.post(storeChange{kind: w.kind, objects: snapshot.Objects})
+		provenAt := requestedAt
+		if len(snapshot.Objects) == 0 && w.now().Sub(requestedAt) >= wait {
+			// The store waited that long before it answered that nothing changed.
+			provenAt = requestedAt.Add(wait)
+		}
+		w.post(storeChange{kind: w.kind, objects: snapshot.Objects, revision: since, provenAt: provenAt})
 		if time.Now().Before(w.batchUntil) {
 			_ = retry.Sleep(ctx, batchPause)
 		}
--- a/daemon/internal/fleet/writelease.go
+++ b/daemon/internal/fleet/writelease.go
@@ -132,6 +132,10 @@
 	} else {
 		sources = append(sources, c.proveByPeer(relay))
 	}
+	if !isRelay && c.lease.Holding() && !c.revocationsReadAt.After(c.lease.ClaimedAt()) {
+		// A new holder vouches only after it has read what earlier ones revoked.
+		sources = append(sources, c.proveByStore)
+	}
 	if !isOld {
 		return sources
 	}
