Let a new holder vouch although samples renew its lease

A host that had just started also waited up to 1.1 s for a proof that is younger than its registration.

Ruled out: frozen hosts (they served until their leases expired).

Change: a holder that has not read the revocations, and a host that has just registered, renew at once.

Tests: TestNewHolderVouchesWhileStoreIsDown fails without the change (last writes 4.1 s ago); TestRestartedHostGetsLeaseSoon.

--- a/core/writelease/writelease.go
+++ b/core/writelease/writelease.go
@@ -95,6 +95,13 @@
 	l.registeredAt = sentAt
 }
 
+// IsRegistered reports whether the registration of the host is valid.
+func (l *Lease) IsRegistered(now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return now.Sub(l.registeredAt) < RegistrationValidity
+}
+
 // Renew extends the lease by a proof and records the revocations that came with
 // it. requestedAt must not be later than the time at which the proof was made.
 func (l *Lease) Renew(requestedAt time.Time, revoked Revocations) {
--- a/daemon/internal/fleet/relay.go
+++ b/daemon/internal/fleet/relay.go
@@ -76,7 +76,6 @@
 		}
 		c.post(ctx, func() {
 			if err == nil && response.GetWriteLease() != nil {
-				c.leaseRenewal.startedAt = now
 				c.applyRevocations()
 			}
 			c.endSampleRequest(host, err)
--- a/daemon/internal/fleet/writelease.go
+++ b/daemon/internal/fleet/writelease.go
@@ -42,6 +42,8 @@
 	// pending counts the requests for proofs that have not ended.
 	pending   int
 	startedAt time.Time
+	// registered is true if the host was registered when the last renewal started.
+	registered bool
 	// valid is true if the lease was valid at the last check.
 	valid bool
 }
@@ -67,14 +69,10 @@
 	isRelay := c.chooseRelay(now) == ""
 	age := c.writeLease.Age(now)
 	isOld := age >= oldProof || isRelay && age >= oldRelayProof
-	interval := writelease.RenewInterval
-	if isOld {
-		interval = urgentRenewInterval
-	}
-	if c.leaseRenewal.pending > 0 || now.Sub(c.leaseRenewal.startedAt) < interval {
+	if c.leaseRenewal.pending > 0 || !c.isRenewalDue(now, isOld) {
 		return
 	}
-	c.leaseRenewal.startedAt = now
+	c.leaseRenewal.startedAt, c.leaseRenewal.registered = now, c.writeLease.IsRegistered(now)
 	for _, source := range c.proofSources(now, isRelay, isOld) {
 		c.leaseRenewal.pending++
 		c.runAsync(func(ctx context.Context) {
@@ -89,10 +87,31 @@
 	}
 }
 
+// isRenewalDue reports whether the lease is to be renewed now. Samples renew it as
+// well, but a new holder has to read the store, and a host that has just registered
+// needs a proof that is younger than its registration.
+func (c *controller) isRenewalDue(now time.Time, isOld bool) bool {
+	age := now.Sub(c.leaseRenewal.startedAt)
+	switch {
+	case !c.leaseRenewal.registered && c.writeLease.IsRegistered(now):
+		return true
+	case isOld || c.mustReadRevocations():
+		return age >= urgentRenewInterval
+	default:
+		return age >= writelease.RenewInterval && c.writeLease.Age(now) >= writelease.RenewInterval
+	}
+}
+
+// mustReadRevocations reports whether this host holds the promotion duty and has
+// not read what earlier holders revoked. It does not vouch before that.
+func (c *controller) mustReadRevocations() bool {
+	return c.lease.Holding() && !c.revocationsReadAt.After(c.lease.ClaimedAt())
+}
+
 // updateVouching lets this host vouch while it holds the promotion duty. It must
 // first have read the revocations that earlier holders stored.
 func (c *controller) updateVouching(now time.Time) {
-	if !c.lease.Holding() || c.draining || !c.revocationsReadAt.After(c.lease.ClaimedAt()) || !writelease.CanVouch(now, c.lease.RenewedAt()) {
+	if !c.lease.Holding() || c.draining || c.mustReadRevocations() || !writelease.CanVouch(now, c.lease.RenewedAt()) {
 		c.vouching.clear()
 		return
 	}
@@ -132,8 +151,7 @@
 	} else {
 		sources = append(sources, c.proveByPeer(relay))
 	}
-	if !isRelay && c.lease.Holding() && !c.revocationsReadAt.After(c.lease.ClaimedAt()) {
-		// A new holder vouches only after it has read what earlier ones revoked.
+	if !isRelay && c.mustReadRevocations() {
 		sources = append(sources, c.proveByStore)
 	}
 	if !isOld {
--- a/daemon/internal/fleet/writelease_test.go
+++ b/daemon/internal/fleet/writelease_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 )
@@ -340,6 +341,53 @@
 	})
 }
 
+// Guards against the same where samples renew the leases, and a holder that has just
+// taken the duty over never reads what earlier holders revoked, so that it does not
+// vouch.
+func TestNewHolderVouchesWhileStoreIsDown(t *testing.T) {
+	deployWith(t, &deployment{limit: testHosts - 1, network: newNetwork(), leased: true}, func(d *deployment) {
+		var writers []*writer
+		for i := range d.hosts {
+			writers = append(writers, d.startWriter(i))
+		}
+		time.Sleep(5 * time.Second)
+		// The relay reads the store anyway, so another host has to take over.
+		for isRelay := true; isRelay; {
+			d.stop(d.holder())
+			time.Sleep(lease.Duration + 2*time.Second)
+			c := d.hosts[d.holder()]
+			isRelay = queryState(c, func() bool { return c.chooseRelay(c.now()) == "" })
+		}
+		time.Sleep(2 * time.Second)
+		d.store.SetDown(true)
+		time.Sleep(6 * time.Second)
+		for i, w := range writers {
+			if age := time.Since(w.last()); !d.stopped(i) && age > time.Second {
+				t.Errorf("last write through host %d was %s ago, want writes while the store is down", i, age)
+			}
+		}
+		d.store.SetDown(false)
+		time.Sleep(time.Second)
+	})
+}
+
+// Guards against a restarted host that refuses statements for longer than it needs
+// to register, because the first proof was older than the registration.
+func TestRestartedHostGetsLeaseSoon(t *testing.T) {
+	deployLeased(t, func(d *deployment) {
+		d.holder()
+		for i := range testHosts {
+			name := d.hosts[i].host
+			d.stop(i)
+			c := d.hosts[d.start(name)]
+			time.Sleep(400 * time.Millisecond)
+			if !c.writeLease.Valid(time.Now()) {
+				t.Errorf("%s has no write lease 400ms after its start", name)
+			}
+		}
+	})
+}
+
 // Guards against statements that wait on a host without a lease although other
 // hosts would serve them.
 func TestIsolatedHostRefusesAtOnce(t *testing.T) {
