Answer statements that have arrived before a drain closes the session

Cause: a drain closes sessions that rest.

Ruled out: sessions cut at the end of the drain (cut=0 on every host).

Change: the drain looks for unread bytes in the socket before it closes a session. A statement that is still on the network when the session is closed is not covered.

--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -152,6 +152,9 @@
 	// Next reads the next statement. A statement that cannot be parsed has the
 	// kind Malformed; an error ends the connection.
 	Next() (Statement, error)
+	// HasUnread reports whether the caller has sent something that Next has not
+	// returned yet. It may be called while Next waits.
+	HasUnread() bool
 	// Answer writes the answer to a statement.
 	Answer(Answer) error
 	// Close closes the connection.
--- a/daemon/internal/front/front_test.go
+++ b/daemon/internal/front/front_test.go
@@ -327,6 +327,25 @@
 	})
 }
 
+// Guards against a statement that has arrived but was not read yet when a drain
+// closes the session, so that the caller gets no answer.
+func TestDrainAnswersStatementsThatHaveArrived(t *testing.T) {
+	runInTestEnv(t, serviceOptions, func(env *testEnv) {
+		c := env.connect("busy", primaryDatabase)
+		c.unread.Store(true)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		cut := make(chan int)
+		go func() { cut <- env.server.Drain(ctx, time.Now().Add(3*time.Second)) }()
+		time.Sleep(100 * time.Millisecond)
+		c.unread.Store(false)
+		c.want(statement.OK, read("x"))
+		if n := <-cut; n != 0 || !c.isClosed() {
+			t.Errorf("drain closed %d sessions at its deadline and the session is closed: %t; want none and true", n, c.isClosed())
+		}
+	})
+}
+
 // Guards against a drain that waits for connections on which no session was
 // started.
 func TestDrainDoesNotWaitForSilentConnections(t *testing.T) {
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -192,6 +192,8 @@
 	refused  statement.Code
 	nextID   int
 	name     string
+	// unread is true while a statement of the caller waits in the socket.
+	unread atomic.Bool
 }
 
 func (env *testEnv) connect(name, database string) *caller {
@@ -223,6 +225,8 @@
 	}
 }
 
+func (c *caller) HasUnread() bool { return c.unread.Load() }
+
 func (c *caller) Answer(a statement.Answer) error {
 	c.out <- a
 	return nil
--- a/daemon/internal/front/session.go
+++ b/daemon/internal/front/session.go
@@ -139,6 +139,10 @@
 		return
 	}
 	if ss.tx == nil {
+		if ss.conn.HasUnread() {
+			// The session's goroutine has not read a statement that has arrived.
+			return
+		}
 		ss.closing = true
 		_ = ss.conn.Close()
 		return
