Refuse malformed and outdated objects of a relay

Cause, found by reading: a route that is null in a relayed configuration would have ended the process at its first statement; a follower that had watched the store itself returned to its relay with what it knew before, so that a relay which was behind could have shown it a server that had left; a change could be lost if the host became a relay while it was applied.

Change: relayed objects are checked as far as the host relies on them; the known revision is that of the host's own watches after these; changes are applied whether or not the request has been given up.

Tests: TestMalformedRelayedObjects, TestFollowerRefusesOlderRelay.

--- a/daemon/internal/fleet/feed.go
+++ b/daemon/internal/fleet/feed.go
@@ -96,6 +96,13 @@
 	f.changed = make(chan struct{})
 }
 
+// revision returns the revision of the store up to which this host followed it.
+func (f *feed) revision(kind objects.Kind) uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.logs[kind.String()].Revision()
+}
+
 // setLease records the lease on promotions, to be passed on.
 func (f *feed) setLease(record lease.Record, revision uint64) {
 	value, err := json.Marshal(record)
@@ -245,10 +252,28 @@
 	decoder := json.NewDecoder(io.LimitReader(r, maxEntryBytes))
 	if kind == objects.Configurations {
 		o.Configuration = &catalog.Configuration{}
-		o.Err = decoder.Decode(o.Configuration)
+		if o.Err = decoder.Decode(o.Configuration); o.Err == nil {
+			o.Err = checkConfiguration(o.Configuration)
+		}
 		return o
 	}
 	o.Server = &catalog.Server{}
-	o.Err = decoder.Decode(o.Server)
+	if o.Err = decoder.Decode(o.Server); o.Err == nil && o.Server.ID != o.Name {
+		o.Err = fmt.Errorf("%w: entry %q is of server %q", errMalformedMessage, o.Name, o.Server.ID)
+	}
 	return o
 }
+
+// checkConfiguration fails with errMalformedMessage if another host passed on a
+// configuration that the store cannot hold.
+func checkConfiguration(c *catalog.Configuration) error {
+	if c.Version == 0 {
+		return fmt.Errorf("%w: configuration without a version", errMalformedMessage)
+	}
+	for database, route := range c.Routes {
+		if route == nil {
+			return fmt.Errorf("%w: route of %q is missing", errMalformedMessage, database)
+		}
+	}
+	return nil
+}
--- a/daemon/internal/fleet/follow.go
+++ b/daemon/internal/fleet/follow.go
@@ -173,6 +173,10 @@
 	if !direct {
 		f.stopDirect()
 		f.stopDirect = nil
+		// A relay that is behind what this host has read must not be followed.
+		for _, kind := range followedKinds {
+			f.known[kind] = &peerapi.KindVersion{Kind: kind.String(), Revision: f.c.feed.revision(kind)}
+		}
 		return
 	}
 	ctx, f.stopDirect = context.WithCancel(ctx)
@@ -211,14 +215,14 @@
 
 // request asks a relay for changes and applies them.
 func (f *follower) request(ctx context.Context, relay string) error {
-	ctx, cancel := context.WithTimeout(ctx, followTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, followTimeout)
 	defer cancel()
 	go func() {
 		// A host that becomes a relay itself turns to the store at once.
 		select {
 		case <-f.c.feed.asked:
 			cancel()
-		case <-ctx.Done():
+		case <-callCtx.Done():
 		}
 	}()
 	request := &peerapi.FollowRequest{WaitMs: uint64(followWait.Milliseconds()), Host: f.c.host}
@@ -235,7 +239,7 @@
 		}
 	}
 	address := (*f.c.followState.peers.Load())[relay].address
-	response, err := f.c.peer(address).Follow(ctx, request)
+	response, err := f.c.peer(address).Follow(callCtx, request)
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/fleet/follow_test.go
+++ b/daemon/internal/fleet/follow_test.go
@@ -1,11 +1,18 @@
 package fleet
 
 import (
+	"bytes"
+	"compress/gzip"
 	"fmt"
 	"testing"
 	"time"
 
+	"github.com/uber-go/tally/v4"
+
 	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
 const (
@@ -267,3 +274,50 @@
 		}
 	})
 }
+
+// Guards against a malformed object of a relay that ends the process or replaces
+// the configuration.
+func TestMalformedRelayedObjects(t *testing.T) {
+	compress := func(text string) []byte {
+		var out bytes.Buffer
+		w := gzip.NewWriter(&out)
+		_, _ = w.Write([]byte(text))
+		_ = w.Close()
+		return out.Bytes()
+	}
+	for name, value := range map[string][]byte{
+		"not compressed": []byte("{}"),
+		"not JSON":       compress("{"),
+		"null":           compress("null"),
+		"empty":          compress("{}"),
+		"null route":     compress(`{"Version":1,"Routes":{"db":null}}`),
+		"other server":   compress(`{"ID":"s2"}`),
+	} {
+		for _, kind := range followedKinds {
+			if o := decodeEntry(kind, &peerapi.StoredEntry{Name: "s1", Value: value}); o.Err == nil {
+				t.Errorf("%s of %s was accepted: %+v", name, kind, o)
+			}
+		}
+	}
+}
+
+// Guards against a host that returns from the store to a relay which has not
+// learned what the host has read meanwhile.
+func TestFollowerRefusesOlderRelay(t *testing.T) {
+	f := newFeed("relay/1", time.Now)
+	f.apply(storeChange{kind: objects.Servers, full: true, revision: 7, provenAt: time.Now()})
+	f.apply(storeChange{kind: objects.Configurations, full: true, revision: 7, provenAt: time.Now()})
+	for revision, want := range map[uint64]bool{7: true, 8: false} {
+		response, _, _ := f.answer(&peerapi.FollowRequest{Known: []*peerapi.KindVersion{{Kind: objects.Servers.String(), Revision: revision}}})
+		if response.GetSynced() != want {
+			t.Errorf("relay at revision 7 answers a follower at revision %d: synced %t, want %t", revision, response.GetSynced(), want)
+		}
+	}
+	c := newController(options{host: "h", incarnation: "1", now: time.Now, scope: tally.NoopScope, groups: backend.Options{Now: time.Now}})
+	c.feed = f
+	follower := &follower{c: c, known: map[objects.Kind]*peerapi.KindVersion{}, stopDirect: func() {}}
+	follower.setDirect(t.Context(), false)
+	if known := follower.known[objects.Servers]; known.GetRevision() != 7 || known.GetSource() != "" {
+		t.Errorf("after its own watches the host follows from %+v, want all objects at revision 7 or later", known)
+	}
+}
