Probe the store at once when the relays of a zone do not reach it

Where the store turns a third of the hosts away, both hosts that are asked in a zone may be among them; followers then waited a second for each and tried the store themselves up to 6 s after the last success.

Ruled out: a store that drops its history (followers get the list that the relay reads after it).

Change: a follower that found no relay with the store tries it at once, and then each 4 s as before. A relay without a proof says so after 0.5 s, also if it loses the proof while a follower waits.

Tests: the new case of TestConfigurationReachesFollowersOfLostRelay fails without the change.

--- a/daemon/internal/fleet/feed.go
+++ b/daemon/internal/fleet/feed.go
@@ -23,6 +23,10 @@
 	feedMaxAge = relayWatchWait + 600*time.Millisecond
 	// maxFollowWait bounds the wait for a change in one request.
 	maxFollowWait = 2 * time.Second
+	// unsyncedWait bounds the wait of a follower for a relay that has no proof, and
+	// syncCheckInterval is the time between checks whether it still has one.
+	unsyncedWait      = 500 * time.Millisecond
+	syncCheckInterval = 100 * time.Millisecond
 	// askedWindow is how long after the last request of a follower a host counts as
 	// a relay.
 	askedWindow = 10 * time.Second
@@ -199,15 +203,17 @@
 // begins to follow the store itself when it is asked.
 func (s peerServer) Follow(ctx context.Context, r *peerapi.FollowRequest) (*peerapi.FollowResponse, error) {
 	s.feed.recordRequest(r)
+	startedAt := s.now()
 	timeout := time.NewTimer(min(time.Duration(r.GetWaitMs())*time.Millisecond, maxFollowWait))
 	defer timeout.Stop()
 	for {
 		response, ready, changed := s.feed.answer(r)
-		if ready {
+		if ready || !response.GetSynced() && s.now().Sub(startedAt) >= unsyncedWait {
 			return response, nil
 		}
 		select {
 		case <-changed:
+		case <-time.After(syncCheckInterval):
 		case <-timeout.C:
 			return response, nil
 		case <-ctx.Done():
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -60,6 +60,8 @@
 	// size is the number of hosts, testHosts if it is 0, and zones the number of
 	// their availability zones, one if it is 0.
 	size, zones int
+	// lost holds the hosts that a test took away.
+	lost map[string]bool
 
 	mu sync.Mutex
 	// draining holds the servers that announced their stop.
--- a/daemon/internal/fleet/follow.go
+++ b/daemon/internal/fleet/follow.go
@@ -53,7 +53,7 @@
 	maxUnsyncedRelays = 2
 	// unsyncedPause is the pause between requests while no relay reaches the store,
 	// and unsyncedProbeInterval the mean time between attempts to reach it from this
-	// host.
+	// host. The first attempt is made at once: the store may turn only the relays away.
 	unsyncedPause         = 400 * time.Millisecond
 	unsyncedProbeInterval = 4 * time.Second
 	// directCheckInterval is the time between checks whether this host still has to
@@ -276,8 +276,7 @@
 	now := f.c.now()
 	switch {
 	case err == nil:
-		f.failures, f.unsynced = 0, 0
-		f.nextProbe = now.Add(unsyncedProbeInterval/2 + rand.N(unsyncedProbeInterval))
+		f.failures, f.unsynced, f.nextProbe = 0, 0, time.Time{}
 		return
 	case ctx.Err() != nil, f.c.feed.isRelay():
 		return
--- a/daemon/internal/fleet/follow_test.go
+++ b/daemon/internal/fleet/follow_test.go
@@ -10,6 +10,7 @@
 	"github.com/uber-go/tally/v4"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/membership"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
@@ -118,19 +119,31 @@
 			}
 		},
 		"without store": func(d *deployment, relay *controller) { d.store.SetPartitioned(relay.host, true) },
+		"without store, like the next host": func(d *deployment, relay *controller) {
+			zone := []string{relay.host}
+			for name, p := range queryState(relay, func() map[string]peerHost { return relay.peers }) {
+				if p.zone == relay.zone {
+					zone = append(zone, name)
+				}
+			}
+			for _, name := range membership.RankHosts(followRelayPurpose, zone)[:2] {
+				d.store.SetPartitioned(name, true)
+				d.lost[name] = true
+			}
+		},
 	} {
 		t.Run(name, func(t *testing.T) {
 			deployLarge(t, 60, func(d *deployment) {
 				time.Sleep(10 * time.Second)
-				lost := map[string]bool{}
+				d.lost = map[string]bool{}
 				for _, relay := range d.relays() {
-					lost[relay.host] = true
+					d.lost[relay.host] = true
 					lose(d, relay)
 				}
 				d.store.Configure(configuration(2, d.limit))
 				time.Sleep(maxConfigurationDelay)
 				for i, c := range d.hosts {
-					if d.stopped(i) || lost[c.host] {
+					if d.stopped(i) || d.lost[c.host] {
 						continue
 					}
 					if version := c.published.Configuration().Version; version != 2 {
