--- a/daemon/internal/backend/forward_test.go
+++ b/daemon/internal/backend/forward_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -22,13 +23,13 @@
 	// executed but not answered.
 	err                      error
 	unavailable, loseAnswers bool
-	calls                    int
+	calls                    atomic.Int64
 }
 
 func (o *testOwner) Name() string { return o.name }
 
 func (o *testOwner) Execute(ctx context.Context, _, server string, b Batch) (BatchResult, error) {
-	o.calls++
+	o.calls.Add(1)
 	switch {
 	case o.err != nil:
 		return BatchResult{}, o.err
@@ -107,8 +108,8 @@
 		if err != nil || answers[0].Code != statement.OK || answers[0].Signature == "" {
 			t.Errorf("got answers %+v and error %v, want the server's answer", answers, err)
 		}
-		if n := service.Connections("s1"); n != 1 || second.calls != 0 {
-			t.Errorf("got %d connections and %d calls of the second owner, want one connection of the first", n, second.calls)
+		if n := service.Connections("s1"); n != 1 || second.calls.Load() != 0 {
+			t.Errorf("got %d connections and %d calls of the second owner, want one connection of the first", n, second.calls.Load())
 		}
 	})
 }
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -37,7 +37,7 @@
 	// catalogFrozen stops the host from learning changes of the registrations.
 	catalogFrozen atomic.Bool
 	// ownerGroups are those of other hosts that run statements of this one.
-	ownerGroups []*backend.Group
+	ownerGroups atomic.Pointer[[]*backend.Group]
 	stop        context.CancelFunc
 	callers     []*caller
 }
@@ -119,6 +119,7 @@
 // addOwners makes two other hosts run the statements of this one.
 func (env *testEnv) addOwners(rng *rand.Rand) {
 	var owners []backend.Owner
+	var groups []*backend.Group
 	for _, name := range []string{"o1", "o2"} {
 		g := backend.NewGroup("service", backend.Options{
 			Backends: statementtest.Backends{env.service}, Recorder: &nopRecorder{}, Now: time.Now,
@@ -126,19 +127,28 @@
 		})
 		g.SetService(catalog.Service{Name: "service", ConnectionLimit: 8}, 2)
 		g.SetServers(env.service.Catalog())
-		env.ownerGroups = append(env.ownerGroups, g)
+		groups = append(groups, g)
 		owners = append(owners, &unreliableOwner{name: name, group: g, rng: rand.New(rand.NewPCG(rng.Uint64(), 0))})
 	}
+	env.ownerGroups.Store(&groups)
 	env.group.SetTransactionIdleTimeout(3 * time.Second)
 	env.group.SetOwners(owners)
 }
 
+// otherGroups returns the groups of the hosts that run statements of this one.
+func (env *testEnv) otherGroups() []*backend.Group {
+	if groups := env.ownerGroups.Load(); groups != nil {
+		return *groups
+	}
+	return nil
+}
+
 // runController does the work of a host's controller.
 func (env *testEnv) runController(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !env.catalogFrozen.Load() {
 			env.group.SetServers(env.service.Catalog())
-			for _, g := range env.ownerGroups {
+			for _, g := range env.otherGroups() {
 				g.SetServers(env.service.Catalog())
 			}
 		}
@@ -155,7 +165,7 @@
 	}
 	synctest.Wait()
 	env.group.Close()
-	for _, g := range env.ownerGroups {
+	for _, g := range env.otherGroups() {
 		g.Close()
 	}
 	time.Sleep(10 * time.Second)
