Close the connections of a host whose statements owners run

Until a host has counted the others it takes itself for an owner and opens connections; once others own them, it kept them idle for up to 30 s, and the owner got none.

Ruled out: a lost primary (probes and the other hosts reached it).

Change: a host whose statements owners run closes its idle connections at its next step.

--- a/daemon/internal/backend/forward_test.go
+++ b/daemon/internal/backend/forward_test.go
@@ -114,6 +114,27 @@
 	})
 }
 
+// Guards against a host that keeps connections which it opened before other hosts
+// owned them, so that the owners get none.
+func TestHostGivesConnectionsToOwners(t *testing.T) {
+	inForwarding(t, func(service *statementtest.Service, entry *Group, first, second *testOwner) {
+		entry.SetOwners(nil)
+		c, err := acquire(entry)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.Release(true)
+		if service.Connections("s1") != 1 {
+			t.Fatal("host opened no connection")
+		}
+		entry.SetOwners([]Owner{first, second})
+		entry.CloseIdle()
+		if n := service.Connections("s1"); n != 0 {
+			t.Errorf("host still holds %d connections, want none", n)
+		}
+	})
+}
+
 // Guards against statements that fail because one owner is away, and against a
 // write that is repeated although it may have run.
 func TestNextOwnerIsAskedOnlyIfNothingWasSent(t *testing.T) {
--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -111,7 +111,11 @@
 // probe connections that are no longer needed.
 func (g *Group) CloseIdle() {
 	maxUnused := maxIdle
-	if g.connectionsScarce.Load() {
+	switch {
+	case g.forwards():
+		// The owners need the connections that this host opened before it had owners.
+		maxUnused = 0
+	case g.connectionsScarce.Load():
 		maxUnused = scarceMaxIdle
 	}
 	primary, keepsProbeConn := g.Primary(), g.keepsProbeConn()
