--- a/Makefile
+++ b/Makefile
@@ -63,6 +63,13 @@
 soak: build
 	bin/gypsumgap-soak --seed $$(date +%s) --seeds 20 --duration 15s
 
+# Plays quick scores of sites on the users' bench, which is not part of this
+# repository: make regress FLEETBENCH=path SITES="site files".
+.PHONY: regress
+regress: build
+	@test -n "$(FLEETBENCH)" -a -n "$(SITES)" || { echo 'set FLEETBENCH and SITES'; exit 2; }
+	$(FLEETBENCH) score $(SITES) --quick --why "regression run of $$(git rev-parse --short HEAD)"
+
 # Runs the whole system on this machine, kills primaries under load, and checks.
 demo: build
 	bin/gypsumgap-demo
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -133,6 +133,8 @@
 	// events holds functions that the goroutine of run calls.
 	events chan func()
 
+	// feed holds what this host passes on to its followers, and followState what the
+	// controller shares with the follower of this host.
 	feed        *feed
 	followState followState
 	startedAt   time.Time
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -208,6 +208,9 @@
 	done := make(chan struct{})
 	c.draining = true
 	c.publish()
+	// From here on, another host may hold the duty.
+	c.publishDuty()
+	c.vouching.clear()
 	release := c.releaseLease()
 	go func() {
 		defer close(done)
