Log when the store went back to an older copy

Engineers could not tell from the logs why no primary was replaced after a restore of the store: nothing read the era that the store states in its answers, and a holder of the promotion duty that can't confirm its lease was silent. Lists and watches now carry the era; store_restored and promotion_duty_unconfirmed are logged once, and store_era and promotion_duty_held are metrics. No decision changes.

--- a/core/objects/objects.go
+++ b/core/objects/objects.go
@@ -52,6 +52,9 @@
 type Snapshot struct {
 	Objects  []Object
 	Revision uint64
+	// Era counts how often the store went back to an older copy of itself; 0 if the
+	// platform does not tell.
+	Era uint64
 }
 
 // Store is the platform's object store.
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -156,6 +156,10 @@
 	leaseCallRunning bool
 	leaseReadAt      time.Time
 	wasHolding       bool
+	// storeEra is the highest era of the store that this host has seen.
+	storeEra uint64
+	// dutyUnconfirmed is true after the loss of the confirmation was logged.
+	dutyUnconfirmed bool
 	// leaseErr is the error of the last lease call; nil if it succeeded.
 	leaseErr error
 	// leaseFailedAt is when the last failed lease call ended.
@@ -248,6 +252,7 @@
 	c.stepRelay()
 	c.stepLease()
 	c.publishDuty()
+	c.recordDuty()
 	c.stepWriteLease()
 	c.stepReport()
 	c.stepSuccession()
@@ -259,6 +264,7 @@
 		c.recordStoreFailure(ch)
 		return
 	}
+	c.observeEra(ch.era)
 	if since, failed := c.failingSince[ch.kind]; failed {
 		delete(c.failingSince, ch.kind)
 		c.log.WithFields(logrus.Fields{"event": "store_regained", "kind": ch.kind.String(), "lost_ms": c.now().Sub(since).Milliseconds()}).
@@ -274,6 +280,22 @@
 	}
 }
 
+// observeEra records the era of the store, and logs when it went back to an older
+// copy.
+func (c *controller) observeEra(era uint64) {
+	if era <= c.storeEra {
+		return
+	}
+	before := c.storeEra
+	c.storeEra = era
+	c.scope.Gauge("store_era").Update(float64(era))
+	if before == 0 {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"event": "store_restored", "era": era, "before": before}).
+		Warn("object store went back to an older copy; what was written since is lost")
+}
+
 func (c *controller) recordStoreFailure(ch storeChange) {
 	if _, failed := c.failingSince[ch.kind]; failed {
 		return
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -83,6 +83,27 @@
 	})
 }
 
+// recordDuty updates the metrics of the duty, and logs when this host holds it
+// without a recent renewal, so that it replaces no primary while the store answers.
+func (c *controller) recordDuty() {
+	now := c.now()
+	holding := c.lease.Holding()
+	c.scope.Gauge("promotion_duty_held").Update(map[bool]float64{true: 1}[holding])
+	unconfirmed := holding && c.lease.Expired(now)
+	if unconfirmed == c.dutyUnconfirmed {
+		return
+	}
+	c.dutyUnconfirmed = unconfirmed
+	if !unconfirmed {
+		return
+	}
+	entry := c.log.WithFields(logrus.Fields{"event": "promotion_duty_unconfirmed", "token": c.lease.Token(), "renewed_ms": now.Sub(c.lease.RenewedAt()).Milliseconds()})
+	if c.leaseErr != nil {
+		entry = entry.WithError(c.leaseErr)
+	}
+	entry.Warn("lease of the promotion duty could not be renewed; another host may hold it")
+}
+
 // readLease reads the lease. A stale read is sufficient, since a takeover
 // begins with a consistent read.
 func (c *controller) readLease(ctx context.Context) {
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -45,6 +45,8 @@
 	// was complete at provenAt, or later.
 	revision uint64
 	provenAt time.Time
+	// era is the era of the store; 0 if it is not known.
+	era uint64
 	// err is the error of a call. The watcher retries by itself.
 	err error
 }
@@ -77,7 +79,7 @@
 			continue
 		}
 		pauses = backoff{limit: maxRetryPause}
-		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects, revision: snapshot.Revision, provenAt: requestedAt})
+		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects, revision: snapshot.Revision, era: snapshot.Era, provenAt: requestedAt})
 		w.follow(ctx, snapshot.Revision)
 	}
 }
@@ -106,7 +108,7 @@
 			// The store waited that long before it answered that nothing changed.
 			provenAt = requestedAt.Add(wait)
 		}
-		w.post(storeChange{kind: w.kind, objects: snapshot.Objects, revision: since, provenAt: provenAt})
+		w.post(storeChange{kind: w.kind, objects: snapshot.Objects, revision: since, era: snapshot.Era, provenAt: provenAt})
 		if time.Now().Before(w.batchUntil) {
 			_ = retry.Sleep(ctx, batchPause)
 		}
