Keep one holder of the promotion duty when the store goes back

Cause: hosts took the store's revisions for a clock. A restored store gives lower revisions out again, so lease.Machine ignored what it read, and nobody held or took over the duty; and the token counted up from a record that the store had forgotten. Class of fault: a conclusion from an acknowledged write outlives the store's memory of it.

A watch from an earlier era counts as one whose history is gone. A lease record is valid in the era in which it was claimed only. The host whose own lease has not expired claims it again at once, others wait until every lease of the era before has expired. The token follows from the revision that the claim replaces, era included, so a token is not taken twice. A holder that can't be sure of its lease reads it before it writes.

Why it works: nobody can take the lease over before its last renewal has expired, in either era, and a conditional write replaces a revision once in an era.

--- a/core/changelog/changelog.go
+++ b/core/changelog/changelog.go
@@ -7,7 +7,11 @@
 // store and let a reader that changes its source refuse older data.
 package changelog
 
-import "slices"
+import (
+	"slices"
+
+	"github.com/gypsumgap/gypsumgap/core/objects"
+)
 
 // maxChanges is the number of changes kept. A reader that lags more gets all
 // objects.
@@ -27,7 +31,7 @@
 	// changes holds the latest changes, the last of which has the number version.
 	changes  []Entry
 	version  uint64
-	revision uint64
+	revision objects.Revision
 }
 
 // Version returns the number of changes applied so far.
@@ -35,11 +39,11 @@
 
 // Revision returns the revision of the store up to which the log is complete; 0 if
 // nothing was applied yet.
-func (l *Log) Revision() uint64 { return l.revision }
+func (l *Log) Revision() objects.Revision { return l.revision }
 
 // Replace sets all objects as of a revision of the store. Objects that are missing
 // count as deleted, and equal ones as unchanged.
-func (l *Log) Replace(revision uint64, entries []Entry) {
+func (l *Log) Replace(revision objects.Revision, entries []Entry) {
 	present := map[string]bool{}
 	var changed []Entry
 	for _, e := range entries {
@@ -55,7 +59,7 @@
 }
 
 // Apply records changes up to a revision of the store.
-func (l *Log) Apply(revision uint64, changes []Entry) {
+func (l *Log) Apply(revision objects.Revision, changes []Entry) {
 	if l.objects == nil {
 		l.objects = map[string]Entry{}
 	}
--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -4,9 +4,16 @@
 // A lease is one object in the store. Its holder renews it by conditional
 // writes. Another host takes it over after it has seen the same revision for
 // longer than Duration. The clocks of hosts are never compared. Each new holder,
-// and each new incarnation of a holder, raises the fencing token by a conditional
-// write, so no two of them share a token. Duration only decides when to take
-// over: a call that a former holder still sends is refused because of its token.
+// and each new incarnation of a holder, claims the lease by a conditional write.
+// The token follows from the revision that this write replaced, so no two of them
+// share a token.
+// Duration only decides when to take over: a call that a former holder still sends
+// is refused because of its token.
+//
+// The store may go back to an older copy of itself, see objects.Revision. A record
+// that was claimed in an earlier era of the store holds no lease, since later
+// holders may have been forgotten. The host whose own lease is still valid claims it
+// again at once; no other host can have taken it over. Others wait for Duration.
 //
 // A holder that cannot reach the store continues with its token. It learns that
 // it was replaced when one of its calls is refused or the store answers again.
@@ -15,6 +22,8 @@
 import (
 	"slices"
 	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/objects"
 )
 
 // The timing of a lease.
@@ -29,6 +38,9 @@
 	// PredecessorPeriod is how long a holder keeps the names of earlier holders in
 	// the record.
 	PredecessorPeriod = 15 * time.Second
+	// UnknownHolder stands in Record.Predecessors for holders that the store may have
+	// forgotten when it went back to an older copy.
+	UnknownHolder = "?"
 	// maxPredecessors is the maximum number of names kept. Takeovers are at least
 	// Duration apart, so more of them do not fit into PredecessorPeriod.
 	maxPredecessors = 8
@@ -42,6 +54,8 @@
 	Incarnation string `json:"incarnation"`
 	// Token is the fencing token.
 	Token uint64 `json:"token"`
+	// Era is the era of the store in which the holder took the lease.
+	Era uint64 `json:"era,omitempty"`
 	// Renewal increases with each write, so that a renewal changes the record.
 	Renewal uint64 `json:"renewal"`
 	// Predecessors holds the hosts that held the lease before and may not know yet
@@ -68,7 +82,7 @@
 	takeoverDelay     time.Duration
 
 	record   Record
-	revision uint64
+	revision objects.Revision
 	known    bool
 	// revisionSeenAt is when the revision was first seen.
 	revisionSeenAt time.Time
@@ -86,9 +100,9 @@
 	return &Machine{host: host, incarnation: incarnation, takeoverDelay: delay}
 }
 
-// Observe processes the stored record. Revision 0 means that there is none. A
-// revision older than the known one is ignored.
-func (m *Machine) Observe(now time.Time, record Record, revision uint64) {
+// Observe processes the stored record. Number 0 of the revision means that there is
+// none. A revision older than the known one is ignored.
+func (m *Machine) Observe(now time.Time, record Record, revision objects.Revision) {
 	if m.known && revision < m.revision {
 		return
 	}
@@ -103,13 +117,19 @@
 	if m.Holding() && !wasHolding {
 		m.claimedAt = now
 	}
+	if !m.Holding() && !m.isOutdated() {
+		m.renewedAt = time.Time{}
+	}
 }
 
+// isOutdated reports whether the known record is from an earlier era of the store.
+func (m *Machine) isOutdated() bool { return m.record.Era != m.revision.Era() }
+
 // ObserveWrite processes a write that the store accepted. The lease counts as
 // renewed at sent, when the write was sent.
-func (m *Machine) ObserveWrite(now, sent time.Time, record Record, revision uint64) {
+func (m *Machine) ObserveWrite(now, sent time.Time, record Record, revision objects.Revision) {
 	m.Observe(now, record, revision)
-	if m.record.Holder == m.host && m.record.Incarnation == m.incarnation && m.revision == revision {
+	if m.Holding() && m.revision == revision {
 		m.renewedAt = sent
 	}
 }
@@ -117,7 +137,7 @@
 // Holding reports whether this process is the holder according to the last known
 // record.
 func (m *Machine) Holding() bool {
-	return m.known && m.record.Holder == m.host && m.record.Incarnation == m.incarnation
+	return m.known && m.record.Holder == m.host && m.record.Incarnation == m.incarnation && !m.isOutdated()
 }
 
 // Token returns the fencing token in the last known record.
@@ -150,13 +170,13 @@
 
 // Next returns the write that is due and the revision that it must replace, or
 // None if nothing is due.
-func (m *Machine) Next(now time.Time) (Action, Record, uint64) {
+func (m *Machine) Next(now time.Time) (Action, Record, objects.Revision) {
 	if !m.known {
 		return None, Record{}, 0
 	}
 	if m.Holding() {
 		if m.raisePending {
-			return Write, m.nextClaim(), m.revision
+			return Write, m.nextClaim(now), m.revision
 		}
 		if now.Sub(m.renewedAt) < RenewInterval {
 			return None, Record{}, 0
@@ -171,13 +191,17 @@
 	if !m.canTakeOver(now) {
 		return None, Record{}, 0
 	}
-	return Write, m.nextClaim(), m.revision
+	return Write, m.nextClaim(now), m.revision
 }
 
 // canTakeOver reports whether this host may take the lease over. A lease without
 // a holder is claimed after a quarter of the takeover delay, and one of an earlier
-// process of this host at once.
+// process of this host at once. An outdated record does not tell who held the lease
+// last.
 func (m *Machine) canTakeOver(now time.Time) bool {
+	if m.isOutdated() {
+		return m.CanReclaim(now) || now.Sub(m.revisionSeenAt) >= Duration+m.takeoverDelay
+	}
 	switch m.record.Holder {
 	case "":
 		return now.Sub(m.revisionSeenAt) >= m.takeoverDelay/4
@@ -188,17 +212,28 @@
 	}
 }
 
+// CanReclaim reports whether the store forgot that this process holds the lease, but
+// no other host can have taken it over, since the last renewal is not older than
+// Duration.
+func (m *Machine) CanReclaim(now time.Time) bool {
+	return m.known && m.isOutdated() && !m.renewedAt.IsZero() && !m.Expired(now)
+}
+
 // nextClaim returns the record by which this process takes the lease with a higher
 // token.
-func (m *Machine) nextClaim() Record {
-	return Record{Holder: m.host, Incarnation: m.incarnation, Token: m.record.Token + 1, Renewal: m.record.Renewal + 1,
-		Predecessors: m.nextPredecessors()}
+func (m *Machine) nextClaim(now time.Time) Record {
+	return Record{Holder: m.host, Incarnation: m.incarnation, Token: max(m.record.Token, uint64(m.revision)) + 1,
+		Era: m.revision.Era(), Renewal: m.record.Renewal + 1, Predecessors: m.nextPredecessors(now)}
 }
 
 // nextPredecessors returns the predecessors of the next claim of this host.
-func (m *Machine) nextPredecessors() []string {
+func (m *Machine) nextPredecessors(now time.Time) []string {
 	var out []string
-	for _, name := range append(slices.Clone(m.record.Predecessors), m.record.Holder) {
+	earlier := append(slices.Clone(m.record.Predecessors), m.record.Holder)
+	if m.isOutdated() && m.record.Renewal > 0 && !m.CanReclaim(now) {
+		earlier = append(earlier, UnknownHolder)
+	}
+	for _, name := range earlier {
 		if name != "" && name != m.host && !slices.Contains(out, name) {
 			out = append(out, name)
 		}
@@ -213,8 +248,8 @@
 
 // Release returns the record that gives the lease up and the revision that the
 // write must replace.
-func (m *Machine) Release() (Record, uint64) {
-	return Record{Token: m.record.Token, Renewal: m.record.Renewal + 1, Predecessors: m.record.Predecessors}, m.revision
+func (m *Machine) Release() (Record, objects.Revision) {
+	return Record{Token: m.record.Token, Era: m.record.Era, Renewal: m.record.Renewal + 1, Predecessors: m.record.Predecessors}, m.revision
 }
 
 // RequireRenewal makes Confirmed false until the next renewal. It is called when a
--- a/core/objects/objects.go
+++ b/core/objects/objects.go
@@ -37,7 +37,7 @@
 // Err is set in an object that exists.
 type Object struct {
 	Name          string
-	Revision      uint64
+	Revision      Revision
 	Configuration *catalog.Configuration
 	Server        *catalog.Server
 	// Value is the JSON text of an object of the kinds that hosts write.
@@ -51,10 +51,7 @@
 // Snapshot holds all objects of a kind, or its changes, up to a revision.
 type Snapshot struct {
 	Objects  []Object
-	Revision uint64
-	// Era counts how often the store went back to an older copy of itself; 0 if the
-	// platform does not tell.
-	Era uint64
+	Revision Revision
 }
 
 // Store is the platform's object store.
@@ -64,15 +61,17 @@
 	List(ctx context.Context, kind Kind, stale bool) (Snapshot, error)
 	// Watch waits for changes after revision since and returns them, or none
 	// after the time wait. It fails with ErrCompacted if the store no longer
-	// keeps the changes.
-	Watch(ctx context.Context, kind Kind, since uint64, wait time.Duration) (Snapshot, error)
-	// Get reads one object. It fails with ErrNotFound if there is none.
+	// keeps the changes, or is not in the era of since any more.
+	Watch(ctx context.Context, kind Kind, since Revision, wait time.Duration) (Snapshot, error)
+	// Get reads one object. If there is none, it fails with ErrNotFound and returns
+	// an object whose revision has the era of the store and number 0.
 	Get(ctx context.Context, kind Kind, name string) (Object, error)
-	// Put writes an object of the kinds that hosts write if its revision is still
-	// the expected one, where 0 means that it must not exist. It fails with
-	// ErrConflict if the revision differs and with ErrUnknown if the write may
-	// have been executed or may still be.
-	Put(ctx context.Context, kind Kind, name string, value []byte, expected uint64) (Object, error)
+	// Put writes an object of the kinds that hosts write if the number of its
+	// revision is still the expected one, where 0 means that it must not exist. It
+	// fails with ErrConflict if the number differs and with ErrUnknown if the write
+	// may have been executed or may still be. The store does not check the era, so
+	// the era of the result may differ from the expected one.
+	Put(ctx context.Context, kind Kind, name string, value []byte, expected Revision) (Object, error)
 	// Delete removes an object of the kinds that hosts write, regardless of its
 	// revision.
 	Delete(ctx context.Context, kind Kind, name string) error
--- a/core/objects/objectstest/store.go
+++ b/core/objects/objectstest/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -18,12 +19,12 @@
 type Store struct {
 	mu       sync.Mutex
 	rng      *rand.Rand
-	revision uint64
+	revision objects.Revision
 	kinds    map[objects.Kind]map[string]objects.Object
 	events   map[objects.Kind][]objects.Object
 	changed  chan struct{}
 	// compactedRevision is the revision before which no history is kept.
-	compactedRevision uint64
+	compactedRevision objects.Revision
 
 	down        bool
 	partitioned map[string]bool
@@ -42,7 +43,7 @@
 // New returns an empty store. The seed determines which responses are lost.
 func New(seed uint64) *Store {
 	return &Store{
-		rng: rand.New(rand.NewPCG(seed, 0)), revision: 1, partitioned: map[string]bool{}, changed: make(chan struct{}),
+		rng: rand.New(rand.NewPCG(seed, 0)), revision: objects.NewRevision(1, 1), partitioned: map[string]bool{}, changed: make(chan struct{}),
 		kinds: map[objects.Kind]map[string]objects.Object{}, events: map[objects.Kind][]objects.Object{},
 	}
 }
@@ -91,6 +92,42 @@
 // staleReadCost is the price of a stale read in calls.
 const staleReadCost = 0.1
 
+// Backup is a copy of the objects of a store.
+type Backup struct {
+	revision objects.Revision
+	kinds    map[objects.Kind]map[string]objects.Object
+}
+
+// Backup returns a copy of the objects that the store holds now.
+func (s *Store) Backup() Backup {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	b := Backup{revision: s.revision, kinds: map[objects.Kind]map[string]objects.Object{}}
+	for kind, stored := range s.kinds {
+		b.kinds[kind] = maps.Clone(stored)
+	}
+	return b
+}
+
+// Restore makes the store go back to a copy of itself, in the next era. It forgets
+// all that was written since, and gives the same revisions out again.
+func (s *Store) Restore(b Backup) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision = objects.NewRevision(s.revision.Era()+1, b.revision.Number())
+	s.compactedRevision = objects.NewRevision(s.revision.Era(), s.compactedRevision.Number())
+	s.kinds, s.events = map[objects.Kind]map[string]objects.Object{}, map[objects.Kind][]objects.Object{}
+	for kind, stored := range b.kinds {
+		s.kinds[kind] = map[string]objects.Object{}
+		for name, o := range stored {
+			o.Revision = objects.NewRevision(s.revision.Era(), o.Revision.Number())
+			s.kinds[kind][name] = o
+		}
+	}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 func (s *Store) withLock(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -181,37 +218,52 @@
 }
 
 // Watch waits for changes of a kind after a revision.
-func (c Client) Watch(ctx context.Context, kind objects.Kind, since uint64, wait time.Duration) (objects.Snapshot, error) {
+func (c Client) Watch(ctx context.Context, kind objects.Kind, since objects.Revision, wait time.Duration) (objects.Snapshot, error) {
 	if err := c.call(ctx); err != nil {
 		return objects.Snapshot{}, err
 	}
 	timeout := time.After(wait)
 	for {
 		snapshot, changed, err := c.changes(kind, since)
-		if err != nil || len(snapshot.Objects) > 0 {
+		if err != nil {
 			return snapshot, err
 		}
+		if len(snapshot.Objects) > 0 {
+			return checkEra(snapshot, since)
+		}
 		select {
 		case <-changed:
 		case <-timeout:
-			return snapshot, nil
+			return checkEra(snapshot, since)
 		case <-ctx.Done():
 			return objects.Snapshot{}, objects.ErrUnknown
 		}
 	}
 }
 
-func (c Client) changes(kind objects.Kind, since uint64) (objects.Snapshot, chan struct{}, error) {
+// checkEra fails with objects.ErrCompacted if the answer to a watch is of another era
+// than the revision that it started from.
+func checkEra(answer objects.Snapshot, since objects.Revision) (objects.Snapshot, error) {
+	if answer.Revision.Era() != since.Era() {
+		return objects.Snapshot{}, objects.ErrCompacted
+	}
+	return answer, nil
+}
+
+// changes returns the changes after a revision. The store knows only its number, so
+// a watch from an earlier era fails at once only if the store has no such number.
+func (c Client) changes(kind objects.Kind, since objects.Revision) (objects.Snapshot, chan struct{}, error) {
 	s := c.Store
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	since = objects.NewRevision(s.revision.Era(), since.Number())
 	out := objects.Snapshot{Revision: since}
 	switch {
 	case s.down || s.partitioned[c.Host]:
 		return out, s.changed, objects.ErrUnknown
 	case s.stalled:
 		return out, s.changed, nil
-	case since < s.compactedRevision:
+	case since > s.revision, since < s.compactedRevision:
 		return out, s.changed, objects.ErrCompacted
 	}
 	out.Revision = s.revision
@@ -233,13 +285,13 @@
 	defer s.mu.Unlock()
 	o, ok := s.kinds[kind][name]
 	if !ok {
-		return objects.Object{}, objects.ErrNotFound
+		return objects.Object{Revision: objects.NewRevision(s.revision.Era(), 0)}, objects.ErrNotFound
 	}
 	return o, nil
 }
 
 // Put writes an object if its revision is the expected one.
-func (c Client) Put(ctx context.Context, kind objects.Kind, name string, value []byte, expected uint64) (objects.Object, error) {
+func (c Client) Put(ctx context.Context, kind objects.Kind, name string, value []byte, expected objects.Revision) (objects.Object, error) {
 	if err := c.call(ctx); err != nil {
 		return objects.Object{}, err
 	}
@@ -247,7 +299,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	write := func() (objects.Object, error) {
-		if s.kinds[kind][name].Revision != expected {
+		if s.kinds[kind][name].Revision.Number() != expected.Number() {
 			return objects.Object{}, objects.ErrConflict
 		}
 		return s.set(kind, objects.Object{Name: name, Value: value}), nil
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -171,7 +171,7 @@
 	report             report
 	reportWrittenAt    time.Time
 	// reportRevision is the revision of the last written report.
-	reportRevision uint64
+	reportRevision objects.Revision
 	// peers holds the other hosts by name.
 	peers map[string]peerHost
 	// polls holds the answers of other hosts about primaries, by service.
@@ -264,7 +264,7 @@
 		c.recordStoreFailure(ch)
 		return
 	}
-	c.observeEra(ch.era)
+	c.observeEra(ch.revision)
 	if since, failed := c.failingSince[ch.kind]; failed {
 		delete(c.failingSince, ch.kind)
 		c.log.WithFields(logrus.Fields{"event": "store_regained", "kind": ch.kind.String(), "lost_ms": c.now().Sub(since).Milliseconds()}).
@@ -280,9 +280,10 @@
 	}
 }
 
-// observeEra records the era of the store, and logs when it went back to an older
-// copy.
-func (c *controller) observeEra(era uint64) {
+// observeEra records the era of the store as of a revision, and logs when the store
+// went back to an older copy.
+func (c *controller) observeEra(asOf objects.Revision) {
+	era := asOf.Era()
 	if era <= c.storeEra {
 		return
 	}
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -37,12 +37,12 @@
 	action, record, expected := c.lease.Next(now)
 	switch {
 	case c.draining:
-	case c.followState.followsRelay.Load() && !c.lease.Holding():
+	case c.followState.followsRelay.Load() && !c.lease.Holding() && !c.lease.CanReclaim(now):
 		// The relay passes the record on and takes the duty over if needed.
 	case action == lease.Write:
 		c.leaseCallRunning = true
-		holding := c.lease.Holding()
-		c.runAsync(func(ctx context.Context) { c.updateLease(ctx, record, expected, holding) })
+		certain := c.lease.Holding() && !c.lease.Expired(now) || c.lease.CanReclaim(now)
+		c.runAsync(func(ctx context.Context) { c.updateLease(ctx, record, expected, certain) })
 	case !c.lease.Holding() && now.Sub(c.leaseReadAt) >= c.leasePollInterval():
 		c.leaseCallRunning, c.leaseReadAt = true, now
 		c.runAsync(c.readLease)
@@ -121,7 +121,7 @@
 				return
 			}
 		}
-		c.lease.Observe(c.now(), lease.Record{}, 0)
+		c.observeMissingLease(snapshot.Revision)
 	})
 }
 
@@ -132,16 +132,24 @@
 		c.log.WithFields(logrus.Fields{"event": "lease_skipped", "revision": o.Revision}).Warn("lease could not be decoded; ignoring this revision")
 		return
 	}
+	c.observeEra(o.Revision)
 	c.lease.Observe(c.now(), r, o.Revision)
 	c.feed.setLease(r, o.Revision)
 }
 
-// updateLease renews the lease or takes it over. A host that does not hold the
-// lease reads it first, because its knowledge may be stale.
-func (c *controller) updateLease(ctx context.Context, record lease.Record, expected uint64, holding bool) {
+// observeMissingLease records that the store holds no lease.
+func (c *controller) observeMissingLease(asOf objects.Revision) {
+	c.observeEra(asOf)
+	c.lease.Observe(c.now(), lease.Record{}, objects.NewRevision(asOf.Era(), 0))
+}
+
+// updateLease renews the lease or takes it over. A host that is not certain to hold
+// the lease reads it first, because its knowledge may be stale: a store that went
+// back to an older copy may have given the expected revision to another record.
+func (c *controller) updateLease(ctx context.Context, record lease.Record, expected objects.Revision, certain bool) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	if !holding && expected != 0 {
+	if !certain && expected.Number() != 0 {
 		o, err := c.store.Get(callCtx, objects.Leases, promotionLease)
 		if err != nil || o.Revision != expected {
 			c.postLeaseRead(ctx, o, err)
@@ -158,14 +166,15 @@
 	if err == nil {
 		c.post(ctx, func() {
 			c.endLeaseCall(nil)
+			c.observeEra(o.Revision)
 			c.lease.ObserveWrite(c.now(), sent, record, o.Revision)
 		})
 		return
 	}
-	if errors.Is(err, objects.ErrConflict) || errors.Is(err, objects.ErrUnknown) {
+	if errors.Is(err, objects.ErrConflict) || errors.Is(err, objects.ErrUnknown) || isNotFound(err) {
 		o, getErr := c.store.Get(callCtx, objects.Leases, promotionLease)
-		if getErr == nil {
-			c.postLeaseRead(ctx, o, nil)
+		if getErr == nil || isNotFound(getErr) {
+			c.postLeaseRead(ctx, o, getErr)
 			return
 		}
 	}
@@ -180,9 +189,15 @@
 	}
 }
 
-// postLeaseRead posts the result of a read of the lease.
+// postLeaseRead posts the result of a read of the lease. An object comes with
+// objects.ErrNotFound as well.
 func (c *controller) postLeaseRead(ctx context.Context, o objects.Object, err error) {
 	c.post(ctx, func() {
+		if isNotFound(err) {
+			c.endLeaseCall(nil)
+			c.observeMissingLease(o.Revision)
+			return
+		}
 		c.endLeaseCall(err)
 		if err == nil {
 			c.observeLease(o)
--- a/daemon/internal/fleet/feed.go
+++ b/daemon/internal/fleet/feed.go
@@ -59,7 +59,7 @@
 	// missing holds the primaries that followers cannot reach, by host.
 	missing       map[string]missingPrimaries
 	lease         []byte
-	leaseRevision uint64
+	leaseRevision objects.Revision
 }
 
 // missingPrimaries holds the IDs of unreachable primaries by service.
@@ -101,14 +101,14 @@
 }
 
 // revision returns the revision of the store up to which this host followed it.
-func (f *feed) revision(kind objects.Kind) uint64 {
+func (f *feed) revision(kind objects.Kind) objects.Revision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.logs[kind.String()].Revision()
 }
 
 // setLease records the lease on promotions, to be passed on.
-func (f *feed) setLease(record lease.Record, revision uint64) {
+func (f *feed) setLease(record lease.Record, revision objects.Revision) {
 	value, err := json.Marshal(record)
 	if err != nil {
 		return
@@ -173,17 +173,17 @@
 func (f *feed) answer(r *peerapi.FollowRequest) (response *peerapi.FollowResponse, ready bool, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	response = &peerapi.FollowResponse{Synced: true, Source: f.source, Lease: f.lease, LeaseRevision: f.leaseRevision}
+	response = &peerapi.FollowResponse{Synced: true, Source: f.source, Lease: f.lease, LeaseRevision: uint64(f.leaseRevision)}
 	now := f.now()
 	for _, known := range r.GetKnown() {
 		log := f.logs[known.GetKind()]
 		if log == nil {
 			continue
 		}
-		if log.Revision() == 0 || log.Revision() < known.GetRevision() || now.Sub(f.provenAt[known.GetKind()]) >= feedMaxAge {
+		if log.Revision() == 0 || log.Revision() < objects.Revision(known.GetRevision()) || now.Sub(f.provenAt[known.GetKind()]) >= feedMaxAge {
 			return &peerapi.FollowResponse{Source: f.source}, false, f.changed
 		}
-		changes := &peerapi.KindChanges{Kind: known.GetKind(), Version: log.Version(), Revision: log.Revision()}
+		changes := &peerapi.KindChanges{Kind: known.GetKind(), Version: log.Version(), Revision: uint64(log.Revision())}
 		var entries []changelog.Entry
 		if known.GetSource() == f.source {
 			entries, changes.Full = log.Since(known.GetVersion())
--- a/daemon/internal/fleet/follow.go
+++ b/daemon/internal/fleet/follow.go
@@ -175,7 +175,7 @@
 		f.stopDirect = nil
 		// A relay that is behind what this host has read must not be followed.
 		for _, kind := range followedKinds {
-			f.known[kind] = &peerapi.KindVersion{Kind: kind.String(), Revision: f.c.feed.revision(kind)}
+			f.known[kind] = &peerapi.KindVersion{Kind: kind.String(), Revision: uint64(f.c.feed.revision(kind))}
 		}
 		return
 	}
@@ -258,7 +258,7 @@
 			continue
 		}
 		kind := followedKinds[i]
-		ch := storeChange{kind: kind, full: changes.GetFull(), revision: changes.GetRevision()}
+		ch := storeChange{kind: kind, full: changes.GetFull(), revision: objects.Revision(changes.GetRevision())}
 		for _, e := range changes.GetEntries() {
 			ch.objects = append(ch.objects, decodeEntry(kind, e))
 		}
@@ -267,7 +267,7 @@
 	}
 	var record lease.Record
 	if len(r.GetLease()) > 0 && json.Unmarshal(r.GetLease(), &record) == nil {
-		f.c.post(ctx, func() { f.c.lease.Observe(f.c.now(), record, r.GetLeaseRevision()) })
+		f.c.post(ctx, func() { f.c.lease.Observe(f.c.now(), record, objects.Revision(r.GetLeaseRevision())) })
 	}
 }
 
--- a/daemon/internal/fleet/registration.go
+++ b/daemon/internal/fleet/registration.go
@@ -40,7 +40,7 @@
 // maintainRegistration renews the registration of this host and counts the
 // registered hosts.
 func (c *controller) maintainRegistration(ctx context.Context) {
-	renewals, revision := 0, uint64(0)
+	renewals, revision := 0, objects.Revision(0)
 	var renewed time.Time
 	revision = c.countHosts(ctx)
 	c.post(ctx, func() { close(c.followState.counted) })
@@ -67,7 +67,7 @@
 	}
 }
 
-func (c *controller) writeRegistration(ctx context.Context, renewal int, known uint64) (uint64, error) {
+func (c *controller) writeRegistration(ctx context.Context, renewal int, known objects.Revision) (objects.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	value, err := json.Marshal(registration{Zone: c.zone, Incarnation: c.incarnation, PeerAddress: c.peerAddress, Renewal: renewal})
@@ -80,7 +80,7 @@
 // overwrite writes an object that only this host writes, regardless of its
 // revision, and returns the new revision. known is the revision last written by
 // this process, or 0 if there is none.
-func (c *controller) overwrite(ctx context.Context, kind objects.Kind, value []byte, known uint64) (uint64, error) {
+func (c *controller) overwrite(ctx context.Context, kind objects.Kind, value []byte, known objects.Revision) (objects.Revision, error) {
 	o, err := c.store.Put(ctx, kind, c.host, value, known)
 	if err == nil {
 		return o.Revision, nil
@@ -105,7 +105,7 @@
 
 // revisionSeen is a revision of a registration and when it was first seen.
 type revisionSeen struct {
-	revision    uint64
+	revision    objects.Revision
 	firstSeenAt time.Time
 }
 
@@ -127,7 +127,7 @@
 // registrationMaxAge, and updates the list of peers. A host is live even if its
 // registration cannot be decoded. countHosts returns the revision of the
 // registration of this host, or 0 if there is none.
-func (c *controller) countHosts(ctx context.Context) (own uint64) {
+func (c *controller) countHosts(ctx context.Context) (own objects.Revision) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	snapshot, err := c.store.List(callCtx, objects.Hosts, true)
--- /dev/null
+++ b/daemon/internal/fleet/restore_test.go
@@ -0,0 +1,77 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
+)
+
+// Times of the plays with a store that goes back to an older copy.
+const (
+	copyAge = 5 * time.Second
+	// restoreOutage is how long the store is away before it goes back.
+	restoreOutage = 500 * time.Millisecond
+)
+
+// restoreStore makes the store go back to a copy after an outage.
+func (d *deployment) restoreStore(backup objectstest.Backup) {
+	d.store.SetDown(true)
+	time.Sleep(restoreOutage)
+	d.store.Restore(backup)
+	d.store.SetDown(false)
+}
+
+// Guards against a draining primary that is not replaced because nobody holds the
+// promotion duty after the store went back.
+func TestDrainingPrimaryIsReplacedAfterRestore(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		backup := d.store.Backup()
+		time.Sleep(copyAge)
+		d.restoreStore(backup)
+		time.Sleep(3 * time.Second)
+		d.mu.Lock()
+		d.draining["s1"] = true
+		d.mu.Unlock()
+		if took := d.awaitFailover("s1", 5*time.Second); took > time.Second {
+			t.Errorf("failover took %s, want at most 1s", took)
+		}
+	})
+}
+
+// Guards against a second holder with a token that was already used before the store
+// went back.
+func TestTokensOfPromotionsAfterRestore(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		backup := d.store.Backup()
+		d.loseHolderAndPrimary()
+		d.restoreStore(backup)
+		time.Sleep(time.Second)
+		d.loseHolderAndPrimary()
+		holders := map[uint64]string{}
+		last := uint64(0)
+		for _, o := range d.orders {
+			if holder, used := holders[o.Token]; used && holder != o.Holder {
+				t.Errorf("token %d was used by %s and by %s", o.Token, holder, o.Holder)
+			}
+			if o.Token < last {
+				t.Errorf("token %d was used after %d", o.Token, last)
+			}
+			holders[o.Token], last = o.Holder, o.Token
+		}
+		if len(holders) < 2 {
+			t.Errorf("got orders with %d tokens, want two or more", len(holders))
+		}
+	})
+}
+
+// loseHolderAndPrimary stops the holder of the promotion duty and the primary, and
+// waits until another holder has replaced the primary.
+func (d *deployment) loseHolderAndPrimary() {
+	d.t.Helper()
+	d.stop(d.holder())
+	lost := d.service.Primary()
+	d.service.CrashPrimary()
+	d.awaitFailover(lost, 15*time.Second)
+}
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -43,10 +43,8 @@
 	objects []objects.Object
 	// revision is the revision of the store up to which the change is complete. It
 	// was complete at provenAt, or later.
-	revision uint64
+	revision objects.Revision
 	provenAt time.Time
-	// era is the era of the store; 0 if it is not known.
-	era uint64
 	// err is the error of a call. The watcher retries by itself.
 	err error
 }
@@ -79,14 +77,14 @@
 			continue
 		}
 		pauses = backoff{limit: maxRetryPause}
-		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects, revision: snapshot.Revision, era: snapshot.Era, provenAt: requestedAt})
+		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects, revision: snapshot.Revision, provenAt: requestedAt})
 		w.follow(ctx, snapshot.Revision)
 	}
 }
 
 // follow watches from a revision until the store no longer keeps the history or
 // ctx ends.
-func (w watcher) follow(ctx context.Context, since uint64) {
+func (w watcher) follow(ctx context.Context, since objects.Revision) {
 	pauses := backoff{limit: maxRetryPause}
 	for ctx.Err() == nil {
 		wait, requestedAt := w.wait(), w.now()
@@ -108,7 +106,7 @@
 			// The store waited that long before it answered that nothing changed.
 			provenAt = requestedAt.Add(wait)
 		}
-		w.post(storeChange{kind: w.kind, objects: snapshot.Objects, revision: since, era: snapshot.Era, provenAt: provenAt})
+		w.post(storeChange{kind: w.kind, objects: snapshot.Objects, revision: since, provenAt: provenAt})
 		if time.Now().Before(w.batchUntil) {
 			_ = retry.Sleep(ctx, batchPause)
 		}
