Keep relays proven when changes come late in a watch

Followers of a relay turned to the store, each for 5 s to 10 s, after ordinary changes of the configuration or of a server.

Cause: an answer that reports a change proves the state at the start of the watch only, and the next watch waited for the full second. Between them the proof was up to 2 s old, more than the 1.6 s that followers accept. Found by the test of followers of a restored store, which failed without a restore too.

Change: the next watch is shorter by the age of the last proof, so a proof is never older than one wait and two round trips.

Test failed before: TestFollowersKeepRelayDuringChanges, 12 to 30 hosts of 60 followed the store in place of 6 relays; now 6 throughout.

--- a/daemon/internal/fleet/follow_test.go
+++ b/daemon/internal/fleet/follow_test.go
@@ -98,6 +98,22 @@
 	})
 }
 
+// Guards against relays that lose the proof that they are current because a change
+// arrives late in a watch, so that their followers turn to the store.
+func TestFollowersKeepRelayDuringChanges(t *testing.T) {
+	deployLarge(t, 60, func(d *deployment) {
+		time.Sleep(20 * time.Second)
+		relays := d.relays()
+		for version := range uint64(20) {
+			d.store.Configure(configuration(version+2, d.limit))
+			time.Sleep(relayWatchWait + 730*time.Millisecond)
+			if n := len(d.relays()); n > len(relays) {
+				t.Errorf("%d hosts follow the store after %d changes, want the %d relays", n, version+1, len(relays))
+			}
+		}
+	})
+}
+
 // maxConfigurationDelay is the time within which hosts that reach the store must
 // have a new configuration, also if their relay does not.
 const maxConfigurationDelay = 3 * time.Second
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -17,6 +17,8 @@
 	// watchTimeoutMargin is the time beyond its wait within which a watch must
 	// return. A watch may stop answering.
 	watchTimeoutMargin = 500 * time.Millisecond
+	// checkWait is the shortest time that a watch waits for a change.
+	checkWait = 50 * time.Millisecond
 	// callTimeout bounds other calls to the store.
 	callTimeout = 2 * time.Second
 	// batchPeriod is the time after the start of a host during which changes are
@@ -78,16 +80,17 @@
 		}
 		pauses = backoff{limit: maxRetryPause}
 		w.post(storeChange{kind: w.kind, full: true, objects: snapshot.Objects, revision: snapshot.Revision, provenAt: requestedAt})
-		w.follow(ctx, snapshot.Revision)
+		w.follow(ctx, snapshot.Revision, requestedAt)
 	}
 }
 
-// follow watches from a revision until the store no longer keeps the history or
-// ctx ends.
-func (w watcher) follow(ctx context.Context, since objects.Revision) {
+// follow watches from a revision, which was the latest one at provenAt, until the
+// store no longer keeps the history or ctx ends.
+func (w watcher) follow(ctx context.Context, since objects.Revision, provenAt time.Time) {
 	pauses := backoff{limit: maxRetryPause}
 	for ctx.Err() == nil {
-		wait, requestedAt := w.wait(), w.now()
+		requestedAt := w.now()
+		wait := w.waitAfter(requestedAt.Sub(provenAt))
 		watchCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 		snapshot, err := w.store.Watch(watchCtx, w.kind, since, wait)
 		cancel()
@@ -101,7 +104,7 @@
 		}
 		pauses = backoff{limit: maxRetryPause}
 		since = max(since, snapshot.Revision)
-		provenAt := requestedAt
+		provenAt = requestedAt
 		if len(snapshot.Objects) == 0 && w.now().Sub(requestedAt) >= wait {
 			// The store waited that long before it answered that nothing changed.
 			provenAt = requestedAt.Add(wait)
@@ -113,6 +116,14 @@
 	}
 }
 
+// waitAfter returns how long the next watch waits for a change. A watch that
+// reported a change proves the state at its start only, so the next one is shorter by
+// the age of that proof.
+func (w watcher) waitAfter(proofAge time.Duration) time.Duration {
+	wait := w.wait()
+	return min(wait, max(wait-proofAge, checkWait))
+}
+
 // backoff implements exponential backoff with jitter.
 type backoff struct{ last, limit time.Duration }
 
