Ask a store that was away at once whether it went back

A host whose watch broke when the store went away watched again from the same revision.

Test failed before: TestConfigurationWithReusedRevision, hosts had version 1 after 3 s. TestFollowersOfRestoredStore passes with and without this change and guards the order of revisions across eras for followers of relays.

--- a/daemon/internal/fleet/restore_test.go
+++ b/daemon/internal/fleet/restore_test.go
@@ -1,9 +1,11 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
 )
 
@@ -12,6 +14,8 @@
 	copyAge = 5 * time.Second
 	// restoreOutage is how long the store is away before it goes back.
 	restoreOutage = 500 * time.Millisecond
+	// reusedRevisions is more than the number of writes during copyAge.
+	reusedRevisions = 100
 )
 
 // restoreStore makes the store go back to a copy after an outage.
@@ -75,3 +79,64 @@
 	d.service.CrashPrimary()
 	d.awaitFailover(lost, 15*time.Second)
 }
+
+// Guards against a host that misses a configuration because it watches from a
+// revision that the store has given out again.
+func TestConfigurationWithReusedRevision(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		backup := d.store.Backup()
+		time.Sleep(copyAge)
+		cut := d.hosts[testHosts-1].host
+		d.store.SetPartitioned(cut, true)
+		d.restoreStore(backup)
+		d.store.Configure(configuration(2, ampleLimit))
+		d.writeFillers()
+		d.store.SetPartitioned(cut, false)
+		time.Sleep(maxConfigurationDelay)
+		for _, c := range d.hosts {
+			if version := c.published.Configuration().Version; version != 2 {
+				t.Errorf("%s has version %d, want 2", c.host, version)
+			}
+		}
+	})
+}
+
+// writeFillers makes the store give out reusedRevisions revisions.
+func (d *deployment) writeFillers() {
+	client := objectstest.Client{Store: d.store, Host: "filler"}
+	revision := objects.Revision(0)
+	for range reusedRevisions {
+		o, err := client.Put(d.ctx, objects.Revocations, "filler", []byte(`{}`), revision)
+		if err != nil {
+			d.t.Fatal(err)
+		}
+		revision = o.Revision
+	}
+}
+
+// Guards against followers that all turn to a restored store, because the revisions of
+// their next relay are lower than those before.
+func TestFollowersOfRestoredStore(t *testing.T) {
+	deployLarge(t, 60, func(d *deployment) {
+		time.Sleep(10 * time.Second)
+		backup := d.store.Backup()
+		time.Sleep(copyAge)
+		d.restoreStore(backup)
+		time.Sleep(3 * copyAge)
+		relays := d.relays()
+		for i, c := range d.hosts {
+			if slices.Contains(relays, c) {
+				d.stop(i)
+			}
+		}
+		time.Sleep(copyAge)
+		d.store.Configure(configuration(2, d.limit))
+		time.Sleep(maxConfigurationDelay)
+		if with, running := d.countVersion(2); with != running {
+			t.Errorf("%d of %d hosts have the configuration that was written after the restore", with, running)
+		}
+		if n := len(d.relays()); n > 2*len(relays) {
+			t.Errorf("%d hosts follow the store after it went back, want at most twice the %d before", n, len(relays))
+		}
+	})
+}
--- a/daemon/internal/fleet/watch.go
+++ b/daemon/internal/fleet/watch.go
@@ -17,7 +17,9 @@
 	// watchTimeoutMargin is the time beyond its wait within which a watch must
 	// return. A watch may stop answering.
 	watchTimeoutMargin = 500 * time.Millisecond
-	// checkWait is the shortest time that a watch waits for a change.
+	// checkWait is the shortest time that a watch waits for a change. The first watch
+	// after a failed one waits no longer: if the store went back to an older copy
+	// meanwhile, its answer is the first sign of that.
 	checkWait = 50 * time.Millisecond
 	// callTimeout bounds other calls to the store.
 	callTimeout = 2 * time.Second
@@ -88,16 +90,18 @@
 // store no longer keeps the history or ctx ends.
 func (w watcher) follow(ctx context.Context, since objects.Revision, provenAt time.Time) {
 	pauses := backoff{limit: maxRetryPause}
+	failed := false
 	for ctx.Err() == nil {
 		requestedAt := w.now()
-		wait := w.waitAfter(requestedAt.Sub(provenAt))
+		wait := w.waitAfter(requestedAt.Sub(provenAt), failed)
 		watchCtx, cancel := context.WithTimeout(ctx, wait+watchTimeoutMargin)
 		snapshot, err := w.store.Watch(watchCtx, w.kind, since, wait)
 		cancel()
 		if errors.Is(err, objects.ErrCompacted) {
 			return
 		}
-		if err != nil {
+		failed = err != nil
+		if failed {
 			w.post(storeChange{kind: w.kind, err: err})
 			pauses.wait(ctx)
 			continue
@@ -119,8 +123,11 @@
 // waitAfter returns how long the next watch waits for a change. A watch that
 // reported a change proves the state at its start only, so the next one is shorter by
 // the age of that proof.
-func (w watcher) waitAfter(proofAge time.Duration) time.Duration {
+func (w watcher) waitAfter(proofAge time.Duration, failed bool) time.Duration {
 	wait := w.wait()
+	if failed {
+		return min(wait, checkWait)
+	}
 	return min(wait, max(wait-proofAge, checkWait))
 }
 
