Give each service two owner hosts at least

Where a service has fewer than twelve connections, one host owned all of them. When it was lost, all other hosts had nobody to send statements to until its registration ran out after 100 s.

With two owners the others ask the second one.

TestServiceHasMoreThanOneOwner failed before with "limit of 2 connections: got 1 owners"; TestSharesStayWithinLimit holds as it was.

--- a/daemon/internal/backend/forward.go
+++ b/daemon/internal/backend/forward.go
@@ -23,6 +23,9 @@
 	// ownerConnections is the number of connections to one server that an owner
 	// needs, so that open transactions do not block the other statements.
 	ownerConnections = 6
+	// minOwners is the number of owners that a service has at least, so that it is
+	// served when one of them is lost.
+	minOwners = 2
 	// maxOwnerTries is the number of owners that are asked in turn to run a
 	// statement.
 	maxOwnerTries = 3
@@ -136,7 +139,7 @@
 	if hosts <= 1 || connectionLimit/hosts >= minShare {
 		return 0
 	}
-	return max(1, connectionLimit/ownerConnections)
+	return max(min(minOwners, connectionLimit), connectionLimit/ownerConnections)
 }
 
 // ownerShare returns the number of connections to one server that an owner may
--- a/daemon/internal/backend/forward_test.go
+++ b/daemon/internal/backend/forward_test.go
@@ -101,6 +101,16 @@
 	}
 }
 
+// Guards against a service that is not served when the only host with connections to
+// it is lost.
+func TestServiceHasMoreThanOneOwner(t *testing.T) {
+	for limit := 2; limit <= 40; limit++ {
+		if n := OwnerCount(limit, 2*limit); n < 2 {
+			t.Errorf("limit of %d connections: got %d owners, want two or more", limit, n)
+		}
+	}
+}
+
 // Guards against a host without connections that opens some, or loses answers.
 func TestOwnerRunsStatements(t *testing.T) {
 	inForwarding(t, func(service *statementtest.Service, entry *Group, _, second *testOwner) {
--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -152,7 +152,7 @@
 		fairShare = ownerShare(s.ConnectionLimit, owners)
 	}
 	g.connectionsScarce.Store(fairShare < minShare)
-	g.connectionShare.Store(int32(max(min(minShare, s.ConnectionLimit), fairShare, 1)))
+	g.connectionShare.Store(int32(max(min(minShare, s.ConnectionLimit/max(owners, 1)), fairShare, 1)))
 }
 
 // SetServers replaces the set of registered servers of the service. It closes
