Keep hosts in the test of a new holder that vouches

TestNewHolderVouchesWhileStoreIsDown stops holders until one is not the relay. About once in 120 runs each holder in turn was the relay, until no host was left: "no host holds the promotion duty after 10 s". Stopped hosts now start again, and the test fails if it has no writer left to check.

--- a/daemon/internal/fleet/writelease_test.go
+++ b/daemon/internal/fleet/writelease_test.go
@@ -351,21 +351,33 @@
 			writers = append(writers, d.startWriter(i))
 		}
 		time.Sleep(5 * time.Second)
-		// The relay reads the store anyway, so another host has to take over.
+		// The relay reads the store anyway, so another host has to take over. Stopped
+		// hosts start again, so that hosts remain however often the relay takes over.
 		for isRelay := true; isRelay; {
-			d.stop(d.holder())
+			stopped := d.holder()
+			d.stop(stopped)
 			time.Sleep(lease.Duration + 2*time.Second)
 			c := d.hosts[d.holder()]
+			d.start(d.hosts[stopped].host)
+			time.Sleep(2 * time.Second)
 			isRelay = queryState(c, func() bool { return c.chooseRelay(c.now()) == "" })
 		}
 		time.Sleep(2 * time.Second)
 		d.store.SetDown(true)
 		time.Sleep(6 * time.Second)
+		checked := 0
 		for i, w := range writers {
-			if age := time.Since(w.last()); !d.stopped(i) && age > time.Second {
+			if d.stopped(i) {
+				continue
+			}
+			checked++
+			if age := time.Since(w.last()); age > time.Second {
 				t.Errorf("last write through host %d was %s ago, want writes while the store is down", i, age)
 			}
 		}
+		if checked == 0 {
+			t.Error("no host with a writer remained")
+		}
 		d.store.SetDown(false)
 		time.Sleep(time.Second)
 	})
