Keep to the announced stop of a server when the store goes back

A restored store may show a server that announced its stop as ready, or show one that left: until the server writes its entry again, statements went to it (DRAIN), and a server that had left was in use again.

Cause: an entry replaced what a host knew, although the announcement is final for the process that made it. Hosts now keep a draining server draining, and refuse one that left for ten minutes, as long as its start time is the same. A host that starts after the restore has nothing to keep; probes and the server's next heartbeat tell it.

TestAnnouncedStopIsFinal failed before on both points. The registry of servers moves from control.go to servers.go unchanged but for this.

--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -29,13 +29,6 @@
 // Timeouts and limits of the controller.
 const (
 	tickInterval = 100 * time.Millisecond
-	// lapseGracePeriod is how long a backend server remains in use after its entry
-	// lapsed without notice. Entries that lapsed while the store was unavailable
-	// are back within 2 s of its return.
-	lapseGracePeriod = 2500 * time.Millisecond
-	// lostServerRetention is how long a server that disappeared without notice
-	// counts as one whose log may hold acknowledged commits.
-	lostServerRetention = 30 * time.Second
 	// defaultHostCount is the number of hosts assumed until the registrations have
 	// been read.
 	defaultHostCount = 16
@@ -85,20 +78,6 @@
 	return route, g
 }
 
-// registeredServer is a backend server and the state of its entry in the store.
-type registeredServer struct {
-	server catalog.Server
-	// missingSince is when the entry lapsed; zero while the entry exists.
-	missingSince time.Time
-}
-
-// lostServer is a backend server that disappeared without notice. Its log may
-// hold commits that no other server has.
-type lostServer struct {
-	service string
-	lostAt  time.Time
-}
-
 // options are the settings and dependencies of a controller.
 type options struct {
 	host        string
@@ -145,10 +124,12 @@
 	// lastRegistered is when a new server of each service last registered.
 	lastRegistered map[string]time.Time
 	// lostServers holds the servers that disappeared without notice, by ID.
-	lostServers   map[string]lostServer
-	serversListed bool
-	draining      bool
-	hostCount     int
+	lostServers map[string]lostServer
+	// departedServers holds the servers that left after they had announced it, by ID.
+	departedServers map[string]departedServer
+	serversListed   bool
+	draining        bool
+	hostCount       int
 	// failingSince is when calls for each kind began to fail.
 	failingSince map[objects.Kind]time.Time
 
@@ -199,7 +180,7 @@
 func newController(o options) *controller {
 	c := &controller{
 		options: o, published: &PublishedView{}, events: make(chan func(), eventQueueSize),
-		groups: map[string]*backend.Group{}, servers: map[string]*registeredServer{}, lastRegistered: map[string]time.Time{}, lostServers: map[string]lostServer{}, hostCount: defaultHostCount,
+		groups: map[string]*backend.Group{}, servers: map[string]*registeredServer{}, lastRegistered: map[string]time.Time{}, lostServers: map[string]lostServer{}, departedServers: map[string]departedServer{}, hostCount: defaultHostCount,
 		failingSince: map[objects.Kind]time.Time{},
 		lease:        lease.New(o.host, o.incarnation, rand.N(maxTakeoverDelay)),
 		reports:      map[string]receivedReport{},
@@ -326,87 +307,6 @@
 	c.updateGroups()
 }
 
-func (c *controller) applyServers(ch storeChange) {
-	now := c.now()
-	seen := map[string]bool{}
-	for _, o := range ch.objects {
-		if o.Err != nil {
-			c.log.WithFields(logrus.Fields{"event": "server_skipped", "server": o.Name}).WithError(o.Err).
-				Warn("entry of a backend server could not be decoded; skipping it")
-			continue
-		}
-		if o.Deleted {
-			c.recordLapse(o.Name, now)
-			continue
-		}
-		seen[o.Name] = true
-		c.registerServer(*o.Server)
-	}
-	if ch.full {
-		c.serversListed = true
-		for id := range c.servers {
-			if !seen[id] {
-				c.recordLapse(id, now)
-			}
-		}
-	}
-	c.updateGroups()
-}
-
-func (c *controller) registerServer(s catalog.Server) {
-	old := c.servers[s.ID]
-	if old == nil {
-		c.lastRegistered[s.Service] = c.now()
-	}
-	if old == nil || old.server.Draining != s.Draining || old.server.Primary != s.Primary || old.server.StartedUnixMilli != s.StartedUnixMilli {
-		c.log.WithFields(logrus.Fields{"event": "server", "server": s.ID, "service": s.Service, "zone": s.Zone,
-			"draining": s.Draining, "claims_primary": s.Primary}).Info("backend server registered or its entry changed")
-	}
-	c.servers[s.ID] = &registeredServer{server: s}
-	delete(c.lostServers, s.ID)
-}
-
-// recordLapse records that an entry was deleted. A server that announced its
-// stop is removed with its entry. Any other server may only have lost contact
-// with the store.
-func (c *controller) recordLapse(id string, now time.Time) {
-	r := c.servers[id]
-	if r == nil {
-		return
-	}
-	c.log.WithFields(logrus.Fields{"event": "server_lapsed", "server": id, "draining": r.server.Draining}).
-		Info("entry of a backend server lapsed or was deleted")
-	if r.server.Draining {
-		delete(c.servers, id)
-		return
-	}
-	if r.missingSince.IsZero() {
-		r.missingSince = now
-	}
-}
-
-// removeLapsedServers removes the servers whose grace period has ended, and
-// forgets lost servers after lostServerRetention.
-func (c *controller) removeLapsedServers() {
-	now := c.now()
-	changed := false
-	for id, r := range c.servers {
-		if !r.missingSince.IsZero() && now.Sub(r.missingSince) >= lapseGracePeriod {
-			delete(c.servers, id)
-			c.lostServers[id] = lostServer{r.server.Service, now}
-			changed = true
-		}
-	}
-	for id, l := range c.lostServers {
-		if now.Sub(l.lostAt) >= lostServerRetention {
-			delete(c.lostServers, id)
-		}
-	}
-	if changed {
-		c.updateGroups()
-	}
-}
-
 // updateGroups passes the configuration and the servers to the groups.
 func (c *controller) updateGroups() {
 	if c.configuration == nil {
@@ -441,23 +341,6 @@
 	c.published.view.Store(&View{Configuration: c.configuration, Groups: c.groups, ServersListed: c.serversListed, Draining: c.draining})
 }
 
-// countPossibleCommitHolders returns the number of servers of a service whose
-// logs may hold acknowledged commits.
-func (c *controller) countPossibleCommitHolders(service string) int {
-	n := 0
-	for _, r := range c.servers {
-		if r.server.Service == service {
-			n++
-		}
-	}
-	for _, l := range c.lostServers {
-		if l.service == service {
-			n++
-		}
-	}
-	return n
-}
-
 // decode parses the JSON value of an object written by a host, and reports
 // whether it succeeded.
 func decode(value []byte, to any) bool { return json.Unmarshal(value, to) == nil }
--- a/daemon/internal/fleet/restore_test.go
+++ b/daemon/internal/fleet/restore_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
 )
@@ -140,3 +141,32 @@
 		}
 	})
 }
+
+// Guards against a server that announced its stop, or has left, and is used again
+// because the store went back to an older entry.
+func TestAnnouncedStopIsFinal(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		c := d.hosts[0]
+		ready := catalog.Server{ID: "x", Service: "service", Address: "x:1", Zone: "a", StatementLimit: 1, StartedUnixMilli: 7}
+		draining, restarted := ready, ready
+		draining.Draining, restarted.StartedUnixMilli = true, 8
+		apply := func(s catalog.Server, deleted bool) {
+			o := objects.Object{Name: s.ID, Server: &s, Deleted: deleted}
+			c.applyServers(storeChange{kind: objects.Servers, objects: []objects.Object{o}})
+		}
+		known := func(s catalog.Server, deleted bool) *registeredServer {
+			return queryState(c, func() *registeredServer { apply(s, deleted); return c.servers["x"] })
+		}
+		known(draining, false)
+		if r := known(ready, false); r == nil || !r.server.Draining {
+			t.Errorf("got %+v for a server that announced its stop, want it draining", r)
+		}
+		known(draining, true)
+		if r := known(ready, false); r != nil {
+			t.Errorf("got %+v for a server that left, want none", r)
+		}
+		if r := known(restarted, false); r == nil || r.server.Draining {
+			t.Errorf("got %+v for a server that started again, want it in use", r)
+		}
+	})
+}
--- /dev/null
+++ b/daemon/internal/fleet/servers.go
@@ -0,0 +1,163 @@
+package fleet
+
+import (
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+)
+
+// The announcement of a stop is final: the process that made it does not serve again.
+// A store that went back to an older copy may show the entry from before it.
+
+// Periods for which servers that disappeared are remembered.
+const (
+	// lapseGracePeriod is how long a backend server remains in use after its entry
+	// lapsed without notice. Entries that lapsed while the store was unavailable
+	// are back within 2 s of its return.
+	lapseGracePeriod = 2500 * time.Millisecond
+	// lostServerRetention is how long a server that disappeared without notice
+	// counts as one whose log may hold acknowledged commits.
+	lostServerRetention = 30 * time.Second
+	// departedServerRetention is how long a server that left after it had announced it
+	// is refused. It exceeds the age of the copies to which a store goes back.
+	departedServerRetention = 10 * time.Minute
+)
+
+// registeredServer is a backend server and the state of its entry in the store.
+type registeredServer struct {
+	server catalog.Server
+	// missingSince is when the entry lapsed; zero while the entry exists.
+	missingSince time.Time
+}
+
+// lostServer is a backend server that disappeared without notice. Its log may
+// hold commits that no other server has.
+type lostServer struct {
+	service string
+	lostAt  time.Time
+}
+
+// departedServer is a backend server that left after it had announced it.
+type departedServer struct {
+	startedUnixMilli int64
+	leftAt           time.Time
+}
+
+func (c *controller) applyServers(ch storeChange) {
+	now := c.now()
+	seen := map[string]bool{}
+	for _, o := range ch.objects {
+		if o.Err != nil {
+			c.log.WithFields(logrus.Fields{"event": "server_skipped", "server": o.Name}).WithError(o.Err).
+				Warn("entry of a backend server could not be decoded; skipping it")
+			continue
+		}
+		if o.Deleted {
+			c.recordLapse(o.Name, now)
+			continue
+		}
+		seen[o.Name] = true
+		c.registerServer(*o.Server)
+	}
+	if ch.full {
+		c.serversListed = true
+		for id := range c.servers {
+			if !seen[id] {
+				c.recordLapse(id, now)
+			}
+		}
+	}
+	c.updateGroups()
+}
+
+func (c *controller) registerServer(s catalog.Server) {
+	old := c.servers[s.ID]
+	if left, departed := c.departedServers[s.ID]; departed && isSameStart(left.startedUnixMilli, s) {
+		return
+	}
+	if old != nil && old.server.Draining && isSameStart(old.server.StartedUnixMilli, s) {
+		s.Draining = true
+	}
+	if old == nil {
+		c.lastRegistered[s.Service] = c.now()
+	}
+	if old == nil || old.server.Draining != s.Draining || old.server.Primary != s.Primary || old.server.StartedUnixMilli != s.StartedUnixMilli {
+		c.log.WithFields(logrus.Fields{"event": "server", "server": s.ID, "service": s.Service, "zone": s.Zone,
+			"draining": s.Draining, "claims_primary": s.Primary}).Info("backend server registered or its entry changed")
+	}
+	c.servers[s.ID] = &registeredServer{server: s}
+	delete(c.lostServers, s.ID)
+	delete(c.departedServers, s.ID)
+}
+
+// isSameStart reports whether the entry is from the process that started at the given
+// time, in Unix milliseconds. A process whose start is unknown counts as another one.
+func isSameStart(startedUnixMilli int64, s catalog.Server) bool {
+	return startedUnixMilli != 0 && startedUnixMilli == s.StartedUnixMilli
+}
+
+// recordLapse records that an entry was deleted. A server that announced its
+// stop is removed with its entry. Any other server may only have lost contact
+// with the store.
+func (c *controller) recordLapse(id string, now time.Time) {
+	r := c.servers[id]
+	if r == nil {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"event": "server_lapsed", "server": id, "draining": r.server.Draining}).
+		Info("entry of a backend server lapsed or was deleted")
+	if r.server.Draining {
+		delete(c.servers, id)
+		c.departedServers[id] = departedServer{r.server.StartedUnixMilli, now}
+		return
+	}
+	if r.missingSince.IsZero() {
+		r.missingSince = now
+	}
+}
+
+// removeLapsedServers removes the servers whose grace period has ended, and
+// forgets lost and departed servers after their retention.
+func (c *controller) removeLapsedServers() {
+	now := c.now()
+	changed := false
+	for id, r := range c.servers {
+		if !r.missingSince.IsZero() && now.Sub(r.missingSince) >= lapseGracePeriod {
+			delete(c.servers, id)
+			c.lostServers[id] = lostServer{r.server.Service, now}
+			changed = true
+		}
+	}
+	for id, l := range c.lostServers {
+		if now.Sub(l.lostAt) >= lostServerRetention {
+			delete(c.lostServers, id)
+		}
+	}
+	for id, left := range c.departedServers {
+		if now.Sub(left.leftAt) >= departedServerRetention {
+			delete(c.departedServers, id)
+		}
+	}
+	if changed {
+		c.updateGroups()
+	}
+}
+
+// countPossibleCommitHolders returns the number of servers of a service whose
+// logs may hold acknowledged commits.
+func (c *controller) countPossibleCommitHolders(service string) int {
+	n := 0
+	for _, r := range c.servers {
+		if r.server.Service == service {
+			n++
+		}
+	}
+	for _, l := range c.lostServers {
+		if l.service == service {
+			n++
+		}
+	}
+	return n
+}
