Keep hosts registered when the store goes back

A restored store forgets hosts that registered within the lost seconds. Until their next renewal, up to 30 s later, the others shared connections among fewer hosts and did not ask them to confirm revocations; a host that had left was listed again and counted as live for 100 s.

Cause: hosts took the presence and the revision of a registration for a sign of life.

--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -166,7 +166,10 @@
 	// revocationsReadAt is when the last successful read of the stored revocations
 	// was sent.
 	revocationsReadAt time.Time
-	registrations     *registrationAges
+	registrations     *hostRegistry
+	// registrationLost receives a value when the store may have forgotten the
+	// registration of this host.
+	registrationLost chan struct{}
 	// dutyHeldUntil is the time until which this host certainly holds the
 	// promotion duty with the token in dutyToken.
 	dutyHeldUntil atomic.Int64
@@ -188,7 +191,7 @@
 		polls:        map[string]*peerPoll{},
 		feed:         newFeed(o.host+"/"+o.incarnation, o.now),
 		followState:  followState{counted: make(chan struct{})},
-		writeLease:   o.groups.WriteLease, vouching: &vouching{}, registrations: &registrationAges{},
+		writeLease:   o.groups.WriteLease, vouching: &vouching{}, registrations: &hostRegistry{}, registrationLost: make(chan struct{}, 1),
 	}
 	c.publish()
 	return c
@@ -276,6 +279,10 @@
 	}
 	c.log.WithFields(logrus.Fields{"event": "store_restored", "era": era, "before": before}).
 		Warn("object store went back to an older copy; what was written since is lost")
+	select {
+	case c.registrationLost <- struct{}{}:
+	default:
+	}
 }
 
 func (c *controller) recordStoreFailure(ch storeChange) {
--- a/daemon/internal/fleet/registration.go
+++ b/daemon/internal/fleet/registration.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"sync"
+	"math/rand/v2"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -17,9 +17,9 @@
 const (
 	// registerInterval is the time between renewals of a host's registration.
 	registerInterval = 30 * time.Second
-	// registrationMaxAge is the time since the last renewal of its registration
-	// after which a host does not count as live.
-	registrationMaxAge = 100 * time.Second
+	// maxReregisterDelay bounds the random delay before hosts register again after the
+	// store went back, which they all notice at about the same time.
+	maxReregisterDelay = 500 * time.Millisecond
 	// countInterval is the time between counts of the hosts. The first counts use
 	// firstCountPauses instead, since hosts start at about the same time.
 	countInterval = 10 * time.Second
@@ -37,6 +37,12 @@
 	Renewal int `json:"renewal"`
 }
 
+// renews reports whether the registration is a later one than old, or of another
+// process.
+func (r registration) renews(old registration) bool {
+	return r.Incarnation != old.Incarnation || r.Renewal > old.Renewal
+}
+
 // maintainRegistration renews the registration of this host and counts the
 // registered hosts.
 func (c *controller) maintainRegistration(ctx context.Context) {
@@ -60,7 +66,12 @@
 		if i < len(firstCountPauses) {
 			pause = firstCountPauses[i]
 		}
-		if retry.Sleep(ctx, pause) != nil {
+		select {
+		case <-time.After(pause):
+		case <-c.registrationLost:
+			renewed = time.Time{}
+			_ = retry.Sleep(ctx, rand.N(maxReregisterDelay))
+		case <-ctx.Done():
 			return
 		}
 		c.countHosts(ctx)
@@ -96,36 +107,8 @@
 	return o.Revision, err
 }
 
-// registrationAges tells which registered hosts are live. It is safe for
-// concurrent use.
-type registrationAges struct {
-	mu   sync.Mutex
-	seen map[string]revisionSeen
-}
-
-// revisionSeen is a revision of a registration and when it was first seen.
-type revisionSeen struct {
-	revision    objects.Revision
-	firstSeenAt time.Time
-}
-
-// isLive reports whether the registration was renewed within registrationMaxAge,
-// as far as this host can tell.
-func (a *registrationAges) isLive(o objects.Object, now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.seen == nil {
-		a.seen = map[string]revisionSeen{}
-	}
-	if s := a.seen[o.Name]; s.revision < o.Revision {
-		a.seen[o.Name] = revisionSeen{o.Revision, now}
-	}
-	return now.Sub(a.seen[o.Name].firstSeenAt) < registrationMaxAge
-}
-
 // countHosts counts the hosts whose registration was renewed within
-// registrationMaxAge, and updates the list of peers. A host is live even if its
-// registration cannot be decoded. countHosts returns the revision of the
+// registrationMaxAge, and updates the list of peers. It returns the revision of the
 // registration of this host, or 0 if there is none.
 func (c *controller) countHosts(ctx context.Context) (own objects.Revision) {
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
@@ -141,16 +124,15 @@
 		if o.Name == c.host {
 			own = o.Revision
 		}
-		if !c.registrations.isLive(o, now) {
-			continue
-		}
+	}
+	for name, r := range c.registrations.observe(snapshot, now) {
 		count++
-		var r registration
-		if o.Name != c.host && decode(o.Value, &r) {
-			peers[o.Name] = peerHost{address: r.PeerAddress, zone: r.Zone}
+		if name != c.host && r.PeerAddress != "" {
+			peers[name] = peerHost{address: r.PeerAddress, zone: r.Zone}
 		}
 	}
 	c.post(ctx, func() {
+		c.observeEra(snapshot.Revision)
 		c.peers = peers
 		c.followState.peers.Store(&peers)
 		if count > 0 && count == c.hostCount {
--- a/daemon/internal/fleet/revoke.go
+++ b/daemon/internal/fleet/revoke.go
@@ -52,7 +52,7 @@
 	// predecessors holds the earlier holders that may still vouch.
 	predecessors []string
 	// registrations tells which registered hosts are live.
-	registrations *registrationAges
+	registrations *hostRegistry
 	now           func() time.Time
 	// holdsDuty reports whether this host still holds the promotion duty.
 	holdsDuty func() bool
@@ -162,27 +162,23 @@
 	if err != nil {
 		return err
 	}
-	r.recordHosts(snapshot.Objects, term, recordedAt)
+	r.recordHosts(snapshot, term, recordedAt)
 	return nil
 }
 
 // recordHosts records that the revocation of the term was stored, and the hosts
 // that must confirm it, which were listed later.
-func (r *revocation) recordHosts(registered []objects.Object, term group.Term, recordedAt time.Time) {
+func (r *revocation) recordHosts(list objects.Snapshot, term group.Term, recordedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if term != r.term {
 		return
 	}
-	now := r.now()
 	r.unconfirmed, r.confirmed = map[string]string{}, map[string]bool{}
-	for _, o := range registered {
-		if o.Name == r.host || !r.registrations.isLive(o, now) {
-			continue
+	for name, registered := range r.registrations.observe(list, r.now()) {
+		if name != r.host {
+			r.unconfirmed[name] = registered.PeerAddress
 		}
-		var registered registration
-		decode(o.Value, &registered)
-		r.unconfirmed[o.Name] = registered.PeerAddress
 	}
 	r.progress.RecordedAt, r.progress.HostsListed = recordedAt, true
 }
