Keep write leases safe when the store goes back

Cause: a host may use a primary because the store proved that nothing was revoked, and a holder orders a promotion once all registered hosts confirmed. A restored store forgets revocations and registrations, but still proves and lists: a host that starts then uses the replaced primary, and a host that was forgotten is not waited for.

Change: proofs and registrations belong to an era of the store; a proof renews a lease only if the host is registered in its era. The store proves leases only once its revocations are marked as complete in its era. Hosts that had a valid lease write back what was forgotten and set the mark: the last holder at once, others once no earlier holder can order any more. In a new era the holder does not trust the list of hosts before the leases of forgotten ones have expired.

Lease tests name the fields of a proof; their checks are as before. The model of the lease does not play restores yet.

--- a/core/lease/lease.go
+++ b/core/lease/lease.go
@@ -155,6 +155,9 @@
 // is required.
 func (m *Machine) RenewedAt() time.Time { return m.renewedAt }
 
+// Era returns the era of the store in which the last known record was read.
+func (m *Machine) Era() uint64 { return m.revision.Era() }
+
 // Predecessors returns the names of the earlier holders in the last known record.
 func (m *Machine) Predecessors() []string { return m.record.Predecessors }
 
--- a/core/writelease/model_test.go
+++ b/core/writelease/model_test.go
@@ -174,13 +174,13 @@
 func (h *modelHost) register(t *rapid.T) {
 	sentAt := h.m.now
 	request(t, h, nil, func() bool { h.m.store.registered[h.index] = true; return true },
-		func(bool) { h.lease.SetRegistered(sentAt, h.m.now) })
+		func(bool) { h.lease.SetRegistered(sentAt, h.m.now, 0) })
 }
 
 func (h *modelHost) proveByStore(t *rapid.T) {
 	sentAt := h.m.now
 	request(t, h, nil, func() group.Term { return h.m.store.revoked }, func(term group.Term) {
-		h.lease.Renew(sentAt, Revocations{modelService: term})
+		h.lease.Renew(Proof{RequestedAt: sentAt, Revoked: Revocations{modelService: term}})
 		h.revocationsReadAt = sentAt
 	})
 }
@@ -193,14 +193,14 @@
 func (h *modelHost) proveByPeer(t *rapid.T, peer *modelHost) {
 	sentAt := h.m.now
 	request(t, h, peer, func() modelProof {
-		provenAt, revoked := peer.lease.Proof()
+		proof := peer.lease.Proof()
 		if peer.vouches() {
-			provenAt = h.m.now
+			proof.RequestedAt = h.m.now
 		}
-		return modelProof{h.m.now.Sub(provenAt), revoked}
+		return modelProof{h.m.now.Sub(proof.RequestedAt), proof.Revoked}
 	}, func(p modelProof) {
 		if p.age < Duration {
-			h.lease.Renew(sentAt.Add(-p.age), p.revoked)
+			h.lease.Renew(Proof{RequestedAt: sentAt.Add(-p.age), Revoked: p.revoked})
 		}
 	})
 }
--- a/core/writelease/writelease.go
+++ b/core/writelease/writelease.go
@@ -19,6 +19,13 @@
 // are merged by taking the higher term and are never withdrawn, so the order in
 // which they arrive does not matter.
 //
+// The store may go back to an older copy of itself and forget revocations and
+// registrations. Proofs and registrations belong to an era of the store, see
+// objects.Revision, and a proof renews the lease of a host only if both are of the
+// same era. A lease that was renewed before keeps its duration, so the holder waits
+// for it. Revocations that hosts remember are written back before the store proves
+// leases again.
+//
 // Times are those of one host's clock, which must also advance while the host is
 // suspended. The clocks of hosts are never compared: ages count from when the
 // request for a proof was sent.
@@ -68,11 +75,26 @@
 	return known && term <= revoked
 }
 
+// Proof is a proof that no primary was replaced without the revocations.
+type Proof struct {
+	// RequestedAt is not later than the time at which the proof was made.
+	RequestedAt time.Time
+	// Era is the era of the store in which it was made.
+	Era uint64
+	// Revoked holds the revocations known at the time.
+	Revoked Revocations
+}
+
 // Lease is the write lease of one host. It is safe for concurrent use.
 type Lease struct {
-	mu       sync.Mutex
-	provenAt time.Time
-	revoked  Revocations
+	mu sync.Mutex
+	// proof is the latest proof of the latest era, to be passed on.
+	proof Proof
+	// renewedAt is the time of the latest proof that renewed the lease.
+	renewedAt time.Time
+	revoked   Revocations
+	// registeredEra is the era in which the registration was written.
+	registeredEra uint64
 	// registeredAt is when the last successful write of the registration was sent.
 	registeredAt time.Time
 	// registeredSince is when the host was first known to be registered, without a
@@ -85,14 +107,20 @@
 func New() *Lease { return &Lease{revoked: Revocations{}} }
 
 // SetRegistered records a successful write of the host's registration, which was
-// sent and confirmed at the given times.
-func (l *Lease) SetRegistered(sentAt, confirmedAt time.Time) {
+// sent and confirmed at the given times, in an era of the store.
+func (l *Lease) SetRegistered(sentAt, confirmedAt time.Time, era uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if sentAt.Sub(l.registeredAt) >= RegistrationValidity {
+	switch {
+	case era < l.registeredEra:
+		return
+	case sentAt.Sub(l.registeredAt) >= RegistrationValidity:
+		l.registeredSince = confirmedAt
+		l.renewedAt = time.Time{}
+	case era > l.registeredEra:
 		l.registeredSince = confirmedAt
 	}
-	l.registeredAt = sentAt
+	l.registeredAt, l.registeredEra = sentAt, era
 }
 
 // IsRegistered reports whether the registration of the host is valid.
@@ -103,13 +131,16 @@
 }
 
 // Renew extends the lease by a proof and records the revocations that came with
-// it. requestedAt must not be later than the time at which the proof was made.
-func (l *Lease) Renew(requestedAt time.Time, revoked Revocations) {
+// it. A proof from before the registration, or of another era, does not extend it.
+func (l *Lease) Renew(p Proof) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.revoked.Merge(revoked)
-	if requestedAt.After(l.provenAt) {
-		l.provenAt = requestedAt
+	l.revoked.Merge(p.Revoked)
+	if p.Era > l.proof.Era || p.Era == l.proof.Era && p.RequestedAt.After(l.proof.RequestedAt) {
+		l.proof = Proof{RequestedAt: p.RequestedAt, Era: p.Era}
+	}
+	if p.Era == l.registeredEra && !p.RequestedAt.Before(l.registeredSince) && p.RequestedAt.After(l.renewedAt) {
+		l.renewedAt = p.RequestedAt
 	}
 }
 
@@ -136,7 +167,7 @@
 }
 
 func (l *Lease) valid(now time.Time) bool {
-	return now.Sub(l.provenAt) < Duration && now.Sub(l.registeredAt) < RegistrationValidity && !l.provenAt.Before(l.registeredSince)
+	return now.Sub(l.renewedAt) < Duration && now.Sub(l.registeredAt) < RegistrationValidity
 }
 
 // IsRevoked reports whether the term of the service is revoked.
@@ -150,15 +181,15 @@
 func (l *Lease) Age(now time.Time) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return now.Sub(l.provenAt)
+	return now.Sub(l.proof.RequestedAt)
 }
 
-// Proof returns the time of the latest proof and all known revocations, to be
-// passed on to another host.
-func (l *Lease) Proof() (time.Time, Revocations) {
+// Proof returns the latest proof with all known revocations, to be passed on to
+// another host.
+func (l *Lease) Proof() Proof {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.provenAt, maps.Clone(l.revoked)
+	return Proof{RequestedAt: l.proof.RequestedAt, Era: l.proof.Era, Revoked: maps.Clone(l.revoked)}
 }
 
 // CanVouch reports whether a holder that last renewed the promotion lease at
@@ -181,6 +212,9 @@
 	// did; zero if there was none.
 	SilentPredecessor       bool
 	PredecessorsConfirmedAt time.Time
+	// EraSeenAt is when this host first saw the present era of the store. The list lacks
+	// hosts that the store has forgotten, whose leases may be valid for Duration more.
+	EraSeenAt time.Time
 	// TookOverAt is when this host took over the promotion duty.
 	TookOverAt time.Time
 }
@@ -192,7 +226,7 @@
 		return true
 	case p.RecordedAt.IsZero():
 		return false
-	case p.HostsListed && p.Unconfirmed == 0:
+	case p.HostsListed && p.Unconfirmed == 0 && now.Sub(p.EraSeenAt) >= Duration+SendMargin:
 		return true
 	default:
 		return now.Sub(p.lastProofAt()) >= Duration+SendMargin
--- a/daemon/internal/backend/writelease_test.go
+++ b/daemon/internal/backend/writelease_test.go
@@ -21,8 +21,8 @@
 // has been verified.
 func leasedGroup(t *testing.T, service *statementtest.Service) (*Group, *writelease.Lease) {
 	lease := writelease.New()
-	lease.SetRegistered(time.Now(), time.Now())
-	lease.Renew(time.Now(), nil)
+	lease.SetRegistered(time.Now(), time.Now(), 0)
+	lease.Renew(writelease.Proof{RequestedAt: time.Now()})
 	g := NewGroup("service", Options{Backends: statementtest.Backends{service}, Recorder: &countingRecorder{}, Now: time.Now, Zone: "a", WriteLease: lease})
 	g.SetService(catalog.Service{Name: "service", ConnectionLimit: 8}, 1)
 	g.SetServers(service.Catalog())
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -139,6 +139,10 @@
 	wasHolding       bool
 	// storeEra is the highest era of the store that this host has seen.
 	storeEra uint64
+	// eraSeenAt is when this host first saw the store in that era, and leasedEra is that
+	// era if the host had a valid write lease from an earlier one then.
+	eraSeenAt time.Time
+	leasedEra uint64
 	// dutyUnconfirmed is true after the loss of the confirmation was logged.
 	dutyUnconfirmed bool
 	// leaseErr is the error of the last lease call; nil if it succeeded.
@@ -163,10 +167,12 @@
 	writeLease   *writelease.Lease
 	leaseRenewal leaseRenewal
 	vouching     *vouching
-	// revocationsReadAt is when the last successful read of the stored revocations
-	// was sent.
-	revocationsReadAt time.Time
-	registrations     *hostRegistry
+	// revocationsReadAt is when the last successful read of the complete stored
+	// revocations was sent, and revocationsReadEra the era of the store then.
+	revocationsReadAt     time.Time
+	revocationsReadEra    uint64
+	completingRevocations bool
+	registrations         *hostRegistry
 	// registrationLost receives a value when the store may have forgotten the
 	// registration of this host.
 	registrationLost chan struct{}
@@ -272,7 +278,10 @@
 		return
 	}
 	before := c.storeEra
-	c.storeEra = era
+	c.storeEra, c.eraSeenAt = era, c.now()
+	if before != 0 && c.writeLease != nil && c.writeLease.Valid(c.now()) {
+		c.leasedEra = era
+	}
 	c.scope.Gauge("store_era").Update(float64(era))
 	if before == 0 {
 		return
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -62,6 +63,10 @@
 	size, zones int
 	// lost holds the hosts that a test took away.
 	lost map[string]bool
+	// restores makes random faults include a store that goes back to one of the
+	// backups; nil if it does not.
+	restores *rand.Rand
+	backups  []objectstest.Backup
 
 	mu sync.Mutex
 	// draining holds the servers that announced their stop.
--- a/daemon/internal/fleet/registration.go
+++ b/daemon/internal/fleet/registration.go
@@ -58,7 +58,7 @@
 			if revision, err = c.writeRegistration(ctx, renewals, revision); err == nil {
 				renewed = c.now()
 				if c.writeLease != nil {
-					c.writeLease.SetRegistered(sentAt, renewed)
+					c.writeLease.SetRegistered(sentAt, renewed, revision.Era())
 				}
 			}
 		}
--- a/daemon/internal/fleet/restore_test.go
+++ b/daemon/internal/fleet/restore_test.go
@@ -1,11 +1,14 @@
 package fleet
 
 import (
+	"fmt"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
 )
@@ -170,3 +173,104 @@
 		}
 	})
 }
+
+// Guards against writes to a replaced primary through a host that starts after the
+// store forgot the revocation of that primary.
+func TestReplacedPrimaryIsNotUsedAfterRestore(t *testing.T) {
+	deployLeased(t, func(d *deployment) {
+		holder := d.holder()
+		backup := d.store.Backup()
+		d.split("s1", indexesBut(2, holder)...)
+		time.Sleep(9 * time.Second)
+		if d.service.Promotions() != 1 {
+			t.Fatalf("got %d promotions, want one", d.service.Promotions())
+		}
+		d.restoreStore(backup)
+		for _, other := range []string{"s2", "s3"} {
+			d.network.setCut("late", other, true)
+			d.network.setCut(other, "late", true)
+		}
+		d.startWriter(d.start("late"))
+		time.Sleep(9 * time.Second)
+		d.checkNoSplitCommits()
+	})
+}
+
+// Guards against a promotion that does not wait for a host whose registration the
+// store forgot, and that still has a lease for the replaced primary.
+func TestForgottenHostIsWaitedForAfterRestore(t *testing.T) {
+	deployLeased(t, func(d *deployment) {
+		d.holder()
+		backup := d.store.Backup()
+		late := d.start("late")
+		d.startWriter(late)
+		time.Sleep(2 * time.Second)
+		d.restoreStore(backup)
+		d.split("s1", late)
+		time.Sleep(15 * time.Second)
+		if d.service.Promotions() != 1 {
+			t.Errorf("got %d promotions, want one", d.service.Promotions())
+		}
+		d.checkNoSplitCommits()
+	})
+}
+
+// Guards against commits of replaced primaries when the store goes back amid random
+// partitions, outages, restarts of hosts and lost servers.
+func TestNoSplitCommitsUnderRandomRestores(t *testing.T) {
+	for seed := range uint64(16) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			deployLeased(t, func(d *deployment) {
+				rng := rand.New(rand.NewPCG(seed, 1))
+				d.restores = rng
+				d.playRandomFaults(rng)
+			})
+		})
+	}
+}
+
+// injectRestore makes the store take a copy of itself, or go back to the last one.
+func (d *deployment) injectRestore() {
+	switch {
+	case d.restores == nil:
+	case d.restores.IntN(3) == 0:
+		d.backups = append(d.backups, d.store.Backup())
+	case d.restores.IntN(4) == 0 && len(d.backups) > 0:
+		d.store.Restore(d.backups[len(d.backups)-1])
+	}
+}
+
+// Guards against a host that declares the revocations of a restored store complete
+// while it, or a holder that may still order a promotion, knows more.
+func TestRevocationsAreCompletedByHostsThatKnowThem(t *testing.T) {
+	now := time.Unix(1000, 0)
+	stored := storedRevocations{era: 2, completeEra: 1}
+	record := func(holder string, predecessors ...string) lease.Record {
+		return lease.Record{Holder: holder, Incarnation: "1", Era: 2, Predecessors: predecessors}
+	}
+	for _, tt := range []struct {
+		name     string
+		record   lease.Record
+		hadLease bool
+		since    time.Duration
+		want     bool
+	}{
+		{"last holder with a lease", record("a"), true, 0, true},
+		{"holder after an unknown one", record("a", lease.UnknownHolder), true, 0, false},
+		{"host with a lease, at once", record("b"), true, 0, false},
+		{"host with a lease, later", record("b"), true, lease.Duration + promoteTimeout, true},
+		{"host without a lease", record("b"), false, time.Minute, false},
+		{"holder without a lease, soon", record("a"), false, revocationSettleTime - 1, false},
+		{"holder without a lease, later", record("a"), false, revocationSettleTime, true},
+	} {
+		c := newController(options{host: "a", incarnation: "1", now: func() time.Time { return now.Add(tt.since) }})
+		c.storeEra, c.eraSeenAt = 2, now
+		if tt.hadLease {
+			c.leasedEra = 2
+		}
+		c.lease.Observe(now, tt.record, objects.NewRevision(2, 9))
+		if got := c.mayCompleteRevocations(stored); got != tt.want {
+			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
+		}
+	}
+}
--- a/daemon/internal/fleet/writelease.go
+++ b/daemon/internal/fleet/writelease.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"sync/atomic"
 	"time"
@@ -31,12 +30,6 @@
 	randomSources = 2
 )
 
-// revocationRecord is the stored form of the revocation of a service.
-type revocationRecord struct {
-	// Term is the highest revoked term.
-	Term group.Term `json:"term"`
-}
-
 // leaseRenewal is the state of the renewal of the write lease.
 type leaseRenewal struct {
 	// pending counts the requests for proofs that have not ended.
@@ -48,14 +41,27 @@
 	valid bool
 }
 
-// vouching is the time until which this host, as the holder of the promotion
-// duty, may prove the leases of other hosts. It is safe for concurrent use.
-type vouching struct{ untilNanos atomic.Int64 }
+// vouching is the time until which this host, as the holder of the promotion duty,
+// may prove the leases of other hosts, and the era in which it holds the duty. It is
+// safe for concurrent use.
+type vouching struct{ current atomic.Pointer[vouch] }
 
-func (v *vouching) set(until time.Time) { v.untilNanos.Store(until.UnixNano()) }
-func (v *vouching) clear()              { v.untilNanos.Store(0) }
+type vouch struct {
+	until time.Time
+	era   uint64
+}
 
-func (v *vouching) allowed(now time.Time) bool { return now.UnixNano() < v.untilNanos.Load() }
+func (v *vouching) set(until time.Time, era uint64) { v.current.Store(&vouch{until, era}) }
+func (v *vouching) clear()                          { v.current.Store(nil) }
+
+// allowed returns the era for which the host vouches now, if it does.
+func (v *vouching) allowed(now time.Time) (era uint64, ok bool) {
+	current := v.current.Load()
+	if current == nil || !now.Before(current.until) {
+		return 0, false
+	}
+	return current.era, true
+}
 
 // stepWriteLease renews the write lease of this host, and updates whether it may
 // vouch for others.
@@ -105,7 +111,7 @@
 // mustReadRevocations reports whether this host holds the promotion duty and has
 // not read what earlier holders revoked. It does not vouch before that.
 func (c *controller) mustReadRevocations() bool {
-	return c.lease.Holding() && !c.revocationsReadAt.After(c.lease.ClaimedAt())
+	return c.lease.Holding() && (!c.revocationsReadAt.After(c.lease.ClaimedAt()) || c.revocationsReadEra != c.lease.Era())
 }
 
 // updateVouching lets this host vouch while it holds the promotion duty. It must
@@ -115,8 +121,8 @@
 		c.vouching.clear()
 		return
 	}
-	c.vouching.set(c.lease.RenewedAt().Add(writelease.VouchPeriod))
-	c.writeLease.Renew(now, nil)
+	c.vouching.set(c.lease.RenewedAt().Add(writelease.VouchPeriod), c.lease.Era())
+	c.writeLease.Renew(writelease.Proof{RequestedAt: now, Era: c.lease.Era()})
 }
 
 // recordWriteLease updates the metrics of the lease, and logs when it is lost or
@@ -173,28 +179,27 @@
 	return sources
 }
 
-// proveByStore reads the stored revocations.
+// proveByStore reads the stored revocations. They prove nothing while the store may
+// have forgotten some of them.
 func (c *controller) proveByStore(ctx context.Context, requestedAt time.Time) {
 	snapshot, err := c.store.List(ctx, objects.Revocations, false)
 	if err != nil {
 		return
 	}
-	c.writeLease.Renew(requestedAt, c.decodeRevocations(snapshot.Objects))
-	c.post(ctx, func() { c.revocationsReadAt = requestedAt })
-}
-
-func (c *controller) decodeRevocations(stored []objects.Object) writelease.Revocations {
-	out := writelease.Revocations{}
-	for _, o := range stored {
-		var r revocationRecord
-		if !decode(o.Value, &r) {
-			c.log.WithFields(logrus.Fields{"event": "revocation_skipped", "service": o.Name, "revision": o.Revision}).
-				Error("stored revocation could not be decoded; ignoring it until it is written again")
-			continue
-		}
-		out[o.Name] = r.Term
+	stored := c.decodeRevocations(snapshot)
+	if !stored.complete() {
+		c.writeLease.Revoke(stored.revoked)
+		c.post(ctx, func() {
+			c.observeEra(snapshot.Revision)
+			c.completeRevocations(stored)
+		})
+		return
 	}
-	return out
+	c.writeLease.Renew(writelease.Proof{RequestedAt: requestedAt, Era: stored.era, Revoked: stored.revoked})
+	c.post(ctx, func() {
+		c.observeEra(snapshot.Revision)
+		c.revocationsReadAt, c.revocationsReadEra = requestedAt, stored.era
+	})
 }
 
 // proveByPeer returns a source that asks another host.
@@ -220,7 +225,9 @@
 		c.writeLease.Revoke(revoked)
 		return
 	}
-	c.writeLease.Renew(requestedAt.Add(-time.Duration(r.GetAgeUs())*time.Microsecond), revoked)
+	c.writeLease.Renew(writelease.Proof{
+		RequestedAt: requestedAt.Add(-time.Duration(r.GetAgeUs()) * time.Microsecond), Era: r.GetEra(), Revoked: revoked,
+	})
 }
 
 // applyRevocations makes the groups forget primaries that have been revoked.
@@ -238,13 +245,13 @@
 	}
 	// The order matters: a revocation that is recorded between the two is passed on.
 	now := s.now()
-	vouches := s.vouching.allowed(now)
-	provenAt, revoked := s.writeLease.Proof()
-	if vouches {
-		provenAt = now
+	era, vouches := s.vouching.allowed(now)
+	proof := s.writeLease.Proof()
+	if vouches && era >= proof.Era {
+		proof.RequestedAt, proof.Era = now, era
 	}
-	response := &peerapi.WriteLeaseResponse{Revoked: revocationsToMessage(revoked)}
-	if age := s.now().Sub(provenAt); age < writelease.Duration {
+	response := &peerapi.WriteLeaseResponse{Revoked: revocationsToMessage(proof.Revoked), Era: proof.Era}
+	if age := s.now().Sub(proof.RequestedAt); age < writelease.Duration {
 		response.Proven, response.AgeUs = true, uint64(max(age, 0)/time.Microsecond)+1
 	}
 	return response, nil
@@ -265,21 +272,3 @@
 	}
 	return out
 }
-
-// storeRevocation raises the stored revocation of a service to the term.
-func storeRevocation(ctx context.Context, store objects.Store, service string, term group.Term) error {
-	stored, err := store.Get(ctx, objects.Revocations, service)
-	if err != nil && !isNotFound(err) {
-		return err
-	}
-	var record revocationRecord
-	if decode(stored.Value, &record) && record.Term >= term {
-		return nil
-	}
-	value, err := json.Marshal(revocationRecord{Term: term})
-	if err != nil {
-		return err
-	}
-	_, err = store.Put(ctx, objects.Revocations, service, value, stored.Revision)
-	return err
-}
--- a/daemon/internal/fleet/writelease_test.go
+++ b/daemon/internal/fleet/writelease_test.go
@@ -454,6 +454,7 @@
 	}
 	for range randomFaultSteps {
 		d.injectFault(rng, writers)
+		d.injectRestore()
 		time.Sleep(time.Duration(rng.IntN(2500)) * time.Millisecond)
 	}
 	d.healSplit()
