Play a restored store in the soak

The stand-in of the platform's store keeps an era and can go back to an older copy; the soak does that as one of its faults.

--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -17,6 +17,10 @@
 	healOneIn     = 4
 	// maxProcessPause is the longest time for which a process is suspended.
 	maxProcessPause = 4 * time.Second
+	// maxBackupAge is the greatest age of the copy to which the store goes back, and
+	// restoreOutage how long it is away before.
+	maxBackupAge  = 4 * time.Second
+	restoreOutage = 500 * time.Millisecond
 )
 
 // fault is a kind of fault that a soak injects. The name appears in the results.
@@ -51,6 +55,7 @@
 	{"store loses answers", func(s *Soak) { s.store.LoseAnswers(0.4, 0) }},
 	{"store writes late", func(s *Soak) { s.store.LoseAnswers(0.4, time.Duration(s.rng.IntN(5000))*time.Millisecond) }},
 	{"store forgets history", func(s *Soak) { s.store.Compact() }},
+	{"store restored", (*Soak).restoreStore},
 	{"host cut from store", func(s *Soak) { s.storeProxy.Set(s.randomProcess().IP, s.randomProxyFault()) }},
 	{"host cut from a peer", func(s *Soak) { s.randomProxy().Set(s.randomProcess().IP, s.randomProxyFault()) }},
 	{"hosts cut from a peer", func(s *Soak) {
@@ -88,6 +93,19 @@
 	time.AfterFunc(duration, func() { p.Signal(syscall.SIGCONT) })
 }
 
+// restoreStore takes the store away, and brings it back as it was up to
+// maxBackupAge before. The backend servers write their registrations again.
+func (s *Soak) restoreStore() {
+	s.store.Backup()
+	time.AfterFunc(time.Duration(s.rng.Int64N(int64(maxBackupAge))), func() {
+		s.store.SetDown(true)
+		s.storeProxy.Reset()
+		time.Sleep(restoreOutage)
+		s.store.Restore()
+		s.store.SetDown(false)
+	})
+}
+
 // injectFaults injects random faults until the given time and counts them in result.
 func (s *Soak) injectFaults(result *Result, until time.Time) {
 	for time.Now().Before(until) {
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -301,7 +301,7 @@
 			})
 		}
 	}
-	return s.store.Write("config", "main", spec)
+	return s.store.Write(configurationKind, "main", spec)
 }
 
 type serverSpec struct {
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -48,6 +49,10 @@
 	revision uint64
 	objects  map[string]map[string]object
 	events   []event
+	// era counts how often the store went back to an older copy.
+	era uint64
+	// backup is the copy to which the store goes back.
+	backup backup
 	// oldest is the oldest revision from which a watch can start; the events before
 	// it were compacted.
 	oldest  uint64
@@ -61,14 +66,56 @@
 	executionDelay time.Duration
 }
 
+// configurationKind is the kind of the operator's objects.
+const configurationKind = "config"
+
+// backup is a copy of a store.
+type backup struct {
+	revision, oldest uint64
+	objects          map[string]map[string]object
+	events           []event
+}
+
 // NewStore returns an empty store. The seed determines which answers are lost.
 func NewStore(seed uint64) *Store {
 	return &Store{
-		rng: rand.New(rand.NewPCG(seed, 7)), revision: 1,
+		rng: rand.New(rand.NewPCG(seed, 7)), revision: 1, era: 1,
 		objects: map[string]map[string]object{}, changed: make(chan struct{}),
 	}
 }
 
+// Backup makes a copy of the store for Restore.
+func (s *Store) Backup() {
+	s.withLock(func() {
+		copied := map[string]map[string]object{}
+		for kind, stored := range s.objects {
+			copied[kind] = maps.Clone(stored)
+		}
+		s.backup = backup{s.revision, s.oldest, copied, slices.Clone(s.events)}
+	})
+}
+
+// Restore makes the store go back to the last copy, in the next era, in which the
+// operator writes the latest configuration again. It does nothing if there is no copy
+// or the store went back to it already.
+func (s *Store) Restore() {
+	s.withLock(func() {
+		b := s.backup
+		if b.objects == nil {
+			return
+		}
+		s.backup = backup{}
+		latest := s.objects[configurationKind]
+		s.revision, s.oldest, s.objects, s.events = b.revision, b.oldest, b.objects, b.events
+		s.era++
+		for name, o := range latest {
+			s.set(configurationKind, name, o.Spec)
+		}
+		close(s.changed)
+		s.changed = make(chan struct{})
+	})
+}
+
 // SetDown makes the store answer every call with status 503 while down is true.
 func (s *Store) SetDown(down bool) { s.withLock(func() { s.down = down }) }
 
@@ -150,11 +197,11 @@
 // ServeHTTP answers a call.
 func (s *Store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s.mu.Lock()
-	down, slow := s.down, s.slow
+	down, slow, era := s.down, s.slow, s.era
 	s.mu.Unlock()
 	time.Sleep(slow)
 	if down {
-		w.WriteHeader(http.StatusServiceUnavailable)
+		reply(w, era, http.StatusServiceUnavailable, nil)
 		return
 	}
 	path := strings.Split(strings.TrimPrefix(r.URL.Path, "/objects/"), "/")
@@ -174,7 +221,13 @@
 	}
 }
 
-func reply(w http.ResponseWriter, code int, body any) {
+// reply answers a call in an era of the store. A nil body stands for none.
+func reply(w http.ResponseWriter, era uint64, code int, body any) {
+	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	if body == nil {
+		w.WriteHeader(code)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
 	_ = json.NewEncoder(w).Encode(body)
@@ -183,12 +236,13 @@
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
 	s.mu.Lock()
 	o, ok := s.objects[kind][name]
+	era := s.era
 	s.mu.Unlock()
 	if !ok {
-		w.WriteHeader(http.StatusNotFound)
+		reply(w, era, http.StatusNotFound, nil)
 		return
 	}
-	reply(w, http.StatusOK, o)
+	reply(w, era, http.StatusOK, o)
 }
 
 // pageItems is the largest number of objects in an answer to a list call.
@@ -202,7 +256,7 @@
 
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
-	answer := listAnswer{Items: []object{}, StoreRevision: s.revision}
+	answer, era := listAnswer{Items: []object{}, StoreRevision: s.revision}, s.era
 	for name, o := range s.objects[kind] {
 		if name > r.URL.Query().Get("after") {
 			answer.Items = append(answer.Items, o)
@@ -213,7 +267,7 @@
 	if len(answer.Items) > pageItems {
 		answer.Items, answer.HasMore = answer.Items[:pageItems], true
 	}
-	reply(w, http.StatusOK, answer)
+	reply(w, era, http.StatusOK, answer)
 }
 
 type watchAnswer struct {
@@ -231,20 +285,20 @@
 	timeout := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		answer, gone, changed := s.eventsSince(kind, since), since < s.oldest, s.changed
+		answer, gone, changed, era := s.eventsSince(kind, since), since < s.oldest || since > s.revision, s.changed, s.era
 		s.mu.Unlock()
 		if gone {
-			w.WriteHeader(http.StatusGone)
+			reply(w, era, http.StatusGone, nil)
 			return
 		}
 		if len(answer.Events) > 0 {
-			reply(w, http.StatusOK, answer)
+			reply(w, era, http.StatusOK, answer)
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, http.StatusOK, answer)
+			reply(w, era, http.StatusOK, answer)
 			return
 		case <-r.Context().Done():
 			return
@@ -283,26 +337,26 @@
 		time.AfterFunc(delay, func() { s.execute(r.Method, kind, name, body) })
 		panic(http.ErrAbortHandler)
 	}
-	code, o := s.execute(r.Method, kind, name, body)
+	code, o, era := s.execute(r.Method, kind, name, body)
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, code, o)
+	reply(w, era, code, o)
 }
 
-func (s *Store) execute(method, kind, name string, body object) (int, object) {
+func (s *Store) execute(method, kind, name string, body object) (code int, answer object, era uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, exists := s.objects[kind][name]
 	switch {
 	case method == http.MethodDelete && s.remove(kind, name):
-		return http.StatusOK, old
+		return http.StatusOK, old, s.era
 	case method == http.MethodPost && exists, exists && body.Meta.Revision != 0 && body.Meta.Revision != old.Meta.Revision:
-		return http.StatusConflict, old
+		return http.StatusConflict, old, s.era
 	case method == http.MethodPost, method == http.MethodPut && exists:
-		return http.StatusOK, s.set(kind, name, body.Spec)
+		return http.StatusOK, s.set(kind, name, body.Spec), s.era
 	default:
-		return http.StatusNotFound, object{}
+		return http.StatusNotFound, object{}, s.era
 	}
 }
 
