Play restored stores in the model of write leases

The decision who may declare the revocations of a restored store complete moves to core/writelease, where the model plays it with the real lease machine. The store of the model goes back to copies; duty, registrations and proofs carry its era.

--- a/core/writelease/model_test.go
+++ b/core/writelease/model_test.go
@@ -3,27 +3,27 @@
 import (
 	"fmt"
 	"slices"
+	"strconv"
 	"testing"
 	"time"
 
 	"pgregory.net/rapid"
 
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/lease"
+	"github.com/gypsumgap/gypsumgap/core/objects"
 )
 
 // The model plays the whole decision with the real Lease and Progress: hosts that
 // renew their leases by the store or by each other, holders of the promotion duty
 // that succeed each other, and servers that go on as the primary when they are
 // replaced. Messages are delayed, reordered, lost and duplicated; hosts stand still
-// and restart. No commit may be executed by a server after its successor was
-// ordered.
+// and restart; the store goes back to older copies. No commit may be executed by a
+// server after its successor was ordered.
 
 const (
 	modelHosts   = 4
 	modelService = "s"
-	// modelTakeover is the age of the last renewal of the promotion lease, as another
-	// host sees it, after which that host takes the duty over.
-	modelTakeover = 2500 * time.Millisecond
 	// modelMaxMessageTime is the longest time that a message takes.
 	modelMaxMessageTime = 4 * time.Second
 )
@@ -32,6 +32,8 @@
 	now   time.Time
 	hosts [modelHosts]*modelHost
 	store modelStore
+	// backup is the copy to which the store goes back.
+	backup modelStore
 	// messages are delivered when they are due, unless they are lost.
 	messages []modelMessage
 	// orderedTerm is the highest term for which a promotion was ordered.
@@ -46,14 +48,19 @@
 // modelStore is the platform's store. Its operations are atomic.
 type modelStore struct {
 	revoked group.Term
-	// incarnations holds the registered hosts.
+	// registered holds the registered hosts.
 	registered [modelHosts]bool
-	// duty is the record of the promotion lease.
-	holder, holderIncarnation int
-	predecessors              []int
-	renewal                   int
+	// duty is the record of the promotion lease, and dutyNumber the number of its
+	// revision.
+	duty       lease.Record
+	dutyNumber uint64
+	// era is the era of the store, and completeEra that in which the revocations were
+	// declared complete.
+	era, completeEra uint64
 }
 
+func (s modelStore) dutyRevision() objects.Revision { return objects.NewRevision(s.era, s.dutyNumber) }
+
 type modelHost struct {
 	m           *model
 	index       int
@@ -65,12 +72,14 @@
 	inFlight int
 	// knownTerm is the term of the primary that the host uses.
 	knownTerm group.Term
-	// The duty as the host knows it.
-	seenRenewal, seenHolder, seenIncarnation int
-	seenAt                                   time.Time
-	renewedAt, claimedAt                     time.Time
-	revocationsReadAt                        time.Time
-	revocation                               *modelRevocation
+	duty      *lease.Machine
+	// era is the highest era of the store that the host has seen, since eraSeenAt, and
+	// leasedEra is that era if the host had a valid lease then.
+	era, leasedEra     uint64
+	eraSeenAt          time.Time
+	revocationsReadAt  time.Time
+	revocationsReadEra uint64
+	revocation         *modelRevocation
 }
 
 // modelRevocation is a revocation by a holder.
@@ -82,8 +91,8 @@
 }
 
 func newModel() *model {
-	m := &model{now: start, orderedTerm: 1}
-	m.store.holder = -1
+	m := &model{now: start, orderedTerm: 1, store: modelStore{era: 1, completeEra: 1}}
+	m.backup = m.store
 	for i := range m.hosts {
 		m.hosts[i] = &modelHost{m: m, index: i}
 		m.hosts[i].restart()
@@ -94,7 +103,8 @@
 // restart replaces the host's process.
 func (h *modelHost) restart() {
 	incarnation := h.incarnation + 1
-	*h = modelHost{m: h.m, index: h.index, incarnation: incarnation, lease: New(), seenHolder: -1, knownTerm: h.m.orderedTerm}
+	*h = modelHost{m: h.m, index: h.index, incarnation: incarnation, lease: New(), knownTerm: h.m.orderedTerm}
+	h.duty = lease.New(fmt.Sprint(h.index), fmt.Sprint(incarnation), 0)
 }
 
 // send delivers a message after the delay to the host if it still runs, unless it
@@ -162,31 +172,66 @@
 	}
 }
 
-func (h *modelHost) holdsDuty() bool {
-	return h.seenHolder == h.index && h.seenIncarnation == h.incarnation
-}
-
 // vouches reports whether the holder may prove leases by its word.
 func (h *modelHost) vouches() bool {
-	return h.holdsDuty() && h.revocationsReadAt.After(h.claimedAt) && CanVouch(h.m.now, h.renewedAt)
+	return h.duty.Holding() && h.revocationsReadAt.After(h.duty.ClaimedAt()) && h.revocationsReadEra == h.duty.Era() &&
+		CanVouch(h.m.now, h.duty.RenewedAt())
+}
+
+// observeEra records the era of an answer of the store.
+func (h *modelHost) observeEra(era uint64) {
+	if era <= h.era {
+		return
+	}
+	if h.era != 0 && h.lease.Valid(h.m.now) {
+		h.leasedEra = era
+	}
+	h.era, h.eraSeenAt = era, h.m.now
 }
 
 func (h *modelHost) register(t *rapid.T) {
 	sentAt := h.m.now
-	request(t, h, nil, func() bool { h.m.store.registered[h.index] = true; return true },
-		func(bool) { h.lease.SetRegistered(sentAt, h.m.now, 0) })
+	request(t, h, nil, func() uint64 { h.m.store.registered[h.index] = true; return h.m.store.era }, func(era uint64) {
+		h.lease.SetRegistered(sentAt, h.m.now, era)
+		h.observeEra(era)
+	})
 }
 
 func (h *modelHost) proveByStore(t *rapid.T) {
 	sentAt := h.m.now
-	request(t, h, nil, func() group.Term { return h.m.store.revoked }, func(term group.Term) {
-		h.lease.Renew(Proof{RequestedAt: sentAt, Revoked: Revocations{modelService: term}})
-		h.revocationsReadAt = sentAt
+	request(t, h, nil, func() modelStore { return h.m.store }, func(s modelStore) {
+		stored := Revocations{modelService: s.revoked}
+		if s.completeEra != s.era {
+			h.lease.Revoke(stored)
+			h.observeEra(s.era)
+			h.writeRevocationsBack(t, s)
+			return
+		}
+		h.lease.Renew(Proof{RequestedAt: sentAt, Era: s.era, Revoked: stored})
+		h.observeEra(s.era)
+		h.revocationsReadAt, h.revocationsReadEra = sentAt, s.era
+	})
+}
+
+// writeRevocationsBack writes back what a restored store has forgotten, and then
+// declares it complete, in two calls.
+func (h *modelHost) writeRevocationsBack(t *rapid.T, stored modelStore) {
+	knowledge := RestoredStore{
+		HadLease: h.leasedEra == stored.era, HoldsDuty: h.duty.Holding(),
+		UnknownPredecessor: slices.Contains(h.duty.Predecessors(), lease.UnknownHolder), SinceSeen: h.m.now.Sub(h.eraSeenAt),
+	}
+	if stored.era != h.era || !knowledge.MayDeclareComplete() {
+		return
+	}
+	term := h.lease.Proof().Revoked[modelService]
+	request(t, h, nil, func() bool { h.m.store.revoked = max(h.m.store.revoked, term); return true }, func(bool) {
+		h.m.send(t, nil, func() { h.m.store.completeEra = max(h.m.store.completeEra, stored.era) })
 	})
 }
 
 type modelProof struct {
 	age     time.Duration
+	era     uint64
 	revoked Revocations
 }
 
@@ -194,13 +239,13 @@
 	sentAt := h.m.now
 	request(t, h, peer, func() modelProof {
 		proof := peer.lease.Proof()
-		if peer.vouches() {
-			proof.RequestedAt = h.m.now
+		if peer.vouches() && peer.duty.Era() >= proof.Era {
+			proof.RequestedAt, proof.Era = h.m.now, peer.duty.Era()
 		}
-		return modelProof{h.m.now.Sub(proof.RequestedAt), proof.Revoked}
+		return modelProof{h.m.now.Sub(proof.RequestedAt), proof.Era, proof.Revoked}
 	}, func(p modelProof) {
 		if p.age < Duration {
-			h.lease.Renew(Proof{RequestedAt: sentAt.Add(-p.age), Revoked: p.revoked})
+			h.lease.Renew(Proof{RequestedAt: sentAt.Add(-p.age), Era: p.era, Revoked: p.revoked})
 		}
 	})
 }
@@ -211,49 +256,38 @@
 }
 
 func (h *modelHost) observeDuty(s modelStore) {
-	if s.renewal <= h.seenRenewal {
-		return
-	}
-	wasHolding := h.holdsDuty()
-	h.seenRenewal, h.seenHolder, h.seenIncarnation, h.seenAt = s.renewal, s.holder, s.holderIncarnation, h.m.now
-	if h.holdsDuty() && !wasHolding {
-		h.claimedAt = h.m.now
-	}
-	if !h.holdsDuty() {
+	h.observeEra(s.era)
+	h.duty.Observe(h.m.now, s.duty, s.dutyRevision())
+	if !h.duty.Holding() {
 		h.revocation = nil
 	}
 }
 
-// renewDuty renews the promotion lease or takes it over, by a conditional write.
+// renewDuty renews the promotion lease or takes it over, by a conditional write. The
+// store compares the numbers of revisions only.
 func (h *modelHost) renewDuty(t *rapid.T) {
-	m, expected, sentAt := h.m, h.seenRenewal, h.m.now
-	if !h.holdsDuty() && h.seenHolder >= 0 && m.now.Sub(h.seenAt) < modelTakeover {
+	action, record, expected := h.duty.Next(h.m.now)
+	if action != lease.Write {
 		return
 	}
+	sentAt, written := h.m.now, false
 	request(t, h, nil, func() modelStore {
-		s := &m.store
-		if s.renewal != expected {
-			return *s
-		}
-		s.renewal++
-		if s.holder != h.index || s.holderIncarnation != h.incarnation {
-			if s.holder >= 0 && s.holder != h.index {
-				s.predecessors = append(slices.Clone(s.predecessors), s.holder)
-			}
-			s.holder, s.holderIncarnation = h.index, h.incarnation
+		s := &h.m.store
+		if s.dutyNumber == expected.Number() && !written {
+			s.duty, s.dutyNumber, written = record, s.dutyNumber+1, true
 		}
 		return *s
 	}, func(s modelStore) {
 		h.observeDuty(s)
-		if s.renewal == expected+1 && h.holdsDuty() {
-			h.renewedAt = sentAt
+		if s.duty.Token == record.Token && s.duty.Renewal == record.Renewal && s.duty.Holder == record.Holder && s.duty.Incarnation == record.Incarnation {
+			h.duty.ObserveWrite(h.m.now, sentAt, record, s.dutyRevision())
 		}
 	})
 }
 
 // startRevocation begins to replace the primary of the highest known term.
 func (h *modelHost) startRevocation(t *rapid.T) {
-	if !h.holdsDuty() || h.revocation != nil {
+	if !h.duty.Holding() || h.revocation != nil {
 		return
 	}
 	r := &modelRevocation{term: h.m.orderedTerm, unconfirmed: map[int]bool{}, confirmed: map[int]bool{}}
@@ -301,7 +335,7 @@
 			}
 			delete(r.unconfirmed, i)
 			r.confirmed[i] = true
-			if slices.Contains(h.m.store.predecessors, i) {
+			if slices.Contains(h.duty.Predecessors(), fmt.Sprint(i)) {
 				r.progress.PredecessorsConfirmedAt = h.m.now
 			}
 		})
@@ -312,7 +346,7 @@
 // renewed its lease recently.
 func (h *modelHost) order() {
 	r := h.revocation
-	if r == nil || h.m.now.Before(h.pausedUntil) || !h.holdsDuty() || h.m.now.Sub(h.renewedAt) >= modelTakeover || r.term != h.m.orderedTerm {
+	if r == nil || h.m.now.Before(h.pausedUntil) || !h.duty.Holding() || h.duty.Expired(h.m.now) || r.term != h.m.orderedTerm {
 		return
 	}
 	p := r.progress
@@ -320,9 +354,10 @@
 	if h.inFlight > 0 {
 		p.Unconfirmed++
 	}
-	p.TookOverAt = h.claimedAt
-	for _, i := range h.m.store.predecessors {
-		if i != h.index && !r.confirmed[i] {
+	p.TookOverAt, p.EraSeenAt = h.duty.ClaimedAt(), h.eraSeenAt
+	for _, name := range h.duty.Predecessors() {
+		i, err := strconv.Atoi(name)
+		if err != nil || !r.confirmed[i] {
 			p.SilentPredecessor = true
 		}
 	}
@@ -371,7 +406,7 @@
 	if m.now.Before(h.pausedUntil) {
 		return
 	}
-	switch rapid.IntRange(0, 13).Draw(t, "action") {
+	switch rapid.IntRange(0, 14).Draw(t, "action") {
 	case 0:
 		h.register(t)
 	case 1:
@@ -401,5 +436,14 @@
 		case 1:
 			h.pausedUntil = m.now.Add(time.Duration(rapid.IntRange(0, 20000).Draw(t, "pause ms")) * time.Millisecond)
 		}
+	case 14:
+		switch rapid.IntRange(0, 3).Draw(t, "copy") {
+		case 0:
+			m.backup = m.store
+		case 1:
+			era := m.store.era + 1
+			m.store = m.backup
+			m.store.era = era
+		}
 	}
 }
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -381,15 +381,22 @@
 func TestDrainingPrimaryIsReplaced(t *testing.T) {
 	deploy(t, func(d *deployment) {
 		d.holder()
-		d.mu.Lock()
-		d.draining["s1"] = true
-		d.mu.Unlock()
-		if took := d.awaitFailover("s1", 5*time.Second); took > time.Second {
-			t.Errorf("failover took %s, want at most 1s", took)
-		}
+		d.checkPlannedChange("s1")
 	})
 }
 
+// checkPlannedChange lets the primary announce its stop, and checks that it is replaced
+// in time.
+func (d *deployment) checkPlannedChange(primary string) {
+	d.t.Helper()
+	d.mu.Lock()
+	d.draining[primary] = true
+	d.mu.Unlock()
+	if took := d.awaitFailover(primary, 5*time.Second); took > time.Second {
+		d.t.Errorf("failover took %s, want at most 1s", took)
+	}
+}
+
 // Guards against a lost primary that is not replaced because the holder of the
 // duty was lost just before.
 func TestPrimaryIsLostAfterHolder(t *testing.T) {
--- a/daemon/internal/fleet/restore_test.go
+++ b/daemon/internal/fleet/restore_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
-	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/objects/objectstest"
 )
@@ -39,12 +38,7 @@
 		time.Sleep(copyAge)
 		d.restoreStore(backup)
 		time.Sleep(3 * time.Second)
-		d.mu.Lock()
-		d.draining["s1"] = true
-		d.mu.Unlock()
-		if took := d.awaitFailover("s1", 5*time.Second); took > time.Second {
-			t.Errorf("failover took %s, want at most 1s", took)
-		}
+		d.checkPlannedChange("s1")
 	})
 }
 
@@ -239,38 +233,3 @@
 		d.store.Restore(d.backups[len(d.backups)-1])
 	}
 }
-
-// Guards against a host that declares the revocations of a restored store complete
-// while it, or a holder that may still order a promotion, knows more.
-func TestRevocationsAreCompletedByHostsThatKnowThem(t *testing.T) {
-	now := time.Unix(1000, 0)
-	stored := storedRevocations{era: 2, completeEra: 1}
-	record := func(holder string, predecessors ...string) lease.Record {
-		return lease.Record{Holder: holder, Incarnation: "1", Era: 2, Predecessors: predecessors}
-	}
-	for _, tt := range []struct {
-		name     string
-		record   lease.Record
-		hadLease bool
-		since    time.Duration
-		want     bool
-	}{
-		{"last holder with a lease", record("a"), true, 0, true},
-		{"holder after an unknown one", record("a", lease.UnknownHolder), true, 0, false},
-		{"host with a lease, at once", record("b"), true, 0, false},
-		{"host with a lease, later", record("b"), true, lease.Duration + promoteTimeout, true},
-		{"host without a lease", record("b"), false, time.Minute, false},
-		{"holder without a lease, soon", record("a"), false, revocationSettleTime - 1, false},
-		{"holder without a lease, later", record("a"), false, revocationSettleTime, true},
-	} {
-		c := newController(options{host: "a", incarnation: "1", now: func() time.Time { return now.Add(tt.since) }})
-		c.storeEra, c.eraSeenAt = 2, now
-		if tt.hadLease {
-			c.leasedEra = 2
-		}
-		c.lease.Observe(now, tt.record, objects.NewRevision(2, 9))
-		if got := c.mayCompleteRevocations(stored); got != tt.want {
-			t.Errorf("%s: got %t, want %t", tt.name, got, tt.want)
-		}
-	}
-}
--- a/daemon/internal/fleet/revocations.go
+++ b/daemon/internal/fleet/revocations.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"slices"
-	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -20,15 +19,9 @@
 // on which a promotion rests; they write them back and then raise the era. No host
 // proves a lease by the store before that.
 
-const (
-	// revocationEraName is the name of the object that holds the era in which the
-	// stored revocations are complete.
-	revocationEraName = "_era"
-	// revocationSettleTime is how long after the store went back the holder of the
-	// promotion duty leaves it to others to write revocations back, if it does not
-	// know all of them itself.
-	revocationSettleTime = 5 * time.Second
-)
+// revocationEraName is the name of the object that holds the era in which the stored
+// revocations are complete.
+const revocationEraName = "_era"
 
 // revocationRecord is the stored form of the revocation of a service.
 type revocationRecord struct {
@@ -88,21 +81,18 @@
 	})
 }
 
-// mayCompleteRevocations reports whether this host knows all revocations on which a
-// promotion rests. A former holder may still order one until its lease has expired,
-// unless this host is that holder. In a store without an era of the revocations, none
-// was forgotten.
+// mayCompleteRevocations reports whether this host may declare the stored revocations
+// complete. In a store that never held their era, none was forgotten, and the holder
+// of the promotion duty declares it.
 func (c *controller) mayCompleteRevocations(stored storedRevocations) bool {
-	holding := c.lease.Holding()
 	if stored.completeEra == 0 {
-		return holding
-	}
-	sinceRestore := c.now().Sub(c.eraSeenAt)
-	if c.leasedEra == stored.era {
-		isLastHolder := holding && !slices.Contains(c.lease.Predecessors(), lease.UnknownHolder)
-		return isLastHolder || sinceRestore >= lease.Duration+promoteTimeout
+		return c.lease.Holding()
 	}
-	return holding && sinceRestore >= revocationSettleTime
+	return writelease.RestoredStore{
+		HadLease:  c.leasedEra == stored.era,
+		HoldsDuty: c.lease.Holding(), UnknownPredecessor: slices.Contains(c.lease.Predecessors(), lease.UnknownHolder),
+		SinceSeen: c.now().Sub(c.eraSeenAt),
+	}.MayDeclareComplete()
 }
 
 // writeRevocationsBack raises the stored revocations to those that this host knows,
