Refuse a list of hosts from after an unnoticed restore

A holder that had renewed its lease just before the store went back could store a revocation and list the hosts right after it. The list lacked hosts that the store had forgotten, whose leases were valid, and the holder ordered the promotion without waiting for them: commits at a replaced primary.

Found by the model of write leases: a counterexample that was saved while a mutation was tried failed on the true code as well. A revocation now accepts lists of the era in which its holder has the duty only; otherwise it is tried again until the duty is claimed in the new era. The holder of the model waits for its list, as the code does.

--- a/core/writelease/model_test.go
+++ b/core/writelease/model_test.go
@@ -84,7 +84,10 @@
 
 // modelRevocation is a revocation by a holder.
 type modelRevocation struct {
-	term        group.Term
+	term group.Term
+	// era is the era in which the holder holds the duty. A list of another era lacks
+	// hosts that the store has forgotten.
+	era         uint64
 	progress    Progress
 	unconfirmed map[int]bool
 	confirmed   map[int]bool
@@ -290,7 +293,7 @@
 	if !h.duty.Holding() || h.revocation != nil {
 		return
 	}
-	r := &modelRevocation{term: h.m.orderedTerm, unconfirmed: map[int]bool{}, confirmed: map[int]bool{}}
+	r := &modelRevocation{term: h.m.orderedTerm, era: h.duty.Era(), unconfirmed: map[int]bool{}, confirmed: map[int]bool{}}
 	h.revocation = r
 	request(t, h, nil, func() bool { h.m.store.revoked = max(h.m.store.revoked, r.term); return true }, func(bool) {
 		if r.progress.RecordedAt.IsZero() {
@@ -306,6 +309,10 @@
 		if r.progress.HostsListed {
 			return
 		}
+		if s.era != r.era {
+			h.revocation = nil
+			return
+		}
 		for i, registered := range s.registered {
 			if registered && i != h.index {
 				r.unconfirmed[i] = true
@@ -361,7 +368,7 @@
 			p.SilentPredecessor = true
 		}
 	}
-	if p.Complete(h.m.now) {
+	if p.HostsListed && p.Complete(h.m.now) {
 		h.m.orderedTerm++
 		h.revocation = nil
 	}
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -203,7 +203,7 @@
 	}
 	token := job.order.Token
 	return &revocation{
-		lease: c.writeLease, store: c.store, peer: c.peer, host: c.host, group: g, primary: job.primary,
+		lease: c.writeLease, store: c.store, peer: c.peer, host: c.host, era: c.lease.Era(), group: g, primary: job.primary,
 		predecessors: c.lease.Predecessors(), progress: writelease.Progress{TookOverAt: c.lease.ClaimedAt(), EraSeenAt: c.eraSeenAt}, registrations: c.registrations, now: c.now,
 		holdsDuty: func() bool { return c.holdsDuty(token) }, log: job.log, unconfirmed: unconfirmed, confirmed: map[string]bool{},
 	}
--- a/daemon/internal/fleet/restore_test.go
+++ b/daemon/internal/fleet/restore_test.go
@@ -233,3 +233,19 @@
 		d.store.Restore(d.backups[len(d.backups)-1])
 	}
 }
+
+// Guards against a promotion that rests on a list of hosts from after a restore that
+// the holder of the duty has not noticed.
+func TestRevocationNeedsEraOfDuty(t *testing.T) {
+	deployLeased(t, func(d *deployment) {
+		c := d.hosts[d.holder()]
+		r := &revocation{
+			lease: c.writeLease, store: c.store, group: c.published.View().Groups["service"], host: c.host, era: 1,
+			registrations: &hostRegistry{}, now: time.Now, term: 1,
+		}
+		d.store.Restore(d.store.Backup())
+		if err := r.storeOnce(d.ctx); err == nil || r.isStored() {
+			t.Errorf("got error %v and a list of hosts %t, want the list of another era refused", err, r.isStored())
+		}
+	})
+}
--- a/daemon/internal/fleet/revoke.go
+++ b/daemon/internal/fleet/revoke.go
@@ -49,6 +49,8 @@
 	host    string
 	group   *backend.Group
 	primary *backend.Pool
+	// era is the era of the store in which this host holds the promotion duty.
+	era uint64
 	// predecessors holds the earlier holders that may still vouch.
 	predecessors []string
 	// registrations tells which registered hosts are live.
@@ -162,6 +164,10 @@
 	if err != nil {
 		return err
 	}
+	if era := snapshot.Revision.Era(); era != r.era {
+		// The list may lack hosts that have leases.
+		return fmt.Errorf("%w: the duty is held in era %d of the store, which is in era %d", objects.ErrCompacted, r.era, era)
+	}
 	r.recordHosts(snapshot, term, recordedAt)
 	return nil
 }
