--- a/core/objects/revision.go
+++ b/core/objects/revision.go
@@ -1,5 +1,7 @@
 package objects
 
+import "fmt"
+
 // Revision is a point in the history of the store, or the point of the last change
 // of one object. It consists of the store's era, which counts how often the store
 // went back to an older copy of itself, and its revision counter, which goes back
@@ -28,3 +30,6 @@
 // Number returns the revision counter, which only the store of the same era knows.
 // It is 0 for an object that does not exist.
 func (r Revision) Number() uint64 { return uint64(r) & maxNumber }
+
+// String returns the era and the number, as logs show them.
+func (r Revision) String() string { return fmt.Sprintf("%d.%d", r.Era(), r.Number()) }
