--- a/core/admission/limiter_test.go
+++ b/core/admission/limiter_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -51,6 +52,39 @@
 	})
 }
 
+// Guards against requests that keep waiting after the limit was raised.
+func TestLimiterWakesAtRaisedLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var limit atomic.Int64
+		limit.Store(1)
+		l := NewLimiter(func() int { return int(limit.Load()) })
+		class := &Class{Name: "many", QueueLimit: 100, MayUseReserve: true}
+		tickets := make([]*Ticket, 4)
+		var waiters sync.WaitGroup
+		for i := range tickets {
+			tickets[i] = &Ticket{Class: class, Deadline: time.Now().Add(time.Hour)}
+			waiters.Go(func() {
+				if err := l.Acquire(t.Context(), tickets[i]); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		synctest.Wait()
+		if inUse, waiting := l.Load(); inUse != 1 || waiting != 3 {
+			t.Errorf("with a limit of 1: got %d in use and %d waiting, want 1 and 3", inUse, waiting)
+		}
+		limit.Store(4)
+		l.Refresh()
+		waiters.Wait()
+		if inUse, waiting := l.Load(); inUse != 4 || waiting != 0 {
+			t.Errorf("with a limit of 4: got %d in use and %d waiting, want 4 and 0", inUse, waiting)
+		}
+		for _, ticket := range tickets {
+			l.Release(ticket)
+		}
+	})
+}
+
 // Guards against requests that wait forever on a closed limiter.
 func TestLimiterClose(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/standin/dbgroup/internal/sqlite/sqlite.go
+++ b/standin/dbgroup/internal/sqlite/sqlite.go
@@ -64,6 +64,7 @@
 	d.out = libc.Xmalloc(d.tls, 2*pointerSize)
 	name, err := libc.CString(path)
 	if err != nil {
+		d.Close()
 		return nil, err
 	}
 	defer libc.Xfree(d.tls, name)
--- a/standin/fleet/processes.go
+++ b/standin/fleet/processes.go
@@ -25,7 +25,9 @@
 	command  *exec.Cmd
 	exited   chan struct{}
 	stopping bool
-	running  sync.WaitGroup
+	// launchErr is the error of a restart that failed; nil if there was none.
+	launchErr error
+	running   sync.WaitGroup
 }
 
 // Ports of a process. Each process has its own IP address.
@@ -95,7 +97,13 @@
 			p.mu.Lock()
 			stopping := p.stopping
 			p.mu.Unlock()
-			if stopping || p.launch() != nil {
+			if stopping {
+				return
+			}
+			if err := p.launch(); err != nil {
+				p.mu.Lock()
+				p.launchErr = err
+				p.mu.Unlock()
 				return
 			}
 		}
@@ -103,6 +111,14 @@
 	return nil
 }
 
+// Err returns the error of a restart that failed, after which the process is gone; nil
+// if there was none.
+func (p *Process) Err() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.launchErr
+}
+
 func (p *Process) launch() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -413,6 +413,9 @@
 		result.Problems = append(result.Problems, fmt.Sprintf("%d primaries were replaced without a fault", result.Promotions))
 	}
 	for _, p := range s.processes {
+		if err := p.Err(); err != nil {
+			result.Problems = append(result.Problems, fmt.Sprintf("%s was not started again: %v", p.Name, err))
+		}
 		if err := p.checkMetrics(); err != nil {
 			result.Problems = append(result.Problems, err.Error())
 		}
