Check reads of a service between two primaries

Cause: the check of a read asked for the log of the present primary, and there is none between the step-down of a draining primary and the promotion of its successor. It takes the log of the last primary now, which holds every commit that no promotion has rolled back, so such reads are checked as well.

--- a/core/statement/statementtest/history.go
+++ b/core/statement/statementtest/history.go
@@ -86,7 +86,7 @@
 // required returns the IDs of the writes that were acknowledged before the time
 // and have not been rolled back by a promotion.
 func (h *History) required(before time.Time) []string {
-	kept := h.Service.WriteIDs(h.Service.Primary(), math.MaxInt)
+	kept := h.Service.WriteIDs(h.Service.LastPrimary(), math.MaxInt)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	var out []string
@@ -221,7 +221,7 @@
 	}
 	required, seen := p.required(before), p.Service.WriteIDs(sig.Server, sig.Length)
 	if p.kind == catalog.ReadYourWrites {
-		kept := p.Service.WriteIDs(p.Service.Primary(), math.MaxInt)
+		kept := p.Service.WriteIDs(p.Service.LastPrimary(), math.MaxInt)
 		for _, id := range p.ownWrites {
 			if kept[id] {
 				required = append(required, id)
--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -71,6 +71,8 @@
 	// token is the highest fencing token received.
 	token      uint64
 	promotions int
+	// lastPromoted is the ID of the server that became the primary last.
+	lastPromoted string
 	// promotedLength is the length of the primary's log when it was promoted.
 	promotedLength int
 	// splitCommits holds the times of the commits of replaced primaries.
@@ -105,6 +107,9 @@
 func New(name string, o Options, ids ...string) *Service {
 	s := &Service{Name: name, options: o, servers: map[string]*Server{}, term: 1, runs: map[string]int{}}
 	for i, id := range ids {
+		if i == 0 {
+			s.lastPromoted = id
+		}
 		s.servers[id] = &Server{service: s, id: id, primary: i == 0, term: 1, conns: map[*Conn]bool{}}
 	}
 	return s
@@ -134,6 +139,17 @@
 	return ""
 }
 
+// LastPrimary returns the ID of the primary or, if there is none, of the last one. Its
+// log holds every commit that no promotion has rolled back.
+func (s *Service) LastPrimary() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sv := s.primaryServer(); sv != nil {
+		return sv.id
+	}
+	return s.lastPromoted
+}
+
 // SplitCommits returns the times of the commits that servers executed after another
 // server had replaced them as the primary.
 func (s *Service) SplitCommits() []time.Time {
@@ -260,6 +276,7 @@
 	next.receive(time.Now())
 	s.term++
 	s.promotions++
+	s.lastPromoted = id
 	s.promotedLength = len(next.log)
 	next.primary, next.term = true, s.term
 	for _, sv := range s.servers {
