--- a/core/statement/statementtest/history_test.go
+++ b/core/statement/statementtest/history_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
 	"time"
 
+	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 )
 
@@ -13,7 +15,8 @@
 func TestRequiredWritesWithoutPrimary(t *testing.T) {
 	s := New("service", Options{}, "s1", "s2")
 	servers := s.Catalog()
-	conn, err := Backends{s}.Dial(context.Background(), servers[0])
+	primary := slices.IndexFunc(servers, func(server catalog.Server) bool { return server.Primary })
+	conn, err := Backends{s}.Dial(context.Background(), servers[primary])
 	if err != nil {
 		t.Fatal(err)
 	}
