--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -35,20 +35,39 @@
 
 // service is a stand-in of a service: a primary and its replicas.
 type service struct {
-	name     string
-	fenced   bool // the platform checks fencing tokens and stops a replaced primary
-	limit    int
-	lag      time.Duration
-	promote  time.Duration
-	work     time.Duration
-	record   *record
-	store    *store
-	mu       sync.Mutex
+	name    string
+	fenced  bool // the platform checks fencing tokens and stops a replaced primary
+	limit   int
+	lag     time.Duration
+	promote time.Duration
+	work    time.Duration
+	record  *record
+	store   *store
+	mu      sync.Mutex
+	term    uint64
+	token   uint64
+	started int // databases
+	// zoneOf returns the zone of the host at an address; nil if all are near.
+	zoneOf func(address string) string
+	// lastLeader is the last primary that was seen.
+	lastLeader *database
+	members    []*database
+	runs       []run
+	promoted   []promotion
+	network    string
+	// splitCommits holds the statements that a replaced primary committed after
+	// another one had taken over, by id.
+	splitCommits map[string]splitCommit
+	// ordered receives a value with each accepted POST /promotion.
+	ordered chan string
+}
+
+// splitCommit is a commit of a replaced primary.
+type splitCommit struct {
+	at       time.Time
+	database string
 	term     uint64
-	token    uint64
-	members  []*database
-	runs     []run
-	promoted []promotion
+	newer    promotion
 }
 
 // promotion is a change of the primary that took effect.
@@ -69,43 +88,102 @@
 	log       []*commit
 	state     string
 	sequence  int
-	conns     int
 	cut       map[string]bool // source addresses whose bytes are held back
+	open      map[net.Conn]bool
+	gone      bool
 }
 
 const firstNumber = 1000
 
 // newService starts the databases of a service. The first one is the primary.
 func newService(name, network string, zones []string, fenced bool, limit int, r *record, st *store) (*service, error) {
-	s := &service{name: name, fenced: fenced, limit: limit, lag: 20 * time.Millisecond, promote: time.Second, work: 2 * time.Millisecond, record: r, store: st, term: 1}
-	for i, zone := range zones {
-		ln, err := net.Listen("tcp", network+".200."+strconv.Itoa(i+1)+":0")
-		if err != nil {
+	s := &service{name: name, fenced: fenced, limit: limit, lag: 20 * time.Millisecond, promote: time.Second, work: 2 * time.Millisecond, record: r, store: st, term: 1, network: network, splitCommits: map[string]splitCommit{}, ordered: make(chan string, 64)}
+	for _, zone := range zones {
+		if _, err := s.addDatabase(zone); err != nil {
 			return nil, err
 		}
-		d := &database{service: s, id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, listener: ln, primary: i == 0, term: 1, state: "ready", cut: map[string]bool{}}
+	}
+	return s, nil
+}
+
+// addDatabase starts a database with the log of the primary, as a replica unless it is
+// the first one.
+func (s *service) addDatabase(zone string) (*database, error) {
+	s.mu.Lock()
+	n := s.started + 1
+	s.started = n
+	s.mu.Unlock()
+	ln, err := net.Listen("tcp", s.network+".200."+strconv.Itoa(n)+":0")
+	if err != nil {
+		return nil, err
+	}
+	d := &database{service: s, id: fmt.Sprintf("i-%s-%d", s.name, n), zone: zone, listener: ln, primary: n == 1, term: 1, state: "ready", cut: map[string]bool{}, open: map[net.Conn]bool{}}
+	s.mu.Lock()
+	if leader := s.leader(); leader != nil {
+		d.log, d.term = slices.Clone(leader.log), leader.term
+	} else {
 		d.log = []*commit{{term: 1, number: firstNumber}}
-		s.members = append(s.members, d)
 	}
-	for _, d := range s.members[1:] {
-		d.log = slices.Clone(s.members[0].log)
+	s.members = append(s.members, d)
+	s.mu.Unlock()
+	go d.serve()
+	d.announce()
+	return d, nil
+}
+
+// release replaces a database: a new one starts first, then the old one drains for the
+// given time and leaves.
+func (s *service) release(d *database, drain time.Duration) error {
+	next, err := s.addDatabase(d.zone)
+	if err != nil {
+		return err
 	}
-	for _, d := range s.members {
-		go d.serve()
-		d.announce()
+	time.Sleep(500 * time.Millisecond)
+	s.mu.Lock()
+	d.state = "draining"
+	s.mu.Unlock()
+	d.announce()
+	s.record.say("%s drains; %s replaces it", d.id, next.id)
+	time.AfterFunc(drain, func() { s.leave(d) })
+	return nil
+}
+
+// leave ends a database that has drained.
+func (s *service) leave(d *database) {
+	s.mu.Lock()
+	s.members = slices.DeleteFunc(s.members, func(m *database) bool { return m == d })
+	d.gone = true
+	for c := range d.open {
+		_ = c.Close()
 	}
-	return s, nil
+	s.mu.Unlock()
+	_ = d.listener.Close()
+	s.store.remove("servers", d.id)
+	s.record.say("%s has left", d.id)
+}
+
+// primary returns the primary of the highest term, or nil.
+func (s *service) primary() *database {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.leader()
 }
 
 // announce writes the entry of the database to the store.
 func (d *database) announce() {
+	d.service.mu.Lock()
+	gone, primary, state := d.gone, d.primary, d.state
+	d.service.mu.Unlock()
+	if gone {
+		return
+	}
 	role := "replica"
-	if d.primary {
+	if primary {
 		role = "primary"
 	}
 	d.service.store.put("servers", d.id, map[string]any{
 		"service": d.service.name, "address": d.listener.Addr().String(), "zone": d.zone, "version": "v1", "slots": 3,
-		"state": d.state, "coldRemainingMs": 0, "databaseRole": role, "sequence": d.sequence, "born": 1_700_000_000_000,
+		"state": state, "coldRemainingMs": 0, "databaseRole": role, "sequence": d.sequence, "born": 1_700_000_000_000,
 	})
 }
 
@@ -131,13 +209,20 @@
 			out = d
 		}
 	}
+	if out != nil {
+		s.lastLeader = out
+	}
 	return out
 }
 
-// receive brings the log of a replica up to date. s.mu must be held.
+// receive brings the log of a replica up to date. s.mu must be held. While there is no
+// primary, what the last one committed still arrives.
 func (d *database) receive() {
 	leader := d.service.leader()
-	if d.primary || leader == nil || d.pauseTerm > 0 {
+	if leader == nil {
+		leader = d.service.lastLeader
+	}
+	if d.primary || leader == nil || leader == d || d.pauseTerm > 0 {
 		return
 	}
 	d.term = leader.term
@@ -175,7 +260,7 @@
 func (s *service) take(d *database) {
 	s.mu.Lock()
 	old := s.leader()
-	if d.primary {
+	if d.primary || d.gone {
 		s.mu.Unlock()
 		return
 	}
@@ -232,6 +317,10 @@
 		return
 	}
 	time.AfterFunc(s.promote, func() { s.take(named) })
+	select {
+	case s.ordered <- r.Header.Get("Duty-Holder"):
+	default:
+	}
 	reply(w, http.StatusOK, nil)
 }
 
@@ -269,7 +358,9 @@
 	s := d.service
 	source, _, _ := net.SplitHostPort(c.RemoteAddr().String())
 	reader := bufio.NewReader(c)
-	line, err := d.readLine(reader, source)
+	roundTrip := s.roundTrip(source, d.zone)
+	time.Sleep(roundTrip) // of the connection
+	line, err := d.readLine(reader, source, roundTrip)
 	if err != nil {
 		return
 	}
@@ -278,17 +369,17 @@
 	case len(f) < 3 || f[0] != "START" || f[1] != s.name || len(f) > 3 && f[3] != d.id:
 		_ = d.write(c, source, "ERROR WRONGNODE "+d.id+"\r\n")
 		return
-	case !d.open():
+	case !d.addConn(c):
 		_ = d.write(c, source, "ERROR TOOMANY "+d.id+"\r\n")
 		return
 	}
-	defer d.close()
+	defer d.removeConn(c)
 	x := &dbConn{database: d, source: source, values: map[string]string{}, prepared: map[string]string{}}
 	if d.write(c, source, "READY I -\r\n") != nil {
 		return
 	}
 	for {
-		line, err := d.readLine(reader, source)
+		line, err := d.readLine(reader, source, roundTrip)
 		if err != nil {
 			return
 		}
@@ -303,29 +394,44 @@
 	}
 }
 
-func (d *database) open() bool {
+func (d *database) addConn(c net.Conn) bool {
 	d.service.mu.Lock()
 	defer d.service.mu.Unlock()
-	if d.conns >= d.service.limit {
+	if d.gone || len(d.open) >= d.service.limit {
 		return false
 	}
-	d.conns++
+	d.open[c] = true
 	return true
 }
 
-func (d *database) close() {
+func (d *database) removeConn(c net.Conn) {
 	d.service.mu.Lock()
 	defer d.service.mu.Unlock()
-	d.conns--
+	delete(d.open, c)
+}
+
+// regionRoundTrip is the round-trip time between regions.
+const regionRoundTrip = 40 * time.Millisecond
+
+// roundTrip returns the round-trip time between the host at an address and a zone.
+func (s *service) roundTrip(source, zone string) time.Duration {
+	if s.zoneOf == nil || s.zoneOf(source) == zone {
+		return 0
+	}
+	return regionRoundTrip
 }
 
-// readLine reads a message. Bytes that arrive during a cut are held back until it
-// ends.
-func (d *database) readLine(r *bufio.Reader, source string) (string, error) {
+// readLine reads a message. A batch of messages is delayed by the round-trip time, and
+// bytes that arrive during a cut are held back until it ends.
+func (d *database) readLine(r *bufio.Reader, source string, roundTrip time.Duration) (string, error) {
+	startsBatch := r.Buffered() == 0
 	line, err := r.ReadString('\n')
 	if err != nil {
 		return "", err
 	}
+	if startsBatch {
+		time.Sleep(roundTrip)
+	}
 	for d.isCut(source) {
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -511,7 +617,12 @@
 
 // append commits writes.
 func (d *database) append(writes map[string]string, ids []string) {
-	last := d.log[len(d.log)-1]
+	last, s := d.log[len(d.log)-1], d.service
+	if s.leader() != d {
+		for _, id := range ids {
+			s.splitCommits[id] = splitCommit{time.Now(), d.id, d.term, s.promoted[len(s.promoted)-1]}
+		}
+	}
 	d.log = append(d.log, &commit{term: d.term, number: last.number + 1, at: time.Now(), writes: writes, ids: ids})
 }
 
@@ -520,5 +631,5 @@
 	if d.primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d %s %d %d 0 %d", role, d.term, d.position(), d.pauseTerm, d.service.lag.Milliseconds(), d.conns)
+	return fmt.Sprintf("%s %d %s %d %d 0 %d", role, d.term, d.position(), d.pauseTerm, d.service.lag.Milliseconds(), len(d.open))
 }
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -47,7 +47,9 @@
 	fenced bool
 	hosts  int
 	limit  int
-	run    func(*deployment) (broken int, err error)
+	// distant makes hosts and databases of different regions 20 ms apart, one way.
+	distant bool
+	run     func(*deployment) (broken int, err error)
 }
 
 var scenarios = map[string]scenario{}
@@ -133,6 +135,16 @@
 	if d.service, err = newService("werkplaats", network, []string{"brabant-a", "randstad-a", "gelderland-a"}, sc.fenced, sc.limit, d.record, d.store); err != nil {
 		return err
 	}
+	if sc.distant {
+		d.service.zoneOf = func(address string) string {
+			for i := range sc.hosts {
+				if address == hostAddress(network, i) {
+					return zoneRegions[i%len(zoneRegions)][0]
+				}
+			}
+			return ""
+		}
+	}
 	storeAddress, err := serveHTTP(network+".250.1", d.store)
 	if err != nil {
 		return err
@@ -148,7 +160,7 @@
 	}
 	for i := range sc.hosts {
 		zone := zoneRegions[i%len(zoneRegions)][0]
-		h, err := newHost(absolute, d.folder, fmt.Sprintf("front-%s-%d", zone, i/len(zoneRegions)+1), fmt.Sprintf("%s.%d.1", network, i+1), zone, storeAddress, cloudAddress, sc.fenced, d.record)
+		h, err := newHost(absolute, d.folder, fmt.Sprintf("front-%s-%d", zone, i/len(zoneRegions)+1), hostAddress(network, i), zone, storeAddress, cloudAddress, sc.fenced, d.record)
 		if err != nil {
 			return err
 		}
@@ -160,6 +172,9 @@
 	return nil
 }
 
+// hostAddress returns the address of the i-th host.
+func hostAddress(network string, i int) string { return fmt.Sprintf("%s.%d.1", network, i+1) }
+
 // configure writes the configuration, like the operator.
 func (d *deployment) configure(limit int) {
 	route := func(name, kind string, staleness int) routeSpec {
