--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -59,6 +59,12 @@
 	runs       []run
 	promoted   []promotion
 	network    string
+	// transfersLog is true if the log of a database that has left goes to a new one at
+	// its address.
+	transfersLog bool
+	// syncReplicas is the number of replicas that must have received a commit before it
+	// is acknowledged.
+	syncReplicas int
 	// splitCommits holds the statements that a replaced primary committed after
 	// another one had taken over, by id.
 	splitCommits map[string]splitCommit
@@ -79,6 +85,8 @@
 	at   time.Time
 	name string
 	term uint64
+	// log holds the statements in the log of the database then.
+	log map[string]bool
 }
 
 // database is a stand-in of one database server.
@@ -95,6 +103,9 @@
 	cut       map[string]bool // source addresses whose bytes are held back
 	open      map[net.Conn]bool
 	gone      bool
+	down      bool
+	deaf      bool // receives nothing
+	address   string
 }
 
 const firstNumber = 1000
@@ -130,11 +141,46 @@
 	}
 	s.members = append(s.members, d)
 	s.mu.Unlock()
-	go d.serve()
+	d.address = ln.Addr().String()
+	go d.serve(ln)
 	d.announce()
 	return d, nil
 }
 
+// crash ends a database for a time, after which it is back with its log. Its entry
+// lapses after three heartbeat intervals.
+func (s *service) crash(d *database, duration time.Duration) {
+	s.mu.Lock()
+	d.down = true
+	for c := range d.open {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	_ = d.listener.Close()
+	s.record.say("%s crashes", d.id)
+	time.AfterFunc(min(3*heartbeat, duration), func() { s.store.remove("servers", d.id) })
+	time.AfterFunc(duration, func() {
+		ln, err := net.Listen("tcp", d.address)
+		if err != nil {
+			s.record.say("%s cannot listen again: %v", d.id, err)
+			return
+		}
+		s.mu.Lock()
+		d.down, d.listener = false, ln
+		if leader := s.leader(); leader != nil && leader != d {
+			d.primary = false
+			d.receive()
+		}
+		s.mu.Unlock()
+		go d.serve(ln)
+		d.announce()
+		s.record.say("%s is back", d.id)
+	})
+}
+
+// heartbeat is the interval of the databases' heartbeats.
+const heartbeat = 1200 * time.Millisecond
+
 // release replaces a database: a new one starts first, then the old one drains for the
 // given time and leaves.
 func (s *service) release(d *database, drain time.Duration) error {
@@ -164,6 +210,26 @@
 	_ = d.listener.Close()
 	s.store.remove("servers", d.id)
 	s.record.say("%s has left", d.id)
+	if s.transfersLog {
+		time.AfterFunc(transferTime, func() { s.succeed(d) })
+	}
+}
+
+// succeed starts a new database at the address of one that has left, with its log.
+func (s *service) succeed(old *database) {
+	ln, err := net.Listen("tcp", old.address)
+	if err != nil {
+		s.record.say("no database at the address of %s: %v", old.id, err)
+		return
+	}
+	s.mu.Lock()
+	s.started++
+	d := &database{service: s, id: fmt.Sprintf("i-%s-%d", s.name, s.started), zone: old.zone, listener: ln, address: old.address, term: old.term, log: slices.Clone(old.log), state: "ready", cut: map[string]bool{}, open: map[net.Conn]bool{}}
+	s.members = append(s.members, d)
+	s.mu.Unlock()
+	go d.serve(ln)
+	d.announce()
+	s.record.say("%s starts at the address of %s, with its log", d.id, old.id)
 }
 
 // primary returns the primary of the highest term, or nil.
@@ -176,7 +242,7 @@
 // announce writes the entry of the database to the store.
 func (d *database) announce() {
 	d.service.mu.Lock()
-	gone, primary, state := d.gone, d.primary, d.state
+	gone, primary, state := d.gone || d.down, d.primary, d.state
 	d.service.mu.Unlock()
 	if gone {
 		return
@@ -186,7 +252,7 @@
 		role = "primary"
 	}
 	d.service.store.put("servers", d.id, map[string]any{
-		"service": d.service.name, "address": d.listener.Addr().String(), "zone": d.zone, "version": "v1", "slots": 3,
+		"service": d.service.name, "address": d.address, "zone": d.zone, "version": "v1", "slots": 3,
 		"state": state, "coldRemainingMs": 0, "databaseRole": role, "sequence": d.sequence, "born": 1_700_000_000_000,
 	})
 }
@@ -209,7 +275,7 @@
 func (s *service) leader() *database {
 	var out *database
 	for _, d := range s.members {
-		if d.primary && (out == nil || d.term > out.term) {
+		if d.primary && !d.down && (out == nil || d.term > out.term) {
 			out = d
 		}
 	}
@@ -219,6 +285,17 @@
 	return out
 }
 
+// statements returns the statements in the log. s.mu must be held.
+func (d *database) statements() map[string]bool {
+	out := map[string]bool{}
+	for _, c := range d.log {
+		for _, id := range c.ids {
+			out[id] = true
+		}
+	}
+	return out
+}
+
 // receive brings the log of a replica up to date. s.mu must be held. While there is no
 // primary, what the last one committed still arrives.
 func (d *database) receive() {
@@ -226,7 +303,7 @@
 	if leader == nil {
 		leader = d.service.lastLeader
 	}
-	if d.primary || leader == nil || leader == d || d.pauseTerm > 0 {
+	if d.primary || d.down || d.deaf || leader == nil || leader == d || d.pauseTerm > 0 {
 		return
 	}
 	d.term = leader.term
@@ -264,14 +341,14 @@
 func (s *service) take(d *database) {
 	s.mu.Lock()
 	old := s.leader()
-	if d.primary || d.gone {
+	if d.primary || d.gone || d.down {
 		s.mu.Unlock()
 		return
 	}
 	d.receive()
 	s.term++
 	d.primary, d.term = true, s.term
-	s.promoted = append(s.promoted, promotion{time.Now(), d.id, s.term})
+	s.promoted = append(s.promoted, promotion{time.Now(), d.id, s.term, d.statements()})
 	stepDown := func() {
 		s.mu.Lock()
 		if old != nil && old != d && old.primary && old.term < d.term {
@@ -324,7 +401,7 @@
 	refused = s.fenced && token < s.token
 	s.token = max(s.token, token)
 	for _, d := range s.members {
-		if d.id == id {
+		if d.id == id && !d.down {
 			named = d
 		}
 	}
@@ -366,9 +443,9 @@
 }
 
 // serve accepts connections until the listener is closed.
-func (d *database) serve() {
+func (d *database) serve(ln net.Listener) {
 	for {
-		c, err := d.listener.Accept()
+		c, err := ln.Accept()
 		if err != nil {
 			return
 		}
@@ -386,6 +463,9 @@
 	values   map[string]string
 	prepared map[string]string // "READ shape" or "WRITE shape" by name
 	tx       *dbTransaction
+	// committed is the commit that the present statement made, if replicas must receive
+	// it first.
+	committed *commit
 }
 
 type dbTransaction struct {
@@ -438,7 +518,7 @@
 func (d *database) addConn(c net.Conn) bool {
 	d.service.mu.Lock()
 	defer d.service.mu.Unlock()
-	if d.gone || len(d.open) >= d.service.limit {
+	if d.gone || d.down || len(d.open) >= d.service.limit {
 		return false
 	}
 	d.open[c] = true
@@ -498,6 +578,13 @@
 	defer s.mu.Unlock()
 	x.database.receive()
 	rows, code := x.execute(id, text)
+	if x.committed != nil {
+		c := x.committed
+		x.committed = nil
+		if !s.awaitReplicas(x.database, c) {
+			code = "TIMEOUT"
+		}
+	}
 	out := ""
 	for _, row := range rows {
 		out += "ROW " + row + "\r\n"
@@ -525,6 +612,32 @@
 	return out + "READY " + state + " " + x.database.position() + "\r\n"
 }
 
+// syncTimeout bounds the wait of a commit for replicas.
+const syncTimeout = 900 * time.Millisecond
+
+// awaitReplicas waits until enough replicas have received a commit, and reports whether
+// they have. s.mu must be held; it is released meanwhile.
+func (s *service) awaitReplicas(d *database, c *commit) bool {
+	for until := time.Now().Add(syncTimeout); ; {
+		received := 0
+		for _, m := range s.members {
+			m.receive()
+			if m != d && !m.down && slices.Contains(m.log[max(0, len(m.log)-64):], c) {
+				received++
+			}
+		}
+		if received >= s.syncReplicas {
+			return true
+		}
+		if d.down || time.Now().After(until) {
+			return false
+		}
+		s.mu.Unlock()
+		time.Sleep(2 * time.Millisecond)
+		s.mu.Lock()
+	}
+}
+
 // execute executes a statement. s.mu must be held. The code is empty for a success.
 func (x *dbConn) execute(id, text string) (rows []string, code string) {
 	d, s := x.database, x.database.service
@@ -574,7 +687,7 @@
 		case tx.failed:
 			return nil, "ABORTED"
 		case len(tx.writes) > 0:
-			d.append(tx.writes, append(tx.ids, id))
+			x.committed = d.append(tx.writes, append(tx.ids, id))
 		}
 		s.runs = append(s.runs, run{time.Now(), d.id, id, text, maps.Clone(x.values), "", ""})
 	case "SET":
@@ -637,7 +750,7 @@
 		x.tx.writes[item] = data
 		x.tx.ids = append(x.tx.ids, id)
 	default:
-		d.append(map[string]string{item: data}, []string{id})
+		x.committed = d.append(map[string]string{item: data}, []string{id})
 	}
 	return nil, ""
 }
@@ -656,15 +769,20 @@
 	return "none"
 }
 
-// append commits writes.
-func (d *database) append(writes map[string]string, ids []string) {
+// append commits writes. It returns the commit if replicas must receive it first.
+func (d *database) append(writes map[string]string, ids []string) *commit {
 	last, s := d.log[len(d.log)-1], d.service
 	if s.leader() != d {
 		for _, id := range ids {
 			s.splitCommits[id] = splitCommit{time.Now(), d.id, d.term, s.promoted[len(s.promoted)-1]}
 		}
 	}
-	d.log = append(d.log, &commit{term: d.term, number: last.number + 1, at: time.Now(), writes: writes, ids: ids})
+	c := &commit{term: d.term, number: last.number + 1, at: time.Now(), writes: writes, ids: ids}
+	d.log = append(d.log, c)
+	if s.syncReplicas == 0 {
+		return nil
+	}
+	return c
 }
 
 func (d *database) status() string {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -49,7 +49,9 @@
 	limit  int
 	// distant makes hosts and databases of different regions 20 ms apart, one way.
 	distant bool
-	run     func(*deployment) (broken int, err error)
+	// syncReplicas is that of the service.
+	syncReplicas int
+	run          func(*deployment) (broken int, err error)
 }
 
 var scenarios = map[string]scenario{}
@@ -153,6 +155,7 @@
 	if err != nil {
 		return err
 	}
+	d.service.syncReplicas = sc.syncReplicas
 	d.configure(sc.limit)
 	absolute, err := filepath.Abs(binary)
 	if err != nil {
@@ -183,7 +186,7 @@
 	d.store.put("config", "main", map[string]any{
 		"version":  3,
 		"routes":   []routeSpec{route("werkbon", "primary", 0), route("status-check", "bounded_staleness", 1500), route("inspectielog", "own_writes", 2500)},
-		"services": []map[string]any{{"name": d.service.name, "healthPath": "/health", "connectionLimit": limit, "protocol": "h1", "tls": false, "syncReplicas": 0}},
+		"services": []map[string]any{{"name": d.service.name, "healthPath": "/health", "connectionLimit": limit, "protocol": "h1", "tls": false, "syncReplicas": d.service.syncReplicas}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000, "transactionIdleMs": 3000},
 	})
 }
