--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -104,6 +104,7 @@
 	open      map[net.Conn]bool
 	gone      bool
 	down      bool
+	crashedAt time.Time
 	deaf      bool // receives nothing
 	address   string
 }
@@ -151,7 +152,7 @@
 // lapses after three heartbeat intervals.
 func (s *service) crash(d *database, duration time.Duration) {
 	s.mu.Lock()
-	d.down = true
+	d.down, d.crashedAt = true, time.Now()
 	for c := range d.open {
 		_ = c.Close()
 	}
@@ -306,6 +307,10 @@
 	if d.primary || d.down || d.deaf || leader == nil || leader == d || d.pauseTerm > 0 {
 		return
 	}
+	if leader.down && time.Since(leader.crashedAt) > 2*d.service.lag {
+		// What was on its way has arrived.
+		return
+	}
 	d.term = leader.term
 	common := 0
 	for common < len(d.log) && common < len(leader.log) && d.log[common] == leader.log[common] {
