--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -148,32 +148,25 @@
 	return d, nil
 }
 
-// crash ends a database for a time, after which it is back with its log. Its entry
-// lapses after three heartbeat intervals.
+// crash takes the power of a database's machine away for a time: it does not respond,
+// and is then back with its log. Its entry lapses after three heartbeat intervals.
 func (s *service) crash(d *database, duration time.Duration) {
 	s.mu.Lock()
 	d.down, d.crashedAt = true, time.Now()
-	for c := range d.open {
-		_ = c.Close()
-	}
 	s.mu.Unlock()
-	_ = d.listener.Close()
-	s.record.say("%s crashes", d.id)
+	s.record.say("%s crashes and does not respond", d.id)
 	time.AfterFunc(min(3*heartbeat, duration), func() { s.store.remove("servers", d.id) })
 	time.AfterFunc(duration, func() {
-		ln, err := net.Listen("tcp", d.address)
-		if err != nil {
-			s.record.say("%s cannot listen again: %v", d.id, err)
-			return
-		}
 		s.mu.Lock()
-		d.down, d.listener = false, ln
+		for c := range d.open {
+			_ = c.Close()
+		}
+		d.down = false
 		if leader := s.leader(); leader != nil && leader != d {
 			d.primary = false
 			d.receive()
 		}
 		s.mu.Unlock()
-		go d.serve(ln)
 		d.announce()
 		s.record.say("%s is back", d.id)
 	})
@@ -269,7 +262,7 @@
 func (d *database) isCut(address string) bool {
 	d.service.mu.Lock()
 	defer d.service.mu.Unlock()
-	return d.cut[address]
+	return d.down || d.cut[address]
 }
 
 // leader returns the primary of the highest term. s.mu must be held.
--- a/review/standin/drainlost.go
+++ b/review/standin/drainlost.go
@@ -22,7 +22,7 @@
 	// leaveTime is the time from the announcement of a database until it has left, and
 	// transferTime that until a new one starts at its address, with its log.
 	leaveTime    = 7200 * time.Millisecond
-	transferTime = 3 * time.Second
+	transferTime = 2 * time.Second
 	drainLostEnd = 24 * time.Second
 )
 
