--- a/review/standin/database.go
+++ b/review/standin/database.go
@@ -47,10 +47,6 @@
 	term    uint64
 	token   uint64
 	started int // databases
-	// heldCalls is the number of calls still to be left unanswered, and heldFor the
-	// delay of their execution.
-	heldCalls int
-	heldFor   time.Duration
 	// zoneOf returns the zone of the host at an address; nil if all are near.
 	zoneOf func(address string) string
 	// lastLeader is the last primary that was seen.
@@ -372,25 +368,6 @@
 	}
 }
 
-// holdCalls leaves the next n calls to promote unanswered and executes them after a
-// delay.
-func (s *service) holdCalls(n int, delay time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.heldCalls, s.heldFor = n, delay
-}
-
-// takeHold reports whether a call is to be held, and for how long.
-func (s *service) takeHold() (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.heldCalls == 0 {
-		return 0, false
-	}
-	s.heldCalls--
-	return s.heldFor, true
-}
-
 // judge checks the fence of a call and returns the database that it names, or nil if
 // that one is not running.
 func (s *service) judge(id string, token uint64) (named *database, refused bool) {
@@ -414,18 +391,6 @@
 		reply(w, http.StatusBadRequest, nil)
 		return
 	}
-	if delay, held := s.takeHold(); held {
-		s.record.say("POST /promotion service=%s id=%s holder=%s token=%d is not answered, and executed after %s", body.Service, body.ID, r.Header.Get("Duty-Holder"), token, delay)
-		time.AfterFunc(delay, func() {
-			named, refused := s.judge(body.ID, token)
-			s.record.say("the call for id=%s with token=%d is executed, refused=%t", body.ID, token, refused || named == nil)
-			if !refused && named != nil {
-				time.AfterFunc(s.promote, func() { s.take(named) })
-			}
-		})
-		<-r.Context().Done()
-		panic(http.ErrAbortHandler)
-	}
 	named, refused := s.judge(body.ID, token)
 	s.record.say("POST /promotion service=%s id=%s holder=%s token=%d refused=%t", body.Service, body.ID, r.Header.Get("Duty-Holder"), token, refused || named == nil)
 	if refused || named == nil {
