Send a statement only after the server has confirmed its session

Callers saw reads answered with the session values of another session (PINNED), and MALFORMED, which promises nothing, for a statement of a transaction whose primary had been replaced.

Cause: a connection of the pool counted session values and prepared statements as applied when they were sent, and nothing looked at the answers to them. A primary that is replaced during a transaction refuses them (READONLY). After the rollback the connection went back to the pool with values that the server never had, and later statements of any session with these values ran with those of an earlier one.

Changes of the session are sent first; if the server refuses one, none of the caller's statements is sent, the caller gets READONLY or BUSY, which are true promises, and the session is reset before its next use. Only BEGIN, which reads and writes nothing, still travels with them.

The same cause elsewhere, fixed with it: - Statements of other hosts (Group.Execute) went the same way. - Outside a transaction a statement in one batch with refused values ran without them. - A prepared statement that was refused counted as prepared. - A probe did not look at the answer to its ROLLBACK, so a connection could go back to the pool in a transaction. Whether a connection is reusable now follows from its last answer, no longer from an argument of Release. - The lease for the use of a primary is checked again after the changes. The mode for PostgreSQL callers was read: it records parameters after the answers and reverts statements that the server skipped.

Release and Exchange changed their parameters, so tests that call them did, too; what they check is the same.

--- a/core/statement/statementtest/conn.go
+++ b/core/statement/statementtest/conn.go
@@ -76,6 +76,12 @@
 	}
 }
 
+// changesSession reports whether a statement changes the session of its connection
+// only.
+func changesSession(k statement.Kind) bool {
+	return k == statement.Set || k == statement.Prepare || k == statement.Reset
+}
+
 // errNoAnswer means that the server does not answer.
 var errNoAnswer = fmt.Errorf("server does not answer")
 
@@ -147,6 +153,15 @@
 	if r.MinPosition.Term > 0 && sv.position().Compare(r.MinPosition) < 0 {
 		return c.refuse(statement.Lagging)
 	}
+	// A server that lost the role refuses every statement of a transaction but the one
+	// that ends it.
+	if c.lostPrimaryRole() && r.Kind != statement.Commit && r.Kind != statement.Rollback {
+		return c.refuse(statement.ReadOnly)
+	}
+	if changesSession(r.Kind) && sv.sessionRefusals > 0 {
+		sv.sessionRefusals--
+		return c.refuse(statement.Busy)
+	}
 	switch r.Kind {
 	case statement.Set:
 		c.values[r.Name] = r.Value
@@ -235,8 +250,6 @@
 	switch {
 	case !known:
 		return c.refuse(statement.UnknownName)
-	case c.lostPrimaryRole():
-		return c.refuse(statement.ReadOnly)
 	case writes && (!c.server.primary || c.tx != nil && c.tx.readOnly):
 		return c.refuse(statement.ReadOnly)
 	case !writes:
--- a/core/statement/statementtest/history.go
+++ b/core/statement/statementtest/history.go
@@ -1,6 +1,7 @@
 package statementtest
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -107,6 +108,10 @@
 	rng    *rand.Rand
 	// ownWrites holds the IDs of the writes acknowledged in the current session.
 	ownWrites []string
+	// value is the session value that identifies the caller's statements, as it was
+	// last acknowledged, and values counts the values set.
+	value  string
+	values int
 }
 
 // RunCaller runs random operations of a caller on a route of the given
@@ -128,19 +133,69 @@
 	}
 }
 
-// openSession sets the session value that identifies the caller's statements. It
-// retries until the value is accepted, at most 100 times.
+// preparedName is the name of the prepared statement of each session.
+const preparedName = "read"
+
+// openSession sets the session value that identifies the caller's statements and
+// prepares a read. It retries until both are accepted, at most 100 times.
 func (p *callerRun) openSession() {
-	p.ownWrites = nil
+	p.ownWrites, p.value = nil, ""
 	for range 100 {
-		a, err := p.caller.Do(statement.Statement{ID: p.name + "/set", Kind: statement.Set, Name: p.name, Value: "1"})
-		if err == nil && a.Code == statement.OK {
+		if p.setValue() == nil && p.prepare() == nil {
 			return
 		}
 		time.Sleep(p.MaxThinkTime)
 	}
 }
 
+// errNotAcknowledged means that the host refused a statement that it answers itself.
+var errNotAcknowledged = errors.New("statement was not acknowledged")
+
+// setValue changes the session value. It fails unless that was acknowledged.
+func (p *callerRun) setValue() error {
+	p.values++
+	value := fmt.Sprint(p.values)
+	if err := p.doLocal(statement.Statement{ID: p.name + "/set", Kind: statement.Set, Name: p.name, Value: value}); err != nil {
+		return err
+	}
+	p.value = value
+	return nil
+}
+
+func (p *callerRun) prepare() error {
+	return p.doLocal(statement.Statement{ID: p.name + "/prepare", Kind: statement.Prepare, Name: preparedName, Value: "x"})
+}
+
+// doLocal sends a statement that the host answers itself, without a server.
+func (p *callerRun) doLocal(st statement.Statement) error {
+	a, err := p.caller.Do(st)
+	if err == nil && a.Code != statement.OK {
+		err = fmt.Errorf("%w: %s", errNotAcknowledged, a.Code)
+	}
+	return err
+}
+
+// checkSession checks that a statement that succeeded ran with the session values of
+// its caller, and that a prepared statement was known. It returns the signature of the
+// answer, or false if there is none.
+func (p *callerRun) checkSession(id string, a statement.Answer) (Signature, bool) {
+	if a.Code == statement.UnknownName {
+		p.addViolation("%s: statement %s lacks its prepared statement", p.name, id)
+	}
+	if a.Code != statement.OK {
+		return Signature{}, false
+	}
+	sig, err := ParseSignature(a.Signature)
+	if err != nil {
+		p.addViolation("%s: %v", p.name, err)
+		return sig, false
+	}
+	if want := p.name + "=" + p.value; sig.Values != want {
+		p.addViolation("%s: statement %s ran with session values %q, want %q", p.name, id, sig.Values, want)
+	}
+	return sig, true
+}
+
 // reopenSession opens a new session if err is set, that is, the connection broke.
 func (p *callerRun) reopenSession(err error) {
 	if err != nil {
@@ -152,12 +207,14 @@
 	a, err := p.caller.Do(statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE x " + id})
 	p.recordOutcome(a, err, id)
 	if err == nil && a.Code == statement.OK {
+		p.checkSession(id, a)
 		p.ownWrites = append(p.ownWrites, id)
 	}
 	p.reopenSession(err)
 }
 
-// transaction writes twice, then commits or, one time in five, rolls back.
+// transaction writes twice, then commits or, one time in five, rolls back. One time in
+// three it changes the session value between the writes.
 func (p *callerRun) transaction(id string) {
 	a, err := p.caller.Do(statement.Statement{ID: id + "b", Kind: statement.Begin})
 	if err != nil || a.Code != statement.OK {
@@ -165,13 +222,22 @@
 		return
 	}
 	ids := []string{id + "x", id + "y"}
-	for _, id := range ids {
+	for i, id := range ids {
+		if i > 0 && p.rng.IntN(3) == 0 {
+			if err := p.setValue(); err != nil {
+				// The commit was not requested, so nothing may persist.
+				p.recordOutcome(statement.Answer{Code: statement.Aborted}, nil, ids...)
+				p.rollback(id, err)
+				return
+			}
+		}
 		a, err := p.caller.Do(statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE y " + id})
 		if err != nil || a.Code != statement.OK {
 			p.recordOutcome(a, err, ids...)
 			p.rollback(id, err)
 			return
 		}
+		p.checkSession(id, a)
 		time.Sleep(time.Duration(p.rng.Int64N(int64(p.MaxThinkTime)/2 + 1)))
 	}
 	if p.rng.IntN(5) == 0 {
@@ -182,39 +248,46 @@
 	a, err = p.caller.Do(statement.Statement{ID: id + "c", Kind: statement.Commit})
 	p.recordOutcome(a, err, ids...)
 	if err == nil && a.Code == statement.OK {
+		p.checkSession(id+"c", a)
 		p.ownWrites = append(p.ownWrites, ids...)
 	}
 	p.reopenSession(err)
 }
 
+// rollback ends the transaction unless err, the error of its last statement, shows
+// that the connection broke.
 func (p *callerRun) rollback(id string, err error) {
-	if err == nil {
+	if err == nil || errors.Is(err, errNotAcknowledged) {
 		_, err = p.caller.Do(statement.Statement{ID: id + "r", Kind: statement.Rollback})
 	}
 	p.reopenSession(err)
 }
 
+// readStatement returns a read, one time in three by the prepared statement.
+func (p *callerRun) readStatement(id string) statement.Statement {
+	if p.rng.IntN(3) == 0 {
+		return statement.Statement{ID: id, Kind: statement.Execute, Name: preparedName, Arguments: "x"}
+	}
+	return statement.Statement{ID: id, Kind: statement.Read, Text: "READ x"}
+}
+
 // read reads and checks which writes the server had applied. Reads during which
 // the primary changed are skipped, since it is not known exactly which writes the
 // promotion rolled back.
 func (p *callerRun) read(id string) {
 	promotions, began := p.Service.Promotions(), time.Now()
-	a, err := p.caller.Do(statement.Statement{ID: id, Kind: statement.Read, Text: "READ x"})
-	if err != nil || a.Code != statement.OK || p.Service.Promotions() != promotions {
+	a, err := p.caller.Do(p.readStatement(id))
+	if err != nil {
 		p.reopenSession(err)
 		return
 	}
-	sig, err := ParseSignature(a.Signature)
-	if err != nil {
-		p.addViolation("%s: %v", p.name, err)
+	sig, ok := p.checkSession(id, a)
+	if !ok || p.Service.Promotions() != promotions {
 		return
 	}
 	p.mu.Lock()
 	p.reads++
 	p.mu.Unlock()
-	if sig.Values != p.name+"=1" {
-		p.addViolation("%s: statement %s ran with session values %q", p.name, id, sig.Values)
-	}
 	before := began
 	if p.kind != catalog.Primary {
 		before = began.Add(-p.Staleness)
--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -101,6 +101,9 @@
 	loseAnswers int
 	// busyRefusals is the number of statements still to be refused as busy.
 	busyRefusals int
+	// sessionRefusals is the number of Set, Prepare and Reset statements still to be
+	// refused.
+	sessionRefusals int
 }
 
 // New returns a service whose first server is the primary at term 1.
@@ -249,6 +252,12 @@
 	s.updateServer(id, func(sv *Server) { sv.busyRefusals = n })
 }
 
+// RefuseSessionChanges makes the server refuse the next n Set, Prepare and Reset
+// statements with statement.Busy.
+func (s *Service) RefuseSessionChanges(id string, n int) {
+	s.updateServer(id, func(sv *Server) { sv.sessionRefusals = n })
+}
+
 // Promote implements objects.Promoter. It refuses a fencing token lower than the
 // highest one received.
 func (s *Service) Promote(ctx context.Context, p objects.Promotion) error {
@@ -480,7 +489,7 @@
 	defer s.mu.Unlock()
 	for _, sv := range s.servers {
 		sv.down, sv.hung, sv.replicationPaused, sv.lag, sv.busyRefusals, sv.loseAnswers = false, false, false, 0, 0, 0
-		sv.isolated = false
+		sv.isolated, sv.sessionRefusals = false, 0
 	}
 	if s.options.ReplacedPrimaryContinues {
 		time.AfterFunc(StepDownDelay, s.stepDownReplaced)
--- a/daemon/internal/backend/forward.go
+++ b/daemon/internal/backend/forward.go
@@ -68,10 +68,8 @@
 	// no statements.
 	Release    bool
 	Statements []statement.Statement
-	// Values holds the session values, and Prepare the statement to prepare first;
-	// nil if there is none.
-	Values  map[string]string
-	Prepare *statement.Statement
+	// Session is the session that the statements require.
+	Session Session
 	// AsPrimary is true if only the primary may execute the statements.
 	AsPrimary bool
 	// Priority is that of the route; 0 is the most urgent.
@@ -202,9 +200,6 @@
 // remoteConn is the state of a Conn whose statements an owner runs.
 type remoteConn struct {
 	priority int
-	// values and prepare are those of the next exchange.
-	values  map[string]string
-	prepare *statement.Statement
 	// owner runs the open transaction with the handle; nil if there is none.
 	owner  Owner
 	handle string
@@ -218,14 +213,14 @@
 // exchange has the statements run by an owner. Only the owner of an open
 // transaction can continue it; otherwise the next owner is asked if one did not get
 // the statements.
-func (r *remoteConn) exchange(p *Pool, deadline time.Time, asPrimary bool, requests []statement.Statement) ([]statement.Answer, bool, error) {
+func (r *remoteConn) exchange(p *Pool, deadline time.Time, asPrimary bool, want Session, requests []statement.Statement) ([]statement.Answer, bool, error) {
 	g := p.group
 	if r.lost {
 		// On another connection, the statement would run outside the transaction.
 		return nil, false, errTransactionLost
 	}
 	batch := Batch{
-		Handle: r.handle, Statements: requests, Values: r.values, Prepare: r.prepare, AsPrimary: asPrimary, Priority: r.priority,
+		Handle: r.handle, Statements: requests, Session: want, AsPrimary: asPrimary, Priority: r.priority,
 		IdleTimeout: time.Duration(g.transactionIdleTimeout.Load()),
 	}
 	owners := []Owner{r.owner}
@@ -366,20 +361,19 @@
 		return result
 	}
 	b.useOwnNames()
-	setup := c.SessionSetup(b.Values, b.Prepare)
 	send := c.Exchange
 	if b.AsPrimary {
 		send = c.ExchangeAsPrimary
 	}
-	answers, mayRun, err := send(time.Now().Add(b.Timeout), append(setup, b.Statements...)...)
-	result = BatchResult{Answers: answers[min(len(setup), len(answers)):], MayRun: mayRun}
+	answers, mayRun, err := send(time.Now().Add(b.Timeout), b.Session, b.Statements...)
+	result = BatchResult{Answers: answers, MayRun: mayRun}
 	if err != nil {
 		result.Failure = err.Error()
-		c.Release(false)
+		c.Release()
 		return result
 	}
-	if answers[len(answers)-1].State == statement.Idle {
-		c.Release(true)
+	if c.session.state == statement.Idle {
+		c.Release()
 		return result
 	}
 	result.Handle = g.held.keep(c, b.IdleTimeout+idleTimeoutMargin)
@@ -389,18 +383,18 @@
 // useOwnNames replaces the name of the prepared statement, which the other host
 // chose, by that of this host.
 func (b *Batch) useOwnNames() {
-	if b.Prepare == nil {
+	if b.Session.Prepare == nil {
 		return
 	}
-	prepare := *b.Prepare
+	prepare := *b.Session.Prepare
 	prepare.Name = PreparedName(prepare.Value, prepare.Writes)
 	statements := slices.Clone(b.Statements)
 	for i := range statements {
-		if statements[i].Kind == statement.Execute && statements[i].Name == b.Prepare.Name {
+		if statements[i].Kind == statement.Execute && statements[i].Name == b.Session.Prepare.Name {
 			statements[i].Name = prepare.Name
 		}
 	}
-	b.Prepare, b.Statements = &prepare, statements
+	b.Session.Prepare, b.Statements = &prepare, statements
 }
 
 // connFor returns the connection of the batch's transaction, or acquires one. It
--- a/daemon/internal/backend/forward_test.go
+++ b/daemon/internal/backend/forward_test.go
@@ -53,18 +53,37 @@
 	return g
 }
 
+// forwarding is a host whose statements two owners run.
+type forwarding struct {
+	service       *statementtest.Service
+	entry         *Group
+	first, second *testOwner
+}
+
+func newForwarding() *forwarding {
+	service := statementtest.New("service", statementtest.Options{StatementTime: 5 * time.Millisecond, ConnectionLimit: 4}, "s1", "s2")
+	f := &forwarding{
+		service: service, entry: groupOf(service),
+		first: &testOwner{name: "o1", group: groupOf(service)}, second: &testOwner{name: "o2", group: groupOf(service)},
+	}
+	f.entry.SetOwners([]Owner{f.first, f.second})
+	return f
+}
+
+// close ends the hosts and waits for their goroutines.
+func (f *forwarding) close() {
+	for _, g := range []*Group{f.entry, f.first.group, f.second.group} {
+		g.Close()
+	}
+	time.Sleep(10 * time.Second)
+}
+
 // inForwarding runs a test with a host whose statements two owners run.
 func inForwarding(t *testing.T, test func(service *statementtest.Service, entry *Group, first, second *testOwner)) {
 	synctest.Test(t, func(t *testing.T) {
-		service := statementtest.New("service", statementtest.Options{StatementTime: 5 * time.Millisecond, ConnectionLimit: 4}, "s1", "s2")
-		entry := groupOf(service)
-		first, second := &testOwner{name: "o1", group: groupOf(service)}, &testOwner{name: "o2", group: groupOf(service)}
-		entry.SetOwners([]Owner{first, second})
-		test(service, entry, first, second)
-		for _, g := range []*Group{entry, first.group, second.group} {
-			g.Close()
-		}
-		time.Sleep(10 * time.Second)
+		f := newForwarding()
+		defer f.close()
+		test(f.service, f.entry, f.first, f.second)
 	})
 }
 
@@ -78,8 +97,8 @@
 	if err != nil {
 		return nil, false, err
 	}
-	defer c.Release(true)
-	return c.ExchangeAsPrimary(time.Now().Add(time.Second), statements...)
+	defer c.Release()
+	return c.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, statements...)
 }
 
 // Guards against hosts whose shares add up to more than the limit, so that some hold
@@ -133,7 +152,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		c.Release(true)
+		c.Release()
 		if service.Connections("s1") != 1 {
 			t.Fatal("host opened no connection")
 		}
@@ -182,20 +201,20 @@
 		c, _ := entry.Primary().Acquire(context.Background(), writeClass)
 		deadline := time.Now().Add(time.Second)
 		for _, s := range []statement.Statement{{Kind: statement.Begin}, writeOf("w1"), {ID: "c1", Kind: statement.Commit}} {
-			if answers, _, err := c.ExchangeAsPrimary(deadline, s); err != nil || answers[0].Code != statement.OK {
+			if answers, _, err := c.ExchangeAsPrimary(deadline, Session{}, s); err != nil || answers[0].Code != statement.OK {
 				t.Fatalf("statement %d: answers %+v, error %v", s.Kind, answers, err)
 			}
 		}
-		c.Release(true)
+		c.Release()
 		if service.ExecutionCount("w1") != 1 || len(service.Committed()) != 1 {
 			t.Errorf("got %d executions and %d commits, want one of each", service.ExecutionCount("w1"), len(service.Committed()))
 		}
 		abandoned, _ := entry.Primary().Acquire(context.Background(), writeClass)
-		if _, _, err := abandoned.ExchangeAsPrimary(deadline, statement.Statement{Kind: statement.Begin}, writeOf("w2")); err != nil {
+		if _, _, err := abandoned.ExchangeAsPrimary(deadline, Session{}, statement.Statement{Kind: statement.Begin}, writeOf("w2")); err != nil {
 			t.Fatal(err)
 		}
 		time.Sleep(10 * time.Second)
-		if _, _, err := abandoned.ExchangeAsPrimary(time.Now().Add(time.Second), statement.Statement{ID: "c2", Kind: statement.Commit}); err == nil {
+		if _, _, err := abandoned.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, statement.Statement{ID: "c2", Kind: statement.Commit}); err == nil {
 			t.Error("abandoned transaction was committed")
 		}
 		if n := len(first.group.held.conns); n != 0 || len(service.Committed()) != 1 {
@@ -213,9 +232,8 @@
 				values["v"] = want[2:]
 			}
 			c, _ := entry.Primary().Acquire(context.Background(), writeClass)
-			c.SessionSetup(values, nil)
-			answers, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), writeOf("w"+want))
-			c.Release(true)
+			answers, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), Session{Values: values}, writeOf("w"+want))
+			c.Release()
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -232,9 +250,9 @@
 	inForwarding(t, func(_ *statementtest.Service, entry *Group, _, _ *testOwner) {
 		for _, writes := range []bool{false, true} {
 			c, _ := entry.Primary().Acquire(context.Background(), writeClass)
-			c.SessionSetup(nil, &statement.Statement{Kind: statement.Prepare, Name: "g1", Value: fmt.Sprint("shape ", writes), Writes: writes})
-			answers, _, err := c.Exchange(time.Now().Add(time.Second), statement.Statement{ID: fmt.Sprint(writes), Kind: statement.Execute, Name: "g1", Arguments: "item data"})
-			c.Release(true)
+			prepare := &statement.Statement{Kind: statement.Prepare, Name: "g1", Value: fmt.Sprint("shape ", writes), Writes: writes}
+			answers, _, err := c.Exchange(time.Now().Add(time.Second), Session{Prepare: prepare}, statement.Statement{ID: fmt.Sprint(writes), Kind: statement.Execute, Name: "g1", Arguments: "item data"})
+			c.Release()
 			if err != nil || answers[0].Code != statement.OK {
 				t.Fatalf("got answers %+v and error %v", answers, err)
 			}
@@ -251,7 +269,7 @@
 	inForwarding(t, func(_ *statementtest.Service, entry *Group, first, _ *testOwner) {
 		begin := func() *Conn {
 			c, _ := entry.Primary().Acquire(context.Background(), writeClass)
-			if _, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), statement.Statement{Kind: statement.Begin}); err != nil {
+			if _, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, statement.Statement{Kind: statement.Begin}); err != nil {
 				t.Fatal(err)
 			}
 			return c
@@ -261,14 +279,14 @@
 		defer former.Close()
 		first.group = groupOf(statementtest.New("service", statementtest.Options{}, "s1", "s2"))
 		other := begin()
-		if _, mayRun, err := old.ExchangeAsPrimary(time.Now().Add(time.Second), writeOf("w1")); err == nil || mayRun {
+		if _, mayRun, err := old.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, writeOf("w1")); err == nil || mayRun {
 			t.Errorf("statement of a lost transaction got error %v and mayRun %t, want a failure", err, mayRun)
 		}
-		if _, _, err := old.ExchangeAsPrimary(time.Now().Add(time.Second), writeOf("w2")); err == nil {
+		if _, _, err := old.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, writeOf("w2")); err == nil {
 			t.Error("statement after a lost transaction ran outside it")
 		}
-		old.Release(false)
-		other.Release(false)
+		old.Release()
+		other.Release()
 	})
 }
 
@@ -296,7 +314,7 @@
 			t.Errorf("got error %v and mayRun %t after %s, want a refusal within the time limit", err, mayRun, took)
 		}
 		for _, c := range held {
-			c.Release(true)
+			c.Release()
 		}
 	})
 }
@@ -332,9 +350,9 @@
 					ctx, cancel := context.WithTimeout(context.Background(), objective)
 					ok := false
 					if c, err := g.Primary().Acquire(ctx, writeClass); err == nil {
-						answers, _, err := c.ExchangeAsPrimary(time.Now().Add(objective), writeOf(fmt.Sprintf("w%d-%d", i, n)))
+						answers, _, err := c.ExchangeAsPrimary(time.Now().Add(objective), Session{}, writeOf(fmt.Sprintf("w%d-%d", i, n)))
 						ok = err == nil && answers[0].Code == statement.OK
-						c.Release(err == nil)
+						c.Release()
 					}
 					cancel()
 					mu.Lock()
--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -22,6 +22,9 @@
 	// PrimaryChanged records that the host considers the server the primary of the
 	// service.
 	PrimaryChanged(service, server string, term group.Term)
+	// SessionChangeRefused records that a server refused to set a session value or to
+	// prepare a statement, so that the statement of the caller was not sent.
+	SessionChangeRefused(service, server string, code statement.Code)
 }
 
 // Options are the settings that the groups of a host share.
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -58,8 +58,6 @@
 	busyResponseTime = 250 * time.Millisecond
 	// rollbackTimeout bounds the rollback of an abandoned transaction.
 	rollbackTimeout = 2 * time.Second
-	// maxPrepared is the maximum number of prepared statements on one connection.
-	maxPrepared = 200
 )
 
 // ErrNoConnection is wrapped by errors of obtaining a connection. It means that
@@ -222,7 +220,7 @@
 	}
 	p.group.options.Recorder.ConnectionOpened(server.Service)
 	p.recordAnswer()
-	return &Conn{pool: p, conn: conn, openedAt: p.group.options.Now(), sessionValues: map[string]string{}, prepared: map[string]bool{}}, nil
+	return &Conn{pool: p, conn: conn, openedAt: p.group.options.Now()}, nil
 }
 
 // recordDialFailure records that a connection could not be opened, and pauses
@@ -314,12 +312,13 @@
 
 // Conn is a connection in exclusive use by one statement, transaction or probe.
 type Conn struct {
-	pool          *Pool
-	conn          statement.Conn
-	ticket        *admission.Ticket
-	sessionValues map[string]string
-	prepared      map[string]bool
-	openedAt      time.Time
+	pool     *Pool
+	conn     statement.Conn
+	ticket   *admission.Ticket
+	openedAt time.Time
+	session  serverSession
+	// broken is true after a failure, when an answer may be missing.
+	broken bool
 	// remote is set if an owner runs the statements; conn and ticket are nil then.
 	remote *remoteConn
 	// idleSince is when the connection was last released after a statement. A
@@ -331,18 +330,19 @@
 // Pool returns the pool that the connection belongs to.
 func (c *Conn) Pool() *Pool { return c.pool }
 
-// Exchange sends the statements in one batch and returns their answers; see
-// statement.Conn.
-func (c *Conn) Exchange(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error) {
+// Exchange runs the statements in one batch in the wanted session and returns their
+// answers; see statement.Conn. If the server refuses the session, it executes none of
+// them, and each answer is a refusal with the code Busy or ReadOnly.
+func (c *Conn) Exchange(deadline time.Time, want Session, requests ...statement.Statement) ([]statement.Answer, bool, error) {
 	c.pool.outstanding.Add(1)
 	defer c.pool.outstanding.Add(-1)
-	return c.exchange(deadline, false, requests)
+	return c.exchange(deadline, false, want, requests)
 }
 
 // ExchangeAsPrimary is like Exchange, for statements that only the primary may
 // execute. It fails with ErrNoWriteLease, and sends nothing, if this host may not
 // use the server as the primary.
-func (c *Conn) ExchangeAsPrimary(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error) {
+func (c *Conn) ExchangeAsPrimary(deadline time.Time, want Session, requests ...statement.Statement) ([]statement.Answer, bool, error) {
 	// The statement counts as outstanding before the check, so that a revocation
 	// is confirmed only after statements that passed the check have ended.
 	c.pool.outstanding.Add(1)
@@ -350,36 +350,57 @@
 	if !c.pool.group.mayUse(c.pool) {
 		return nil, false, ErrNoWriteLease
 	}
-	return c.exchange(deadline, true, requests)
+	return c.exchange(deadline, true, want, requests)
 }
 
-func (c *Conn) exchange(deadline time.Time, asPrimary bool, requests []statement.Statement) (answers []statement.Answer, mayRun bool, err error) {
+func (c *Conn) exchange(deadline time.Time, asPrimary bool, want Session, requests []statement.Statement) (answers []statement.Answer, mayRun bool, err error) {
 	p := c.pool
-	sent := p.group.options.Now()
+	sentAt := p.group.options.Now()
 	if c.remote != nil {
-		answers, mayRun, err = c.remote.exchange(p, deadline, asPrimary, requests)
+		answers, mayRun, err = c.remote.exchange(p, deadline, asPrimary, want, requests)
+		// An owner that was not reached, or is lost, says nothing about the server.
+		p.recordExchange(len(answers) > 0, err != nil && mayRun && !errors.Is(err, errOwnerLost))
 	} else {
-		answers, mayRun, err = c.conn.Exchange(deadline, requests...)
-	}
-	if len(answers) > 0 {
-		p.recordAnswer()
-	}
-	if err != nil && (!mayRun || errors.Is(err, errOwnerLost)) {
-		// This says nothing about the server.
-		return answers, mayRun, err
+		answers, mayRun, err = c.exchangeInSession(deadline, asPrimary, want, requests)
 	}
 	if err != nil {
-		p.recordFailure()
-		p.markFailing(failureWindow)
 		return answers, mayRun, err
 	}
-	p.recordResponseTime(p.group.options.Now().Sub(sent))
+	p.recordResponseTime(p.group.options.Now().Sub(sentAt))
 	for _, a := range answers {
 		p.recordCode(a.Code)
 	}
 	return answers, mayRun, nil
 }
 
+// send sends the statements in one batch on the connection of this host, and records
+// what their answers show of the connection and of the server.
+func (c *Conn) send(deadline time.Time, statements ...statement.Statement) ([]statement.Answer, bool, error) {
+	answers, mayRun, err := c.transmit(deadline, statements...)
+	c.pool.recordExchange(len(answers) > 0, err != nil && mayRun)
+	return answers, mayRun, err
+}
+
+// transmit is send for probes and rollbacks, which do not count as failures of the
+// server.
+func (c *Conn) transmit(deadline time.Time, statements ...statement.Statement) ([]statement.Answer, bool, error) {
+	answers, mayRun, err := c.conn.Exchange(deadline, statements...)
+	c.session.record(statements, answers)
+	c.broken = c.broken || err != nil
+	return answers, mayRun, err
+}
+
+// recordExchange records whether the server answered, and whether it failed to.
+func (p *Pool) recordExchange(answered, failed bool) {
+	if answered {
+		p.recordAnswer()
+	}
+	if failed {
+		p.recordFailure()
+		p.markFailing(failureWindow)
+	}
+}
+
 // recordCode updates the load and availability of the server from the code of
 // an answer.
 func (p *Pool) recordCode(code statement.Code) {
@@ -391,10 +412,9 @@
 	}
 }
 
-// Release returns the connection to its pool. The connection is closed unless
-// clean is true, which means that it is outside a transaction and that every
-// answer was read.
-func (c *Conn) Release(clean bool) {
+// Release returns the connection to its pool. The connection is closed if it failed
+// or is in a transaction.
+func (c *Conn) Release() {
 	p := c.pool
 	if c.remote != nil {
 		c.remote.release(p)
@@ -402,7 +422,7 @@
 	}
 	// After the push, another statement may already use the connection.
 	ticket := c.ticket
-	if !clean || !p.pushIdle(c) {
+	if c.broken || c.session.state != statement.Idle || !p.pushIdle(c) {
 		p.discard(c)
 	}
 	p.limiter.Release(ticket)
@@ -473,46 +493,7 @@
 		return
 	}
 	go func() {
-		answers, _, err := c.conn.Exchange(time.Now().Add(rollbackTimeout), statement.Statement{Kind: statement.Rollback})
-		c.Release(err == nil && len(answers) == 1 && answers[0].State == statement.Idle)
+		_, _, _ = c.transmit(time.Now().Add(rollbackTimeout), statement.Statement{Kind: statement.Rollback})
+		c.Release()
 	}()
 }
-
-// SessionSetup returns the statements that apply the session values of a caller
-// to the connection and prepare a statement unless prepare is nil. They must be
-// sent before the caller's statement.
-func (c *Conn) SessionSetup(values map[string]string, prepare *statement.Statement) []statement.Statement {
-	if c.remote != nil {
-		c.remote.values, c.remote.prepare = values, prepare
-		return nil
-	}
-	var out []statement.Statement
-	if c.needsReset(values) {
-		out = append(out, statement.Statement{Kind: statement.Reset})
-		c.sessionValues, c.prepared = map[string]string{}, map[string]bool{}
-	}
-	for name, value := range values {
-		if old, set := c.sessionValues[name]; set && old == value {
-			continue
-		}
-		c.sessionValues[name] = value
-		out = append(out, statement.Statement{Kind: statement.Set, Name: name, Value: value})
-	}
-	if prepare != nil && !c.prepared[prepare.Name] {
-		c.prepared[prepare.Name] = true
-		out = append(out, *prepare)
-	}
-	return out
-}
-
-func (c *Conn) needsReset(values map[string]string) bool {
-	if len(c.prepared) >= maxPrepared {
-		return true
-	}
-	for name := range c.sessionValues {
-		if _, wanted := values[name]; !wanted {
-			return true
-		}
-	}
-	return false
-}
--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -203,7 +203,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
 	defer cancel()
 	if conn := p.takeProbeConn(); conn != nil {
-		err := g.sendProbe(ctx, p, conn)
+		err := g.sendProbe(ctx, p, conn.Exchange)
 		if err == nil && p.storeProbeConn(conn) {
 			return nil
 		}
@@ -234,7 +234,7 @@
 		return err
 	}
 	p.group.options.Recorder.ConnectionOpened(g.name)
-	err = g.sendProbe(ctx, p, conn)
+	err = g.sendProbe(ctx, p, conn.Exchange)
 	if err != nil || !g.keepsProbeConn() || !p.storeProbeConn(conn) {
 		_ = conn.Close()
 	}
@@ -243,26 +243,31 @@
 
 func (g *Group) verifyOnPooled(ctx context.Context, c *Conn) error {
 	idleSince := c.idleSince
-	err := g.sendProbe(ctx, c.pool, c.conn)
+	err := g.sendProbe(ctx, c.pool, c.transmit)
 	c.idleBeforeProbe = idleSince
-	c.Release(err == nil || errors.Is(err, errNotPrimary))
+	c.Release()
 	return err
 }
 
-func (g *Group) sendProbe(ctx context.Context, p *Pool, conn statement.Conn) error {
+// exchangeFunc is Exchange of a statement.Conn.
+type exchangeFunc func(deadline time.Time, statements ...statement.Statement) ([]statement.Answer, bool, error)
+
+// sendProbe begins and rolls back an empty transaction. It fails with errNotPrimary if
+// the server refuses either of them.
+func (g *Group) sendProbe(ctx context.Context, p *Pool, exchange exchangeFunc) error {
 	deadline, _ := ctx.Deadline()
 	sent, leased := g.options.Now(), g.mayUse(p)
-	answers, _, err := conn.Exchange(deadline, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
+	answers, _, err := exchange(deadline, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
 	if err != nil {
 		return err
 	}
 	p.recordAnswer()
-	if answers[0].Code != statement.OK {
+	if answers[0].Code != statement.OK || answers[1].State != statement.Idle {
 		g.RecordNotPrimary(p)
 		return errNotPrimary
 	}
 	if g.isRevoked(max(answers[0].Position.Term, p.primaryTerm())) {
-		if err := g.verifyTerm(deadline, p, conn); err != nil {
+		if err := g.verifyTerm(deadline, p, exchange); err != nil {
 			return err
 		}
 	}
--- a/daemon/internal/backend/probe_test.go
+++ b/daemon/internal/backend/probe_test.go
@@ -8,14 +8,16 @@
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
 )
 
 // countingRecorder counts the opened connections.
 type countingRecorder struct{ opened int }
 
-func (r *countingRecorder) ConnectionOpened(string)                 { r.opened++ }
-func (*countingRecorder) PrimaryChanged(string, string, group.Term) {}
+func (r *countingRecorder) ConnectionOpened(string)                           { r.opened++ }
+func (*countingRecorder) PrimaryChanged(string, string, group.Term)           {}
+func (*countingRecorder) SessionChangeRefused(string, string, statement.Code) {}
 
 // Guards against probes that open a connection each although the pool has an
 // idle one. Every new connection takes a connection slot of the backend server.
@@ -96,7 +98,7 @@
 				ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 				if c, err := g.Primary().Acquire(ctx, probeClass); err == nil {
 					served[i]++
-					c.Release(true)
+					c.Release()
 				}
 				cancel()
 				g.CloseIdle()
--- a/daemon/internal/backend/relay_test.go
+++ b/daemon/internal/backend/relay_test.go
@@ -80,7 +80,7 @@
 			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
 			defer cancel()
 			if c, err := g.Primary().Acquire(ctx, probeClass); err == nil {
-				c.Release(false)
+				c.Release()
 			}
 		}()
 		pass(2 * time.Second)
--- a/daemon/internal/backend/writelease.go
+++ b/daemon/internal/backend/writelease.go
@@ -65,8 +65,8 @@
 // The position of its log does not show the term before the first commit. It fails
 // with errNotPrimary if the term is revoked, as that of a replaced primary that
 // has not noticed it.
-func (g *Group) verifyTerm(deadline time.Time, p *Pool, conn statement.Conn) error {
-	answers, _, err := conn.Exchange(deadline, statement.Statement{Kind: statement.Status})
+func (g *Group) verifyTerm(deadline time.Time, p *Pool, exchange exchangeFunc) error {
+	answers, _, err := exchange(deadline, statement.Statement{Kind: statement.Status})
 	if err != nil {
 		return err
 	}
--- a/daemon/internal/backend/writelease_test.go
+++ b/daemon/internal/backend/writelease_test.go
@@ -58,8 +58,8 @@
 					t.Fatal(err)
 				}
 				end(lease)
-				_, mayRun, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), writeStatement)
-				c.Release(false)
+				_, mayRun, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, writeStatement)
+				c.Release()
 				if !errors.Is(err, ErrNoWriteLease) || mayRun || service.ExecutionCount("1") != 0 {
 					t.Errorf("got error %v, mayRun %t and %d executions, want ErrNoWriteLease and nothing sent", err, mayRun, service.ExecutionCount("1"))
 				}
@@ -81,8 +81,8 @@
 				t.Fatal(err)
 			}
 			go func() {
-				_, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), writeStatement)
-				c.Release(err == nil)
+				_, _, _ = c.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, writeStatement)
+				c.Release()
 			}()
 			synctest.Wait()
 			if lapsed {
@@ -131,3 +131,31 @@
 		}
 	})
 }
+
+// hookedConn calls a function after each exchange.
+type hookedConn struct {
+	statement.Conn
+	after func()
+}
+
+func (c hookedConn) Exchange(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error) {
+	defer c.after()
+	return c.Conn.Exchange(deadline, requests...)
+}
+
+// Guards against a statement that is sent after the lease ended, because it was valid
+// when the session values of the caller were sent.
+func TestLeaseEndsWhileSessionIsSetUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		service := statementtest.New("service", statementtest.Options{}, "s1", "s2")
+		g, lease := leasedGroup(t, service)
+		defer g.Close()
+		c := acquirePrimary(t, g)
+		c.conn = hookedConn{c.conn, func() { lease.Revoke(writelease.Revocations{"service": 1}) }}
+		_, mayRun, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), sessionOf("t1"), writeStatement)
+		c.Release()
+		if !errors.Is(err, ErrNoWriteLease) || mayRun || service.ExecutionCount("1") != 0 {
+			t.Errorf("got error %v, mayRun %t and %d executions, want ErrNoWriteLease and nothing sent", err, mayRun, service.ExecutionCount("1"))
+		}
+	})
+}
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -38,8 +38,9 @@
 // countingRecorder counts the connections that a host opened.
 type countingRecorder struct{ opened *atomic.Int64 }
 
-func (r countingRecorder) ConnectionOpened(string)                 { r.opened.Add(1) }
-func (countingRecorder) PrimaryChanged(string, string, group.Term) {}
+func (r countingRecorder) ConnectionOpened(string)                           { r.opened.Add(1) }
+func (countingRecorder) PrimaryChanged(string, string, group.Term)           {}
+func (countingRecorder) SessionChangeRefused(string, string, statement.Code) {}
 
 // deployment is a fleet of controllers with a store and one service.
 type deployment struct {
@@ -684,10 +685,10 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if _, _, err := c.Exchange(time.Now().Add(time.Second), statement.Statement{ID: "w", Kind: statement.Write, Text: "WRITE x 1"}); err != nil {
+		if _, _, err := c.Exchange(time.Now().Add(time.Second), backend.Session{}, statement.Statement{ID: "w", Kind: statement.Write, Text: "WRITE x 1"}); err != nil {
 			t.Fatal(err)
 		}
-		c.Release(true)
+		c.Release()
 		time.Sleep(100 * time.Millisecond)
 		d.service.Crash("s1")
 		d.awaitFailover("s1", 10*time.Second)
--- a/daemon/internal/fleet/owners.go
+++ b/daemon/internal/fleet/owners.go
@@ -104,14 +104,14 @@
 // Execute implements backend.Owner.
 func (o peerOwner) Execute(ctx context.Context, service, server string, b backend.Batch) (backend.BatchResult, error) {
 	request := &peerapi.ExecuteRequest{
-		Service: service, Server: server, Handle: b.Handle, Release: b.Release, Values: b.Values, AsPrimary: b.AsPrimary, Priority: uint32(b.Priority),
+		Service: service, Server: server, Handle: b.Handle, Release: b.Release, Values: b.Session.Values, AsPrimary: b.AsPrimary, Priority: uint32(b.Priority),
 		TimeoutMs: uint64(b.Timeout.Milliseconds()), IdleTimeoutMs: uint64(b.IdleTimeout.Milliseconds()),
 	}
 	for _, s := range b.Statements {
 		request.Statements = append(request.Statements, statementToMessage(s))
 	}
-	if b.Prepare != nil {
-		request.Prepare = statementToMessage(*b.Prepare)
+	if b.Session.Prepare != nil {
+		request.Prepare = statementToMessage(*b.Session.Prepare)
 	}
 	r, err := o.client.Execute(ctx, request)
 	if err != nil {
@@ -147,7 +147,7 @@
 		return &peerapi.ExecuteResponse{Unavailable: true}, nil
 	}
 	b := backend.Batch{
-		Handle: r.GetHandle(), Release: r.GetRelease(), Values: r.GetValues(), AsPrimary: r.GetAsPrimary(), Priority: int(r.GetPriority()),
+		Handle: r.GetHandle(), Release: r.GetRelease(), Session: backend.Session{Values: r.GetValues()}, AsPrimary: r.GetAsPrimary(), Priority: int(r.GetPriority()),
 		Timeout: time.Duration(r.GetTimeoutMs()) * time.Millisecond, IdleTimeout: time.Duration(r.GetIdleTimeoutMs()) * time.Millisecond,
 	}
 	for _, m := range r.GetStatements() {
@@ -158,11 +158,11 @@
 		b.Statements = append(b.Statements, st)
 	}
 	if m := r.GetPrepare(); m != nil {
-		st, err := statementFromMessage(m)
+		st, err := prepareFromMessage(m)
 		if err != nil {
 			return nil, twirp.InvalidArgumentError("prepare", err.Error())
 		}
-		b.Prepare = &st
+		b.Session.Prepare = &st
 	}
 	if len(b.Statements) == 0 && !b.Release {
 		return &peerapi.ExecuteResponse{Failure: "request has no statements"}, nil
@@ -195,6 +195,16 @@
 	}, nil
 }
 
+// prepareFromMessage fails with errMalformedMessage unless the statement prepares
+// another one.
+func prepareFromMessage(m *peerapi.SentStatement) (statement.Statement, error) {
+	st, err := statementFromMessage(m)
+	if err == nil && st.Kind != statement.Prepare {
+		err = fmt.Errorf("%w: statement kind %d instead of a prepare", errMalformedMessage, st.Kind)
+	}
+	return st, err
+}
+
 func answerToMessage(a statement.Answer) *peerapi.StatementAnswer {
 	return &peerapi.StatementAnswer{
 		Code: uint32(a.Code), Detail: a.Detail, Signature: a.Signature, Rows: a.Rows, State: uint32(a.State),
--- a/daemon/internal/fleet/owners_test.go
+++ b/daemon/internal/fleet/owners_test.go
@@ -89,13 +89,17 @@
 }
 
 // Guards against commands that change the role of a server and come from a
-// statement of another host.
+// statement of another host, and against one that runs in the place of a prepare.
 func TestForwardedStatementKinds(t *testing.T) {
 	for kind := statement.Malformed - 1; kind <= statement.Demote+1; kind++ {
-		_, err := statementFromMessage(statementToMessage(statement.Statement{Kind: kind}))
+		message := statementToMessage(statement.Statement{Kind: kind})
+		_, err := statementFromMessage(message)
 		if allowed := kind >= statement.Begin && kind <= statement.Deallocate; allowed != (err == nil) {
 			t.Errorf("statement kind %d: got error %v", kind, err)
 		}
+		if _, err := prepareFromMessage(message); (kind == statement.Prepare) != (err == nil) {
+			t.Errorf("prepare of kind %d: got error %v", kind, err)
+		}
 	}
 }
 
--- a/daemon/internal/fleet/record.go
+++ b/daemon/internal/fleet/record.go
@@ -146,6 +146,16 @@
 	r.scope.Tagged(map[string]string{"service": service}).Counter("connections_opened").Inc(1)
 }
 
+// SessionChangeRefused counts and logs that a backend server refused a change of the
+// session of a connection.
+func (r *recorder) SessionChangeRefused(service, server string, code statement.Code) {
+	r.scope.Tagged(map[string]string{"service": service, "code": code.String()}).Counter("session_changes_refused").Inc(1)
+	if skipped, ok := r.takeLogToken(); ok {
+		r.log.WithFields(logrus.Fields{"event": "session_change_refused", "service": service, "server": server,
+			"code": code.String(), "lines_skipped": skipped}).Warn("backend server refused the session of a caller; the statement was not sent")
+	}
+}
+
 // PrimaryChanged logs that the host sends writes to another backend server.
 func (r *recorder) PrimaryChanged(service, server string, term group.Term) {
 	r.log.WithFields(logrus.Fields{"event": "primary_changed", "service": service, "server": server, "term": term}).
--- a/daemon/internal/fleet/writelease_test.go
+++ b/daemon/internal/fleet/writelease_test.go
@@ -13,6 +13,7 @@
 	"github.com/gypsumgap/gypsumgap/core/lease"
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
 	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
 // network is what the hosts of a deployment reach. A nil network connects
@@ -208,8 +209,8 @@
 		return false
 	}
 	sent := time.Now()
-	answers, _, err := conn.ExchangeAsPrimary(time.Now().Add(time.Second), statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE item data"})
-	conn.Release(err == nil)
+	answers, _, err := conn.ExchangeAsPrimary(time.Now().Add(time.Second), backend.Session{}, statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE item data"})
+	conn.Release()
 	if err != nil || answers[0].Code != statement.OK {
 		return false
 	}
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -21,10 +21,11 @@
 // nopRecorder discards all records.
 type nopRecorder struct{}
 
-func (*nopRecorder) Statement(Outcome)                             {}
-func (*nopRecorder) SessionRefused(string, uint64, statement.Code) {}
-func (*nopRecorder) ConnectionOpened(string)                       {}
-func (*nopRecorder) PrimaryChanged(string, string, group.Term)     {}
+func (*nopRecorder) Statement(Outcome)                                   {}
+func (*nopRecorder) SessionRefused(string, uint64, statement.Code)       {}
+func (*nopRecorder) ConnectionOpened(string)                             {}
+func (*nopRecorder) PrimaryChanged(string, string, group.Term)           {}
+func (*nopRecorder) SessionChangeRefused(string, string, statement.Code) {}
 
 // testEnv consists of one service, the group of a host and a server for
 // callers.
--- a/daemon/internal/front/session.go
+++ b/daemon/internal/front/session.go
@@ -204,7 +204,7 @@
 // connection closes.
 func (tx *transaction) discardConn(reason string) {
 	if tx.conn != nil {
-		tx.conn.Release(false)
+		tx.conn.Release()
 		tx.conn = nil
 	}
 	tx.fail(reason)
--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -187,19 +187,23 @@
 }
 
 // exchangeFunc is Exchange or ExchangeAsPrimary of a connection.
-type exchangeFunc func(deadline time.Time, requests ...statement.Statement) ([]statement.Answer, bool, error)
+type exchangeFunc func(deadline time.Time, want backend.Session, requests ...statement.Statement) ([]statement.Answer, bool, error)
 
-// exchange applies the session to the connection, runs the request on it by send
-// and releases it. The second result reports whether the request may have been
-// sent.
+// session returns the session in which a statement of the caller runs; prepare is nil
+// if it needs no prepared statement.
+func (r *statementRun) session(prepare *statement.Statement) backend.Session {
+	return backend.Session{Values: r.ss.values, Prepare: prepare}
+}
+
+// exchange runs the request on the connection by send and releases the connection. The
+// second result reports whether the request may have been sent.
 func (r *statementRun) exchange(c *backend.Conn, req request, send exchangeFunc) (statement.Answer, bool, error) {
-	setup := c.SessionSetup(r.ss.values, req.prepare)
-	answers, sent, err := send(r.deadline, append(setup, req.statement)...)
-	c.Release(err == nil && answers[len(answers)-1].State == statement.Idle)
+	answers, sent, err := send(r.deadline, r.session(req.prepare), req.statement)
+	c.Release()
 	if err != nil {
 		return statement.Answer{}, sent, err
 	}
-	return answers[len(answers)-1], sent, nil
+	return answers[0], sent, nil
 }
 
 // readPrimary runs a read in a separate transaction on the primary, because a
@@ -226,8 +230,8 @@
 		return refuse(statement.Busy, "transaction could not begin"), isFinalRefusal(err)
 	}
 	req.statement.MinPosition = group.Position{}
-	answers, _, err := c.ExchangeAsPrimary(r.deadline, req.statement, statement.Statement{Kind: statement.Rollback})
-	c.Release(err == nil && answers[len(answers)-1].State == statement.Idle)
+	answers, _, err := c.ExchangeAsPrimary(r.deadline, r.session(req.prepare), req.statement, statement.Statement{Kind: statement.Rollback})
+	c.Release()
 	if len(answers) == 0 {
 		return r.handleReadError(err)
 	}
@@ -253,21 +257,21 @@
 		send = c.ExchangeAsPrimary
 	}
 	sent := r.ss.server.options.Now()
-	answers, _, err := send(r.deadline, append(c.SessionSetup(r.ss.values, prepare), begin)...)
+	answers, _, err := send(r.deadline, r.session(prepare), begin)
 	if err != nil {
-		c.Release(false)
+		c.Release()
 		return statement.Busy, err
 	}
-	last := answers[len(answers)-1]
-	if last.Code != statement.OK {
-		c.Release(last.State == statement.Idle)
-		if last.Code == statement.ReadOnly {
+	a := answers[0]
+	if a.Code != statement.OK {
+		c.Release()
+		if a.Code == statement.ReadOnly {
 			r.group.RecordNotPrimary(p)
 		}
-		return last.Code, nil
+		return a.Code, nil
 	}
 	if begin.Kind == statement.Begin {
-		r.group.ConfirmPrimary(p, sent, last.Position)
+		r.group.ConfirmPrimary(p, sent, a.Position)
 	}
 	return statement.OK, nil
 }
--- a/daemon/internal/front/transaction.go
+++ b/daemon/internal/front/transaction.go
@@ -33,13 +33,12 @@
 func (r *statementRun) runInTransaction(tx *transaction, req request) statement.Answer {
 	p := tx.conn.Pool()
 	sent := r.ss.server.options.Now()
-	setup := tx.conn.SessionSetup(r.ss.values, req.prepare)
-	answers, _, err := tx.send()(r.deadline, append(setup, req.statement)...)
+	answers, _, err := tx.send()(r.deadline, r.session(req.prepare), req.statement)
 	if err != nil {
 		tx.discardConn(err.Error())
 		return refuse(statement.Aborted, "connection to the backend server failed: "+err.Error())
 	}
-	a := answers[len(answers)-1]
+	a := answers[0]
 	if a.Code != statement.OK {
 		if a.Code == statement.ReadOnly && tx.onPrimary {
 			r.group.RecordNotPrimary(p)
@@ -136,15 +135,15 @@
 	p := c.Pool()
 	r.recordAttempt(p)
 	sent := r.ss.server.options.Now()
-	answers, mayRun, err := send(r.deadline, append(c.SessionSetup(r.ss.values, nil), st)...)
-	c.Release(err == nil && answers[len(answers)-1].State == statement.Idle)
+	answers, mayRun, err := send(r.deadline, r.session(nil), st)
+	c.Release()
 	if err != nil {
 		if !tx.wrote || !mayRun {
 			return refuse(statement.Aborted, "transaction was rolled back: "+err.Error())
 		}
 		return refuse(statement.InDoubt, err.Error())
 	}
-	a := answers[len(answers)-1]
+	a := answers[0]
 	if a.Code == statement.ReadOnly && tx.onPrimary {
 		r.group.RecordNotPrimary(p)
 	}
--- a/standin/fleet/caller.go
+++ b/standin/fleet/caller.go
@@ -129,6 +129,10 @@
 		return "ROLLBACK"
 	case statement.Set:
 		return "SET " + st.Name + " " + st.Value
+	case statement.Prepare:
+		return "PREPARE " + st.Name + " READ " + st.Value
+	case statement.Execute:
+		return "EXECUTE " + st.Name + " " + st.Arguments
 	default:
 		return st.Text
 	}
