--- a/core/objects/objectstest/store.go
+++ b/core/objects/objectstest/store.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"maps"
 	"math/rand/v2"
 	"sync"
@@ -158,6 +159,14 @@
 	})
 }
 
+// Spoil replaces the entry of a backend server by one that cannot be decoded, as another
+// writer might.
+func (s *Store) Spoil(id string) {
+	s.withLock(func() { s.set(objects.Servers, objects.Object{Name: id, Err: errSpoiled}) })
+}
+
+var errSpoiled = errors.New("entry cannot be decoded")
+
 // set writes or deletes an object and wakes the watches. The caller holds the
 // lock.
 func (s *Store) set(kind objects.Kind, o objects.Object) objects.Object {
--- a/daemon/internal/fleet/feed.go
+++ b/daemon/internal/fleet/feed.go
@@ -84,7 +84,7 @@
 	}
 	var entries []changelog.Entry
 	for _, o := range ch.objects {
-		if e, ok := encodeEntry(o); ok {
+		if e, ok := encodeEntry(ch.kind, o); ok {
 			entries = append(entries, e)
 		}
 	}
@@ -223,11 +223,11 @@
 }
 
 // encodeEntry returns an object in the form that relays pass on. It returns false
-// for an object that could not be decoded.
-func encodeEntry(o objects.Object) (changelog.Entry, bool) {
+// for a configuration that could not be decoded, so that the one before it stays.
+func encodeEntry(kind objects.Kind, o objects.Object) (changelog.Entry, bool) {
 	var value any
 	switch {
-	case o.Deleted:
+	case o.Deleted, kind == objects.Servers && namesNoServer(o):
 		return changelog.Entry{Name: o.Name, Deleted: true}, true
 	case o.Err != nil:
 		return changelog.Entry{}, false
--- a/daemon/internal/fleet/log.go
+++ b/daemon/internal/fleet/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"sync/atomic"
 	"time"
 )
@@ -9,6 +10,11 @@
 const (
 	// logQueueSize is the number of lines that may wait for a slow reader.
 	logQueueSize = 512
+	// maxLineBytes is the maximum length of a line. Lines may quote names and values
+	// that other writers left in the store, and waiting lines are held in memory.
+	maxLineBytes = 4 << 10
+	// cutMark ends a line that was cut to maxLineBytes.
+	cutMark = " [cut]\n"
 	// flushTimeout bounds the wait for queued lines in Close.
 	flushTimeout = 200 * time.Millisecond
 )
@@ -35,16 +41,24 @@
 	return a
 }
 
-// Write queues a line. It never fails.
+// Write queues a line, of which it keeps maxLineBytes at most. It never fails.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
 	select {
-	case a.lines <- append([]byte(nil), line...):
+	case a.lines <- cutLine(line):
 	default:
 		a.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+// cutLine returns a copy of the line of at most maxLineBytes.
+func cutLine(line []byte) []byte {
+	if len(line) <= maxLineBytes {
+		return slices.Clone(line)
+	}
+	return slices.Concat(line[:maxLineBytes-len(cutMark)], []byte(cutMark))
+}
+
 // Dropped returns the number of lines that were dropped or could not be
 // written.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
--- a/daemon/internal/fleet/servers.go
+++ b/daemon/internal/fleet/servers.go
@@ -6,6 +6,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/objects"
 )
 
 // The announcement of a stop is final: the process that made it does not serve again.
@@ -52,9 +53,8 @@
 		if o.Err != nil {
 			c.log.WithFields(logrus.Fields{"event": "server_skipped", "server": o.Name}).WithError(o.Err).
 				Warn("entry of a backend server could not be decoded; skipping it")
-			continue
 		}
-		if o.Deleted {
+		if namesNoServer(o) {
 			c.recordLapse(o.Name, now)
 			continue
 		}
@@ -72,6 +72,10 @@
 	c.updateGroups()
 }
 
+// namesNoServer reports whether the object shows that no backend server is registered
+// under its name: it was deleted, or another writer replaced it by something else.
+func namesNoServer(o objects.Object) bool { return o.Deleted || o.Err != nil }
+
 func (c *controller) registerServer(s catalog.Server) {
 	old := c.servers[s.ID]
 	if left, departed := c.departedServers[s.ID]; departed && isSameStart(left.startedUnixMilli, s) {
@@ -98,24 +102,22 @@
 	return startedUnixMilli != 0 && startedUnixMilli == s.StartedUnixMilli
 }
 
-// recordLapse records that an entry was deleted. A server that announced its
+// recordLapse records that an entry no longer names its server. A server that announced its
 // stop is removed with its entry. Any other server may only have lost contact
 // with the store.
 func (c *controller) recordLapse(id string, now time.Time) {
 	r := c.servers[id]
-	if r == nil {
+	if r == nil || !r.missingSince.IsZero() {
 		return
 	}
 	c.log.WithFields(logrus.Fields{"event": "server_lapsed", "server": id, "draining": r.server.Draining}).
-		Info("entry of a backend server lapsed or was deleted")
+		Info("entry of a backend server lapsed, was deleted or was replaced by an invalid one")
 	if r.server.Draining {
 		delete(c.servers, id)
 		c.departedServers[id] = departedServer{r.server.StartedUnixMilli, now}
 		return
 	}
-	if r.missingSince.IsZero() {
-		r.missingSince = now
-	}
+	r.missingSince = now
 }
 
 // removeLapsedServers removes the servers whose grace period has ended, and
--- a/standin/fleet/faults.go
+++ b/standin/fleet/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"syscall"
 	"time"
 
@@ -70,6 +71,28 @@
 	{"connections silent", func(s *Soak) { s.randomProxy().Silence() }},
 	{"connections reset", func(s *Soak) { s.randomProxy().Reset() }},
 	{"configuration", func(s *Soak) { _ = s.configure() }},
+	{"odd entry", (*Soak).writeOddEntry},
+}
+
+// oddEntry is the name of an entry of another writer among those of the backend servers.
+const oddEntry = "odd"
+
+// oddSpecs are entries that name no backend server.
+var oddSpecs = []string{
+	strings.Repeat("[", 100_000) + strings.Repeat("]", 100_000),
+	`{"service":"service-0","address":"127.0.0.1:1","zone":"zone-a","slots":1e999,"state":"ready","databaseRole":"primary"}`,
+	`{"service":"service-0","address":"127.0.0.1:70000","zone":"zone-a","slots":3,"state":"ready","databaseRole":"primary"}`,
+	`{nonsense}`,
+}
+
+// writeOddEntry leaves an odd entry of its own or, one time in three, in the place of
+// that of a backend server, which writes it again.
+func (s *Soak) writeOddEntry() {
+	name := oddEntry
+	if s.rng.IntN(3) == 0 {
+		_, name = s.randomServer()
+	}
+	s.store.WriteRaw("servers", name, []byte(oddSpecs[s.rng.IntN(len(oddSpecs))]))
 }
 
 func (s *Soak) randomProcess() *Process { return s.processes[s.rng.IntN(len(s.processes))] }
--- a/standin/fleet/store.go
+++ b/standin/fleet/store.go
@@ -5,7 +5,9 @@
 package fleet
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"math/rand/v2"
@@ -27,6 +29,28 @@
 	Status json.RawMessage `json:"status"`
 }
 
+// encode returns the object as JSON. The specification is not checked, since that of
+// another writer may be anything.
+func (o object) encode() []byte {
+	return fmt.Appendf(nil, `{"meta":%s,"spec":%s,"status":%s}`, mustEncode(o.Meta), orNull(o.Spec), orNull(o.Status))
+}
+
+func orNull(raw json.RawMessage) []byte {
+	if len(raw) == 0 {
+		return []byte("null")
+	}
+	return raw
+}
+
+// mustEncode returns the JSON of a value that has one.
+func mustEncode(v any) []byte {
+	out, err := json.Marshal(v)
+	if err != nil {
+		panic(err)
+	}
+	return out
+}
+
 type meta struct {
 	Name       string   `json:"name"`
 	Revision   uint64   `json:"revision"`
@@ -36,8 +60,8 @@
 }
 
 type event struct {
-	Deleted bool   `json:"deleted"`
-	Object  object `json:"object"`
+	deleted bool
+	object  object
 	kind    string
 }
 
@@ -158,6 +182,12 @@
 	return nil
 }
 
+// WriteRaw creates or replaces an object with a specification that need not be valid,
+// like another writer does.
+func (s *Store) WriteRaw(kind, name string, spec []byte) {
+	s.withLock(func() { s.set(kind, name, spec) })
+}
+
 // Remove deletes an object, like the platform does.
 func (s *Store) Remove(kind, name string) { s.withLock(func() { s.remove(kind, name) }) }
 
@@ -172,7 +202,7 @@
 		o.Meta.Created = old.Meta.Created
 	}
 	s.objects[kind][name] = o
-	s.appendEvent(event{Object: o, kind: kind})
+	s.appendEvent(event{object: o, kind: kind})
 	return o
 }
 
@@ -184,7 +214,7 @@
 	delete(s.objects[kind], name)
 	s.revision++
 	o.Meta.Revision = s.revision
-	s.appendEvent(event{Deleted: true, Object: o, kind: kind})
+	s.appendEvent(event{deleted: true, object: o, kind: kind})
 	return true
 }
 
@@ -222,15 +252,13 @@
 }
 
 // reply answers a call in an era of the store. A nil body stands for none.
-func reply(w http.ResponseWriter, era uint64, code int, body any) {
+func reply(w http.ResponseWriter, era uint64, code int, body []byte) {
 	w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
-	if body == nil {
-		w.WriteHeader(code)
-		return
+	if body != nil {
+		w.Header().Set("Content-Type", "application/json")
 	}
-	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(code)
-	_ = json.NewEncoder(w).Encode(body)
+	_, _ = w.Write(body)
 }
 
 func (s *Store) get(w http.ResponseWriter, kind, name string) {
@@ -242,37 +270,44 @@
 		reply(w, era, http.StatusNotFound, nil)
 		return
 	}
-	reply(w, era, http.StatusOK, o)
+	reply(w, era, http.StatusOK, o.encode())
 }
 
 // pageItems is the largest number of objects in an answer to a list call.
 const pageItems = 5
 
-type listAnswer struct {
-	Items         []object `json:"items"`
-	HasMore       bool     `json:"hasMore"`
-	StoreRevision uint64   `json:"storeRevision"`
-}
-
 func (s *Store) list(w http.ResponseWriter, r *http.Request, kind string) {
 	s.mu.Lock()
-	answer, era := listAnswer{Items: []object{}, StoreRevision: s.revision}, s.era
+	var items []object
+	hasMore, revision, era := false, s.revision, s.era
 	for name, o := range s.objects[kind] {
 		if name > r.URL.Query().Get("after") {
-			answer.Items = append(answer.Items, o)
+			items = append(items, o)
 		}
 	}
 	s.mu.Unlock()
-	slices.SortFunc(answer.Items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
-	if len(answer.Items) > pageItems {
-		answer.Items, answer.HasMore = answer.Items[:pageItems], true
+	slices.SortFunc(items, func(a, b object) int { return strings.Compare(a.Meta.Name, b.Meta.Name) })
+	if len(items) > pageItems {
+		items, hasMore = items[:pageItems], true
+	}
+	encoded := make([][]byte, len(items))
+	for i, o := range items {
+		encoded[i] = o.encode()
 	}
-	reply(w, era, http.StatusOK, answer)
+	reply(w, era, http.StatusOK, fmt.Appendf(nil, `{"items":[%s],"hasMore":%t,"storeRevision":%d}`, bytes.Join(encoded, []byte(",")), hasMore, revision))
 }
 
 type watchAnswer struct {
-	Events        []event `json:"events"`
-	StoreRevision uint64  `json:"storeRevision"`
+	events   []event
+	revision uint64
+}
+
+func (a watchAnswer) encode() []byte {
+	encoded := make([][]byte, len(a.events))
+	for i, e := range a.events {
+		encoded[i] = fmt.Appendf(nil, `{"deleted":%t,"object":%s}`, e.deleted, e.object.encode())
+	}
+	return fmt.Appendf(nil, `{"events":[%s],"storeRevision":%d}`, bytes.Join(encoded, []byte(",")), a.revision)
 }
 
 func (s *Store) watch(w http.ResponseWriter, r *http.Request, kind string) {
@@ -291,14 +326,14 @@
 			reply(w, era, http.StatusGone, nil)
 			return
 		}
-		if len(answer.Events) > 0 {
-			reply(w, era, http.StatusOK, answer)
+		if len(answer.events) > 0 {
+			reply(w, era, http.StatusOK, answer.encode())
 			return
 		}
 		select {
 		case <-changed:
 		case <-timeout:
-			reply(w, era, http.StatusOK, answer)
+			reply(w, era, http.StatusOK, answer.encode())
 			return
 		case <-r.Context().Done():
 			return
@@ -307,10 +342,10 @@
 }
 
 func (s *Store) eventsSince(kind string, revision uint64) watchAnswer {
-	answer := watchAnswer{Events: []event{}, StoreRevision: s.revision}
+	answer := watchAnswer{revision: s.revision}
 	for _, e := range s.events {
-		if e.kind == kind && e.Object.Meta.Revision > revision {
-			answer.Events = append(answer.Events, e)
+		if e.kind == kind && e.object.Meta.Revision > revision {
+			answer.events = append(answer.events, e)
 		}
 	}
 	return answer
@@ -341,7 +376,7 @@
 	if lose {
 		panic(http.ErrAbortHandler)
 	}
-	reply(w, era, code, o)
+	reply(w, era, code, o.encode())
 }
 
 func (s *Store) execute(method, kind, name string, body object) (code int, answer object, era uint64) {
