Let a session end itself when its host drains, so that no read statement is lost

A caller whose statement had just been read by a host that drains could lose its connection without an answer (LOST).

Cause: the drain closed sessions that were not marked as busy and whose sockets held no bytes. A session that has read a statement and not yet marked itself is in the same state. The other failure of the test, "session is closed", was a race of the test, which declared the statement read before it sent it; now it is declared read when it is taken.

Change: the drain interrupts the read of a session, and the session's own goroutine ends it if nothing has arrived.

Server.draining, which nothing read, is removed. The soak keeps its odd entry to the end, so that hosts must serve beside it.

--- a/core/statement/statement.go
+++ b/core/statement/statement.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -141,6 +142,9 @@
 	Close() error
 }
 
+// ErrInterrupted means that Next was interrupted while no statement was arriving.
+var ErrInterrupted = errors.New("wait for a statement was interrupted")
+
 // CallerConn is the connection of a caller. A read and a write may run concurrently.
 type CallerConn interface {
 	// Start reads the start message of the caller and returns the database name.
@@ -150,11 +154,13 @@
 	// Refuse answers with a code instead of Accept and closes the connection.
 	Refuse(code Code, detail string) error
 	// Next reads the next statement. A statement that cannot be parsed has the
-	// kind Malformed; an error ends the connection.
+	// kind Malformed. It fails with ErrInterrupted after Interrupt; any other error
+	// ends the connection.
 	Next() (Statement, error)
-	// HasUnread reports whether the caller has sent something that Next has not
-	// returned yet. It may be called while Next waits.
-	HasUnread() bool
+	// Interrupt makes the present or the next call of Next fail with ErrInterrupted,
+	// unless a statement of the caller has begun to arrive. It may be called while
+	// Next waits.
+	Interrupt()
 	// Answer writes the answer to a statement.
 	Answer(Answer) error
 	// Close closes the connection.
--- a/daemon/internal/front/front_test.go
+++ b/daemon/internal/front/front_test.go
@@ -338,7 +338,24 @@
 		cut := make(chan int)
 		go func() { cut <- env.server.Drain(ctx, time.Now().Add(3*time.Second)) }()
 		time.Sleep(100 * time.Millisecond)
-		c.unread.Store(false)
+		c.want(statement.OK, read("x"))
+		if n := <-cut; n != 0 || !c.isClosed() {
+			t.Errorf("drain closed %d sessions at its deadline and the session is closed: %t; want none and true", n, c.isClosed())
+		}
+	})
+}
+
+// Guards against a drain that closes a session between the moment at which its
+// statement is read and the one at which it begins to run: the caller gets no answer
+// (LOST).
+func TestDrainAnswersStatementThatIsBeingRead(t *testing.T) {
+	runInTestEnv(t, serviceOptions, func(env *testEnv) {
+		c := env.connect("busy", primaryDatabase)
+		c.readTime = 100 * time.Millisecond
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		cut := make(chan int)
+		time.AfterFunc(50*time.Millisecond, func() { cut <- env.server.Drain(ctx, time.Now().Add(3*time.Second)) })
 		c.want(statement.OK, read("x"))
 		if n := <-cut; n != 0 || !c.isClosed() {
 			t.Errorf("drain closed %d sessions at its deadline and the session is closed: %t; want none and true", n, c.isClosed())
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -205,14 +205,21 @@
 	name     string
 	// unread is true while a statement of the caller waits in the socket.
 	unread atomic.Bool
+	// readTime is the time from the reading of a statement to the return of Next.
+	readTime time.Duration
+	// interrupted receives a value with each Interrupt.
+	interrupted chan struct{}
+	// ended is closed when the server has ended the session.
+	ended chan struct{}
 }
 
 func (env *testEnv) connect(name, database string) *caller {
-	c := &caller{env: env, name: name, database: database, in: make(chan statement.Statement), out: make(chan statement.Answer, 1), closed: make(chan struct{})}
+	c := &caller{env: env, name: name, database: database, in: make(chan statement.Statement), out: make(chan statement.Answer, 1), closed: make(chan struct{}), ended: make(chan struct{}), interrupted: make(chan struct{}, 1)}
 	env.callers = append(env.callers, c)
 	env.server.running.Add(1)
 	go func() {
 		defer env.server.running.Done()
+		defer close(c.ended)
 		env.server.serve(c)
 	}()
 	synctest.Wait()
@@ -228,15 +235,28 @@
 }
 
 func (c *caller) Next() (statement.Statement, error) {
-	select {
-	case st := <-c.in:
-		return st, nil
-	case <-c.closed:
-		return statement.Statement{}, io.EOF
+	for {
+		select {
+		case st := <-c.in:
+			c.unread.Store(false)
+			time.Sleep(c.readTime)
+			return st, nil
+		case <-c.interrupted:
+			if !c.unread.Load() {
+				return statement.Statement{}, statement.ErrInterrupted
+			}
+		case <-c.closed:
+			return statement.Statement{}, io.EOF
+		}
 	}
 }
 
-func (c *caller) HasUnread() bool { return c.unread.Load() }
+func (c *caller) Interrupt() {
+	select {
+	case c.interrupted <- struct{}{}:
+	default:
+	}
+}
 
 func (c *caller) Answer(a statement.Answer) error {
 	c.out <- a
@@ -277,10 +297,20 @@
 	}
 	select {
 	case c.in <- st:
-		return <-c.out
 	case <-c.closed:
 		return statement.Answer{Code: statement.Failed, Detail: "session is closed"}
 	}
+	select {
+	case a := <-c.out:
+		return a
+	case <-c.ended:
+	}
+	select {
+	case a := <-c.out:
+		return a
+	default:
+		return statement.Answer{Code: statement.Failed, Detail: "session ended without an answer"}
+	}
 }
 
 func read(item string) statement.Statement {
--- a/daemon/internal/front/server.go
+++ b/daemon/internal/front/server.go
@@ -18,7 +18,6 @@
 	"fmt"
 	"net"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/catalog"
@@ -94,8 +93,7 @@
 
 // Server serves the sessions of callers.
 type Server struct {
-	options  Options
-	draining atomic.Bool
+	options Options
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -208,18 +206,17 @@
 	drainSettleTime = 200 * time.Millisecond
 )
 
-// Drain closes each session once it is idle outside a transaction. After
+// Drain ends each session once it is idle outside a transaction. After
 // rollbackAfter it rolls back open transactions that are idle, and when ctx
 // ends it closes the remaining sessions. It returns the number of sessions
 // closed that way.
 func (s *Server) Drain(ctx context.Context, rollbackAfter time.Time) int {
-	s.draining.Store(true)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	lastOpen := time.Now()
 	for {
 		now := time.Now()
-		if s.closeIdle(now.After(rollbackAfter)) > 0 {
+		if s.endIdle(now.After(rollbackAfter)) > 0 {
 			lastOpen = now
 		}
 		// Connections on which no session was started do not delay the drain.
@@ -234,13 +231,12 @@
 	}
 }
 
-// closeIdle closes idle sessions and returns the number of sessions that were
-// open.
-func (s *Server) closeIdle(rollBack bool) int {
+// endIdle ends idle sessions and returns the number of sessions that were open.
+func (s *Server) endIdle(rollBack bool) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for ss := range s.sessions {
-		ss.closeIfIdle(rollBack)
+		ss.endIfIdle(rollBack)
 	}
 	return len(s.sessions)
 }
--- a/daemon/internal/front/session.go
+++ b/daemon/internal/front/session.go
@@ -1,6 +1,7 @@
 package front
 
 import (
+	"errors"
 	"sync"
 	"time"
 
@@ -27,10 +28,9 @@
 	lastCommit map[string]group.Position
 
 	// mu guards the fields that are shared with the drain and the idle timer.
-	mu      sync.Mutex
-	busy    bool
-	closing bool
-	tx      *transaction
+	mu   sync.Mutex
+	busy bool
+	tx   *transaction
 }
 
 // preparedStatement is a prepared statement of a session.
@@ -66,18 +66,22 @@
 	}
 }
 
-// run serves the session until the caller disconnects or the connection is
-// closed.
+// run serves the session until the caller disconnects, the connection is closed, or
+// it is interrupted outside a transaction.
 func (ss *session) run() {
 	defer ss.close()
 	for {
 		st, err := ss.conn.Next()
-		if err != nil {
-			return
-		}
-		if !ss.beginStatement() {
+		switch {
+		case errors.Is(err, statement.ErrInterrupted):
+			if ss.tx == nil {
+				return
+			}
+			continue
+		case err != nil:
 			return
 		}
+		ss.beginStatement()
 		answer := ss.handle(st)
 		answer.State = ss.transactionState()
 		if ss.conn.Answer(answer) != nil {
@@ -87,19 +91,14 @@
 	}
 }
 
-// beginStatement marks the session as busy. It returns false if the session was
-// closed.
-func (ss *session) beginStatement() bool {
+// beginStatement marks the session as busy.
+func (ss *session) beginStatement() {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	if ss.closing {
-		return false
-	}
 	ss.busy = true
 	if ss.tx != nil && ss.tx.idleTimer != nil {
 		ss.tx.idleTimer.Stop()
 	}
-	return true
 }
 
 // endStatement marks the session as idle and starts the idle timer of an open
@@ -130,24 +129,18 @@
 	tx.failWhileIdle(reason)
 }
 
-// closeIfIdle closes the connection if the session is idle outside a
-// transaction. If rollBack is true, it rolls back an idle transaction.
-func (ss *session) closeIfIdle(rollBack bool) {
+// endIfIdle makes the session's goroutine end the session if it waits for a statement
+// outside a transaction. Only that goroutine knows whether a statement has arrived, so
+// it is interrupted instead of closing the connection here. If rollBack is true, an idle
+// transaction is rolled back.
+func (ss *session) endIfIdle(rollBack bool) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	if ss.busy || ss.closing {
-		return
-	}
-	if ss.tx == nil {
-		if ss.conn.HasUnread() {
-			// The session's goroutine has not read a statement that has arrived.
-			return
-		}
-		ss.closing = true
-		_ = ss.conn.Close()
-		return
-	}
-	if rollBack {
+	switch {
+	case ss.busy:
+	case ss.tx == nil:
+		ss.conn.Interrupt()
+	case rollBack:
 		ss.tx.failWhileIdle("host is stopping")
 	}
 }
@@ -156,7 +149,6 @@
 func (ss *session) close() {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.closing = true
 	if ss.tx != nil {
 		ss.tx.fail("caller left")
 	}
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -461,7 +461,6 @@
 	s.store.SetDown(false)
 	s.store.SetSlow(0)
 	s.store.LoseAnswers(0, 0)
-	s.store.Remove("servers", oddEntry)
 }
 
 // MakeFolder creates a temporary folder for the files of a soak.
