Hand the promotion duty over only after ordered promotions have taken effect

Cause: the holder released its lease at once. The order is recorded nowhere, so the next holder saw a service without a primary. Ruled out: that it acted on an old view of the old primary; its reason was "service has no primary".

Change: a host that stops keeps and renews its lease until no replacement runs and its orders have taken effect, and starts none meanwhile.

--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -129,7 +129,10 @@
 	departedServers map[string]departedServer
 	serversListed   bool
 	draining        bool
-	hostCount       int
+	// departure is the planned stop of this host until the duty is handed over; nil
+	// before and after that.
+	departure *departure
+	hostCount int
 	// failingSince is when calls for each kind began to fail.
 	failingSince map[objects.Kind]time.Time
 
@@ -246,6 +249,7 @@
 	c.stepWriteLease()
 	c.stepReport()
 	c.stepSuccession()
+	c.stepDeparture()
 }
 
 // applyChange processes a change reported by a watcher.
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -36,7 +36,7 @@
 	c.recordHolderChange()
 	action, record, expected := c.lease.Next(now)
 	switch {
-	case c.draining:
+	case c.draining && !c.isHandingOver():
 	case c.followState.followsRelay.Load() && !c.lease.Holding() && !c.lease.CanReclaim(now):
 		// The relay passes the record on and takes the duty over if needed.
 	case action == lease.Write:
@@ -238,30 +238,6 @@
 	return c.now().UnixNano() < c.dutyHeldUntil.Load() && c.dutyToken.Load() == token
 }
 
-// leave stops control work, releases the duty and removes the report of this host.
-// The returned channel is closed when that is done.
-func (c *controller) leave(ctx context.Context) <-chan struct{} {
-	done := make(chan struct{})
-	c.draining = true
-	c.publish()
-	// From here on, another host may hold the duty.
-	c.publishDuty()
-	c.vouching.clear()
-	release := c.releaseLease()
-	go func() {
-		defer close(done)
-		ctx, cancel := context.WithTimeout(ctx, callTimeout)
-		defer cancel()
-		if release != nil {
-			if err := release(ctx); err != nil {
-				c.log.WithField("event", "lease_kept").WithError(err).Warn("promotion duty could not be released; its lease will expire")
-			}
-		}
-		c.deleteOwn(ctx, objects.Reports)
-	}()
-	return done
-}
-
 // deregister removes the registration of this host. It must not be called before
 // the last session has ended: a holder that replaces a primary waits for the
 // registered hosts only.
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -59,6 +59,8 @@
 	network *network
 	// leased makes the hosts use write leases.
 	leased bool
+	// promotionDelay replaces the platform's time for a promotion if it is positive.
+	promotionDelay time.Duration
 	// size is the number of hosts, testHosts if it is 0, and zones the number of
 	// their availability zones, one if it is 0.
 	size, zones int
@@ -96,8 +98,11 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		d.t, d.ctx, d.store = t, ctx, objectstest.New(1)
 		d.draining, d.opened = map[string]bool{}, map[string]*atomic.Int64{}
+		if d.promotionDelay == 0 {
+			d.promotionDelay = promotionDelay
+		}
 		d.service = statementtest.New("service", statementtest.Options{
-			ReplicationLag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, DialTime: 10 * time.Millisecond, PromotionDelay: promotionDelay,
+			ReplicationLag: 20 * time.Millisecond, StatementTime: 2 * time.Millisecond, DialTime: 10 * time.Millisecond, PromotionDelay: d.promotionDelay,
 			ReplacedPrimaryContinues: d.leased,
 		}, "s1", "s2", "s3")
 		d.store.Configure(configuration(1, d.limit))
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -52,11 +52,22 @@
 	refused bool
 	// excludedUntil holds the time until which servers are excluded, by ID.
 	excludedUntil map[string]time.Time
+	// orderedAt is when the last promotion was ordered that may have an effect, and
+	// replaced the primary before it; empty if there was none.
+	orderedAt time.Time
+	replaced  string
 	// unresolvedOrder is the last promotion with a call whose outcome is unknown.
 	// The platform may execute it until it has seen a higher token.
 	unresolvedOrder objects.Promotion
 }
 
+// mayTakeEffect reports whether the last promotion may still take effect, given the
+// primary that this host knows.
+func (s *successionState) mayTakeEffect(now time.Time, primary string) bool {
+	ordered := !s.orderedAt.IsZero() && now.Sub(s.orderedAt) < succession.PromotionTimeout
+	return ordered && (primary == "" || primary == s.replaced)
+}
+
 // stepSuccession replaces primaries while this host holds the duty.
 func (c *controller) stepSuccession() {
 	if !c.lease.Holding() || c.draining || !c.serversListed {
@@ -146,7 +157,7 @@
 func (c *controller) startSuccession(g *backend.Group, s *successionState, v succession.View, reason succession.Reason) {
 	h := g.Health()
 	job := &promotion{
-		group: g, reason: reason, primary: g.Primary(), term: g.HighestTerm(), candidates: c.candidates(g, s, h.Primary),
+		group: g, reason: reason, primary: g.Primary(), replaced: v.Primary, term: g.HighestTerm(), candidates: c.candidates(g, s, h.Primary),
 		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, possibleCommitHolders: c.countPossibleCommitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
 		promoter: c.promoter, isSameRegion: c.isSameRegion,
@@ -172,6 +183,9 @@
 		// The state of the service is evaluated again after succession.PromotionTimeout.
 		s.startedAt = c.now()
 	}
+	if err == nil || job.unresolved {
+		s.orderedAt, s.replaced = c.now(), job.replaced
+	}
 	if job.unresolved {
 		s.unresolvedOrder = job.order
 		c.lease.RaiseToken()
@@ -217,6 +231,8 @@
 	group   *backend.Group
 	reason  succession.Reason
 	primary *backend.Pool
+	// replaced is the ID of the primary; empty if there was none.
+	replaced string
 	// term is the highest known term of the service.
 	term       group.Term
 	candidates []*backend.Pool
