Count servers that left among those that may hold acknowledged commits

Cause: the number of replies that a promotion needs follows from the servers that may hold commits. One that left as announced dropped out of it with its entry, and one that was leaving counted but was not asked. After the wait for a successor to catch up one reply was enough.

Change: a server that left counts for 30 s, until a server of the service registers at its address, or unless a replica has reached a position that the primary had after the departure. Leaving replicas are asked, are not promoted, and hold a promotion back while their logs are longer.

Servers of the in-memory stand-in have addresses of their own now.

--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -126,7 +126,7 @@
 	var out []catalog.Server
 	for id, sv := range s.servers {
 		if !sv.down && !sv.hung {
-			out = append(out, catalog.Server{ID: id, Service: s.Name, Address: "192.0.2.1:1", Zone: "a", StatementLimit: 1, Primary: sv.primary, StartedUnixMilli: 1})
+			out = append(out, catalog.Server{ID: id, Service: s.Name, Address: id + ":1", Zone: "a", StatementLimit: 1, Primary: sv.primary, StartedUnixMilli: 1})
 		}
 	}
 	return out
--- a/core/succession/succession.go
+++ b/core/succession/succession.go
@@ -130,7 +130,7 @@
 	return missing > 0 && float64(missing) >= MissingShare*float64(hosts)
 }
 
-// Replica is the report of a replica that could take over.
+// Replica is the report of a replica.
 type Replica struct {
 	// ID identifies the backend server.
 	ID string
@@ -139,22 +139,35 @@
 	// SameRegion is true if the replica is in the region of the holder, which is
 	// preferred among equal logs.
 	SameRegion bool
+	// Leaving is true if the replica is about to stop, so that it cannot take over. Its
+	// report shows what its log holds.
+	Leaving bool
 }
 
 // Successor returns the replica with the longest log. It returns false if there is
-// none, or if fewer than needed replicas have answered. The caller sets needed so
-// that each commit that was acknowledged after a replica received it is in the log
-// of at least one of that many replicas.
+// none that can take over, if fewer than needed replicas have answered, or if one that
+// cannot take over has a longer log. The caller sets needed so that each commit that was
+// acknowledged after a replica received it is in the log of at least one of that many
+// replicas.
 func Successor(replicas []Replica, needed int) (Replica, bool) {
-	if len(replicas) == 0 || len(replicas) < needed {
+	var best *Replica
+	for i := range replicas {
+		if r := &replicas[i]; !r.Leaving && (best == nil || r.isPreferredTo(best)) {
+			best = r
+		}
+	}
+	if best == nil || len(replicas) < needed {
 		return Replica{}, false
 	}
-	best := replicas[0]
-	for _, r := range replicas[1:] {
-		c := r.Received.Compare(best.Received)
-		if c > 0 || c == 0 && r.SameRegion && !best.SameRegion {
-			best = r
+	for _, r := range replicas {
+		if r.Received.Compare(best.Received) > 0 {
+			return Replica{}, false
 		}
 	}
-	return best, true
+	return *best, true
+}
+
+func (r *Replica) isPreferredTo(other *Replica) bool {
+	c := r.Received.Compare(other.Received)
+	return c > 0 || c == 0 && r.SameRegion && !other.SameRegion
 }
--- a/core/succession/succession_test.go
+++ b/core/succession/succession_test.go
@@ -1,9 +1,13 @@
 package succession
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"github.com/gypsumgap/gypsumgap/core/group"
 )
 
@@ -71,3 +75,33 @@
 		t.Error("got a successor without any replica")
 	}
 }
+
+// Guards against a successor that lacks a commit which was acknowledged after some
+// replicas had received it, whichever replicas reply, are about to stop or have left.
+func TestSuccessorHasAcknowledgedCommits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		servers := rapid.IntRange(2, 6).Draw(t, "servers")
+		sync := rapid.IntRange(1, servers-1).Draw(t, "sync replicas")
+		// The first server is the lost primary. The others have a part of its log.
+		logs := rapid.SliceOfN(rapid.Uint64Range(0, 9), servers-1, servers-1).Draw(t, "logs")
+		var replies []Replica
+		for i, received := range logs {
+			switch rapid.SampledFrom([]string{"replies", "leaving", "left or silent"}).Draw(t, "state") {
+			case "replies":
+				replies = append(replies, Replica{ID: fmt.Sprint(i), Received: group.Position{Term: 1, Offset: received}})
+			case "leaving":
+				replies = append(replies, Replica{ID: fmt.Sprint(i), Received: group.Position{Term: 1, Offset: received}, Leaving: true})
+			}
+		}
+		best, ok := Successor(replies, max(servers-sync, 1))
+		if !ok {
+			return
+		}
+		slices.Sort(logs)
+		// This many replicas have received this much.
+		acknowledged := logs[len(logs)-sync]
+		if best.Received.Offset < acknowledged || best.Leaving {
+			t.Fatalf("got successor %+v with commits up to %d acknowledged", best, acknowledged)
+		}
+	})
+}
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -153,17 +154,33 @@
 	return out
 }
 
+// leavingReplicas returns the registered servers, other than the primary, that are
+// about to stop.
+func (c *controller) leavingReplicas(g *backend.Group, primary string) []*backend.Pool {
+	var out []*backend.Pool
+	for _, p := range g.Pools() {
+		server := p.Server()
+		if r := c.servers[server.ID]; server.ID != primary && server.Draining && r != nil && r.missingSince.IsZero() {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // startSuccession starts to replace the primary in the background.
 func (c *controller) startSuccession(g *backend.Group, s *successionState, v succession.View, reason succession.Reason) {
 	h := g.Health()
 	job := &promotion{
 		group: g, reason: reason, primary: g.Primary(), replaced: v.Primary, term: g.HighestTerm(), candidates: c.candidates(g, s, h.Primary),
-		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, possibleCommitHolders: c.countPossibleCommitHolders(g.Name()),
+		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, holders: c.commitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
 		promoter: c.promoter, isSameRegion: c.isSameRegion,
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
+	if job.syncReplicas > 0 {
+		job.leaving = c.leavingReplicas(g, h.Primary)
+	}
 	if c.writeLease != nil {
 		job.revocation = c.newRevocation(g, job)
 		job.holdsDuty = job.revocation.holdsDuty
@@ -236,13 +253,17 @@
 	// term is the highest known term of the service.
 	term       group.Term
 	candidates []*backend.Pool
+	// leaving holds the replicas that are about to stop. They cannot be promoted, but
+	// their logs may hold commits that the candidates lack.
+	leaving []*backend.Pool
 	// syncReplicas is the number of replicas that must receive a commit before it
-	// is acknowledged. possibleCommitHolders is the number of servers, the primary
-	// included, whose logs may hold acknowledged commits.
-	syncReplicas, possibleCommitHolders int
-	order                               objects.Promotion
-	promoter                            objects.Promoter
-	isSameRegion                        func(zone string) bool
+	// is acknowledged.
+	syncReplicas int
+	// holders are the servers whose logs may hold acknowledged commits.
+	holders      commitHolders
+	order        objects.Promotion
+	promoter     objects.Promoter
+	isSameRegion func(zone string) bool
 	// revocation precedes the order; nil if the platform stops replaced primaries.
 	revocation *revocation
 	// holdsDuty reports whether this host still holds the duty; nil if the platform
@@ -268,19 +289,17 @@
 
 // replace chooses the successor and orders its promotion.
 func (p *promotion) replace(ctx context.Context) error {
-	replicas := p.queryCandidates(ctx)
-	best, ok := succession.Successor(replicas, p.requiredReplies())
-	if !ok {
-		return fmt.Errorf("%w: got %d replies, need %d", errNoSuccessor, len(replicas), p.requiredReplies())
+	replicas := p.queryReplicas(ctx)
+	best, err := p.chooseSuccessor(replicas)
+	if err != nil {
+		return err
 	}
 	switch {
 	case p.revocation != nil:
-		var err error
-		if best, err = p.revokePrimary(ctx, best); err != nil {
+		if best, err = p.revokePrimary(ctx); err != nil {
 			return err
 		}
 	case p.reason == succession.PrimaryDraining:
-		var err error
 		if best, err = p.demotePrimary(ctx, best); err != nil && p.syncReplicas > 0 {
 			return err
 		}
@@ -291,14 +310,35 @@
 	return p.requestPromotion(ctx)
 }
 
-// requiredReplies returns the number of replicas that must reply. It guarantees
-// that every commit that syncReplicas replicas received before it was
-// acknowledged is in the log of one that replies.
-func (p *promotion) requiredReplies() int {
+// chooseSuccessor returns the replica to promote. It fails with errNoSuccessor if an
+// acknowledged commit may be missing in the logs of the replicas that replied.
+//
+// A server that left has acknowledged no commit since. A log that reaches the position
+// which the primary had after that holds everything that the server could hold, so its
+// reply is not needed.
+func (p *promotion) chooseSuccessor(replicas []succession.Replica) (succession.Replica, error) {
+	needed := p.requiredReplies(p.holders.servers + p.holders.departed)
+	if best, ok := succession.Successor(replicas, needed); ok {
+		return best, nil
+	}
+	if p.holders.departed > 0 {
+		best, ok := succession.Successor(replicas, p.requiredReplies(p.holders.servers))
+		position, known := p.group.Freshness.LowestCovering(p.holders.departedAt)
+		if ok && known && best.Received.Compare(position) >= 0 {
+			return best, nil
+		}
+	}
+	return succession.Replica{}, fmt.Errorf("%w: got %d replies, need %d, of which %d for servers that left", errNoSuccessor, len(replicas), needed, p.holders.departed)
+}
+
+// requiredReplies returns the number of replicas that must reply if so many servers may
+// hold acknowledged commits. It guarantees that every commit that syncReplicas replicas
+// received before it was acknowledged is in the log of one that replies.
+func (p *promotion) requiredReplies(holders int) int {
 	if p.syncReplicas == 0 {
 		return 1
 	}
-	return max(p.possibleCommitHolders-p.syncReplicas, 1)
+	return max(holders-p.syncReplicas, 1)
 }
 
 // pausesReplicas reports whether replication is paused before the successor is
@@ -313,7 +353,7 @@
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	var commands sync.WaitGroup
-	for _, pool := range p.candidates {
+	for _, pool := range p.replicas() {
 		commands.Go(func() {
 			if _, err := pool.SendCommand(ctx, statement.Statement{Kind: statement.Resume}); err != nil {
 				p.log.WithFields(logrus.Fields{"event": "resume_failed", "server": pool.Server().ID}).WithError(err).
@@ -324,10 +364,13 @@
 	commands.Wait()
 }
 
-// queryCandidates returns the status of the candidates that reply. If commits
-// wait for replicas, it pauses replication first, so that no commit is
+// replicas returns the candidates and the leaving replicas.
+func (p *promotion) replicas() []*backend.Pool { return slices.Concat(p.candidates, p.leaving) }
+
+// queryReplicas returns the status of the candidates and of the leaving replicas that
+// reply. If commits wait for replicas, it pauses replication first, so that no commit is
 // acknowledged after the choice that the successor lacks.
-func (p *promotion) queryCandidates(ctx context.Context) []succession.Replica {
+func (p *promotion) queryReplicas(ctx context.Context) []succession.Replica {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
 	command := statement.Statement{Kind: statement.Status}
@@ -338,8 +381,9 @@
 		replica *succession.Replica
 		term    group.Term
 	}
-	answers := make(chan answer, len(p.candidates))
-	for _, pool := range p.candidates {
+	replicas := p.replicas()
+	answers := make(chan answer, len(replicas))
+	for i, pool := range replicas {
 		go func() {
 			status, err := pool.SendCommand(ctx, command)
 			if err != nil {
@@ -350,13 +394,13 @@
 			if p.revocation == nil || !status.Primary {
 				// A replaced primary that has not noticed it cannot be promoted.
 				server := pool.Server()
-				a.replica = &succession.Replica{ID: server.ID, Received: status.Received, SameRegion: p.isSameRegion(server.Zone)}
+				a.replica = &succession.Replica{ID: server.ID, Received: status.Received, SameRegion: p.isSameRegion(server.Zone), Leaving: i >= len(p.candidates)}
 			}
 			answers <- a
 		}()
 	}
 	var out []succession.Replica
-	for range p.candidates {
+	for range replicas {
 		a := <-answers
 		p.term = max(p.term, a.term)
 		if a.replica != nil {
@@ -380,35 +424,42 @@
 		p.log.WithField("event", "step_down_failed").WithError(err).Warn("draining primary did not accept the command to step down")
 		return best, err
 	}
-	return p.awaitCatchUp(ctx, best, status.Received), nil
+	return p.awaitCatchUp(ctx, best, status.Received)
 }
 
 // awaitCatchUp waits until a candidate has received the log up to the position,
-// for catchUpTimeout at most, and returns the best candidate.
-func (p *promotion) awaitCatchUp(ctx context.Context, best succession.Replica, position group.Position) succession.Replica {
+// for catchUpTimeout at most, and returns the best candidate. It fails with
+// errNoSuccessor if commits wait for replicas and the candidate may lack one.
+func (p *promotion) awaitCatchUp(ctx context.Context, best succession.Replica, position group.Position) (succession.Replica, error) {
+	var err error
 	until := time.Now().Add(catchUpTimeout)
 	for best.Received.Compare(position) < 0 && time.Now().Before(until) {
 		time.Sleep(catchUpPollInterval)
-		if next, ok := succession.Successor(p.queryCandidates(ctx), 1); ok {
+		var next succession.Replica
+		if next, err = p.chooseSuccessor(p.queryReplicas(ctx)); err == nil {
 			best = next
 		}
 	}
-	return best
+	if p.syncReplicas == 0 {
+		return best, nil
+	}
+	return best, err
 }
 
 // revokePrimary makes all hosts stop using the primary, and returns the candidate
 // with the longest log after that.
-func (p *promotion) revokePrimary(ctx context.Context, best succession.Replica) (succession.Replica, error) {
+func (p *promotion) revokePrimary(ctx context.Context) (succession.Replica, error) {
 	p.revocation.term = p.term
 	if err := p.revocation.run(ctx); err != nil {
-		return best, err
+		return succession.Replica{}, err
 	}
-	replicas := p.queryCandidates(ctx)
-	best, ok := succession.Successor(replicas, p.requiredReplies())
-	if !ok {
-		return best, fmt.Errorf("%w: got %d replies after the revocation, need %d", errNoSuccessor, len(replicas), p.requiredReplies())
+	best, err := p.chooseSuccessor(p.queryReplicas(ctx))
+	if err != nil {
+		return best, fmt.Errorf("after the revocation: %w", err)
+	}
+	if best, err = p.awaitCatchUp(ctx, best, p.revocation.finalPosition()); err != nil {
+		return best, err
 	}
-	best = p.awaitCatchUp(ctx, best, p.revocation.finalPosition())
 	if !p.holdsDuty() {
 		return best, fmt.Errorf("%w: promotion duty may have been taken over", errNotRevoked)
 	}
--- a/daemon/internal/fleet/servers.go
+++ b/daemon/internal/fleet/servers.go
@@ -18,8 +18,8 @@
 	// lapsed without notice. Entries that lapsed while the store was unavailable
 	// are back within 2 s of its return.
 	lapseGracePeriod = 2500 * time.Millisecond
-	// lostServerRetention is how long a server that disappeared without notice
-	// counts as one whose log may hold acknowledged commits.
+	// lostServerRetention is how long a server that disappeared or left counts as one
+	// whose log may hold acknowledged commits.
 	lostServerRetention = 30 * time.Second
 	// departedServerRetention is how long a server that left after it had announced it
 	// is refused. It exceeds the age of the copies to which a store goes back.
@@ -42,8 +42,8 @@
 
 // departedServer is a backend server that left after it had announced it.
 type departedServer struct {
-	startedUnixMilli int64
-	leftAt           time.Time
+	server catalog.Server
+	leftAt time.Time
 }
 
 func (c *controller) applyServers(ch storeChange) {
@@ -78,7 +78,7 @@
 
 func (c *controller) registerServer(s catalog.Server) {
 	old := c.servers[s.ID]
-	if left, departed := c.departedServers[s.ID]; departed && isSameStart(left.startedUnixMilli, s) {
+	if left, departed := c.departedServers[s.ID]; departed && isSameStart(left.server.StartedUnixMilli, s) {
 		return
 	}
 	if old != nil && old.server.Draining && isSameStart(old.server.StartedUnixMilli, s) {
@@ -114,7 +114,7 @@
 		Info("entry of a backend server lapsed, was deleted or was replaced by an invalid one")
 	if r.server.Draining {
 		delete(c.servers, id)
-		c.departedServers[id] = departedServer{r.server.StartedUnixMilli, now}
+		c.departedServers[id] = departedServer{r.server, now}
 		return
 	}
 	r.missingSince = now
@@ -147,19 +147,42 @@
 	}
 }
 
-// countPossibleCommitHolders returns the number of servers of a service whose
-// logs may hold acknowledged commits.
-func (c *controller) countPossibleCommitHolders(service string) int {
-	n := 0
+// commitHolders describes the servers of a service whose logs may hold acknowledged
+// commits.
+type commitHolders struct {
+	// servers is the number of those that are registered or disappeared without notice,
+	// the primary included.
+	servers int
+	// departed is the number of those that left as announced, and departedAt when the last
+	// one did. While they were leaving, their receipts let commits be acknowledged.
+	departed   int
+	departedAt time.Time
+}
+
+// commitHolders returns the servers of a service whose logs may hold acknowledged
+// commits. The log of a server that left passes on to a new one at its address.
+func (c *controller) commitHolders(service string) commitHolders {
+	var h commitHolders
+	addresses := map[string]bool{}
 	for _, r := range c.servers {
 		if r.server.Service == service {
-			n++
+			h.servers++
+			addresses[r.server.Address] = true
 		}
 	}
 	for _, l := range c.lostServers {
 		if l.service == service {
-			n++
+			h.servers++
+		}
+	}
+	for _, left := range c.departedServers {
+		if left.server.Service != service || addresses[left.server.Address] || c.now().Sub(left.leftAt) >= lostServerRetention {
+			continue
+		}
+		h.departed++
+		if left.leftAt.After(h.departedAt) {
+			h.departedAt = left.leftAt
 		}
 	}
-	return n
+	return h
 }
