Draw the burn rates without the value axis that no series uses

Cause: the chart library also draws a secondary value axis. The range of the primary axis, the other candidate, was finite: its labels in the golden file are 0.00 to 1.34.

Change: the secondary axis is hidden. Points at one time, whose time axis would be empty, are not plotted. A metric whose value is not finite fails the scrape with a clear error: NaN ended up in the history, which then could not be written. Other conversions of floats to integers in ctl, daemon and core were read: their operands are finite.

--- a/ctl/internal/burn/html.go
+++ b/ctl/internal/burn/html.go
@@ -115,12 +115,14 @@
 		Height: chartHeight,
 		XAxis:  gochart.XAxis{ValueFormatter: formatTime},
 		YAxis:  gochart.YAxis{Name: "burn rate"},
+		// No series uses this axis, so its range is empty and the positions of its ticks
+		// would not be finite.
+		YAxisSecondary: gochart.YAxis{Style: gochart.Hidden()},
 	}
 	highest := 1.0
 	for _, l := range statuses {
 		series := h.series(l)
-		// A series needs at least two points to be plotted.
-		if len(series.XValues) > 1 {
+		if spansTime(series.XValues) {
 			plot.Series = append(plot.Series, series)
 			highest = max(highest, slices.Max(series.YValues))
 		}
@@ -138,6 +140,12 @@
 	return c, nil
 }
 
+// spansTime reports whether a series can be plotted: it needs two points at different
+// times.
+func spansTime(times []time.Time) bool {
+	return len(times) > 1 && times[len(times)-1].After(times[0])
+}
+
 // formatTime formats a value of the time axis in UTC. It returns an empty string
 // for a value of another type than float64.
 func formatTime(v any) string {
--- a/ctl/internal/burn/metrics.go
+++ b/ctl/internal/burn/metrics.go
@@ -1,6 +1,7 @@
 package burn
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"math"
@@ -88,7 +89,8 @@
 
 // Parse reads a host's metrics in the Prometheus text format. A request counts as
 // good if it was answered within the time that the service's objective sets. If the
-// histogram has no bucket with that bound, the next lower bucket is used.
+// histogram has no bucket with that bound, the next lower bucket is used. It fails with
+// ErrNotFinite if a count is not finite.
 func Parse(r io.Reader, snapshot *config.Snapshot) (Counters, error) {
 	parser := expfmt.NewTextParser(model.UTF8Validation)
 	families, err := parser.TextToMetricFamilies(r)
@@ -112,9 +114,28 @@
 	for _, m := range families[readsMetric].GetMetric() {
 		out.add(label(m, serviceLabel), ReplicaRead, valueIfLabel(m, targetLabel, replicaTarget), value(m))
 	}
-	return out, nil
+	return out, out.check()
 }
 
+// ErrNotFinite is wrapped by the error of Parse for a metric whose value is not a
+// finite number.
+var ErrNotFinite = errors.New("value is not a finite number")
+
+// check fails with ErrNotFinite if a count is not finite. It could neither be stored in
+// the history nor plotted.
+func (c Counters) check() error {
+	for service, objectives := range c {
+		for o, e := range objectives {
+			if !isFinite(e.Good) || !isFinite(e.Total) {
+				return fmt.Errorf("parse metrics: %s of %s: %w", o, service, ErrNotFinite)
+			}
+		}
+	}
+	return nil
+}
+
+func isFinite(v float64) bool { return !math.IsNaN(v) && !math.IsInf(v, 0) }
+
 // countWithin returns the cumulative count of the bucket with the highest upper
 // bound that does not exceed bound, in seconds. The tolerance allows for bounds that
 // were rounded in the text format.
--- a/ctl/internal/burn/report.go
+++ b/ctl/internal/burn/report.go
@@ -142,12 +142,16 @@
 	return Fine
 }
 
-// burnRate returns the burn rate of events for a target, or nil if there are none.
+// burnRate returns the burn rate of events for a target, or nil if there are none or
+// the rate is not finite.
 func burnRate(e Events, target float64) *float64 {
 	if e.Total <= 0 {
 		return nil
 	}
 	bad := max(0, e.Total-e.Good)
 	burn := bad / e.Total / (1 - target)
+	if !isFinite(burn) {
+		return nil
+	}
 	return &burn
 }
