--- /dev/null
+++ b/daemon/internal/fleet/promote_test.go
@@ -0,0 +1,185 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/objects"
+	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/succession"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
+)
+
+// Guards against a promotion that loses a commit that one replica has received,
+// and against a wait for replicas that do not answer.
+func TestPromotionAsksReplicas(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.service.SetReplicationPaused("s2", true)
+		d.writeOn(0, "w")
+		time.Sleep(100 * time.Millisecond)
+		d.service.Crash("s1")
+		d.awaitFailover("s1", 10*time.Second)
+		if p := d.service.Primary(); p != "s3" {
+			t.Errorf("got primary %s, want s3, which has the last commit", p)
+		}
+		if got := d.service.Committed(); len(got) != 1 {
+			t.Errorf("got commits %v, want only the write", got)
+		}
+	})
+}
+
+// Guards against a promotion that loses a commit if commits wait for one
+// replica and the only replica that may have received it does not answer.
+func TestPromotionWaitsForReplicasThatMayHoldCommits(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		c := configuration(2, ampleLimit)
+		c.Services["service"] = catalog.Service{Name: "service", ConnectionLimit: ampleLimit, SyncReplicas: 1}
+		d.store.Configure(c)
+		time.Sleep(time.Second)
+		d.service.Crash("s3")
+		d.service.Crash("s1")
+		time.Sleep(15 * time.Second)
+		if n := d.service.Promotions(); n != 0 {
+			t.Fatal("replica was promoted although the other one may have a commit that it lacks")
+		}
+		d.service.Start("s3")
+		if took := d.awaitFailover("s1", 10*time.Second); took > maxFailoverTimeUnderFaults {
+			t.Errorf("failover took %s after the replica returned, want at most %s", took, maxFailoverTimeUnderFaults)
+		}
+	})
+}
+
+// writeOn writes through a host's connection to the primary.
+func (d *deployment) writeOn(host int, id string) {
+	d.t.Helper()
+	g := d.hosts[host].published.View().Groups["service"]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	c, err := g.Primary().Acquire(ctx, testClass)
+	if err != nil {
+		d.t.Fatal(err)
+	}
+	defer c.Release()
+	answers, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), backend.Session{}, statement.Statement{ID: id, Kind: statement.Write, Text: "WRITE x 1"})
+	if err != nil || answers[0].Code != statement.OK {
+		d.t.Fatalf("write %s: got %+v and error %v", id, answers, err)
+	}
+}
+
+// waitForReplicas makes the service acknowledge commits only after one replica has
+// received them. The servers of the tests do not wait by themselves.
+func (d *deployment) waitForReplicas() {
+	c := configuration(2, ampleLimit)
+	c.Services["service"] = catalog.Service{Name: "service", ConnectionLimit: ampleLimit, SyncReplicas: 1}
+	d.store.Configure(c)
+	time.Sleep(time.Second)
+}
+
+// replacePrimary lets the primary s1 announce its stop and waits until another server
+// has replaced it, which it returns with the third one.
+func (d *deployment) replacePrimary() (primary, other string) {
+	d.t.Helper()
+	d.mu.Lock()
+	d.draining["s1"] = true
+	d.mu.Unlock()
+	d.awaitFailover("s1", 5*time.Second)
+	// The holder decides on another replacement only after this time.
+	time.Sleep(succession.PromotionTimeout)
+	if primary = d.service.Primary(); primary == "s2" {
+		return primary, "s3"
+	}
+	return primary, "s2"
+}
+
+// Guards against acknowledged commits that are lost with a server which left as
+// announced (LOST): its receipt had let them be acknowledged, and the holder of the duty
+// promoted a replica without them as soon as it had left.
+func TestPromotionWaitsForCommitsOfServerThatLeft(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.waitForReplicas()
+		primary, other := d.replacePrimary()
+		d.service.SetReplicationPaused(other, true)
+		d.writeOn(0, "w")
+		time.Sleep(100 * time.Millisecond)
+		d.service.Crash(primary)
+		time.Sleep(3 * time.Second)
+		if n := d.service.Promotions(); n != 1 {
+			t.Errorf("replica was promoted although the leaving one has a commit that it lacks")
+		}
+		d.service.Crash("s1")
+		time.Sleep(10 * time.Second)
+		if n := d.service.Promotions(); n != 1 {
+			t.Errorf("replica was promoted although the one that left had a commit that it lacks")
+		}
+		d.service.Start(primary)
+		time.Sleep(2 * time.Second)
+		if got := d.service.Committed(); len(got) != 1 {
+			t.Errorf("got commits %v, want the write", got)
+		}
+	})
+}
+
+// Guards against a lost primary that is not replaced while another server is about to
+// stop, or after it has left, although a replica has all that these can hold.
+func TestServerThatLeavesDoesNotDelayPromotion(t *testing.T) {
+	for _, left := range []bool{false, true} {
+		t.Run(fmt.Sprintf("left %t", left), func(t *testing.T) {
+			deploy(t, func(d *deployment) {
+				d.holder()
+				d.waitForReplicas()
+				primary, other := d.replacePrimary()
+				d.writeOn(0, "w1")
+				if left {
+					d.service.Crash("s1")
+					time.Sleep(5 * time.Second)
+					d.writeOn(0, "w2")
+				}
+				time.Sleep(time.Second)
+				d.service.Crash(primary)
+				if took := d.awaitFailover(primary, 20*time.Second); took > maxFailoverTimeUnderFaults {
+					t.Errorf("failover to %s took %s, want %s at most", other, took, maxFailoverTimeUnderFaults)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a server that left and counts beside the one that has taken over its
+// log at its address.
+func TestServerAtSameAddressTakesLogOver(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		c := d.hosts[0]
+		apply := func(id, address string, draining, deleted bool) {
+			server := catalog.Server{ID: id, Service: "service", Address: address, Zone: "a", StatementLimit: 1, StartedUnixMilli: 7, Draining: draining}
+			c.applyServers(storeChange{kind: objects.Servers, objects: []objects.Object{{Name: id, Server: &server, Deleted: deleted}}})
+		}
+		counts := func(change func()) [2]int {
+			return queryState(c, func() [2]int {
+				change()
+				h := c.commitHolders("service")
+				return [2]int{h.servers, h.departed}
+			})
+		}
+		for _, step := range []struct {
+			what   string
+			change func()
+			want   [2]int
+		}{
+			{"server registered", func() { apply("x", "x:1", false, false) }, [2]int{4, 0}},
+			{"server leaves", func() { apply("x", "x:1", true, false) }, [2]int{4, 0}},
+			{"server left", func() { apply("x", "x:1", true, true) }, [2]int{3, 1}},
+			{"another server registered", func() { apply("y", "y:1", false, false) }, [2]int{4, 1}},
+			{"server at its address registered", func() { apply("z", "x:1", false, false) }, [2]int{5, 0}},
+		} {
+			if got := counts(step.change); got != step.want {
+				t.Errorf("%s: got %v possible holders of commits and departed ones, want %v", step.what, got, step.want)
+			}
+		}
+	})
+}
