Replace a draining primary by the end of its own log, not by a count of replies

Cause: the number of replies that guards acknowledged commits was asked for also where the primary itself answers: with one replica crashed, or servers that had left within 30 s, it could not be reached.

Change: a draining primary is asked for the end of its log. Once a candidate has that, the primary steps down, and a candidate that has the end of the log as of then may be promoted, whatever the others answer. While no candidate follows, the primary keeps serving.

Measured: TestDrainingPrimaryIsReplacedWithoutAllReplies failed on the old code (no new primary within 5 s).

--- a/core/succession/succession.go
+++ b/core/succession/succession.go
@@ -144,19 +144,29 @@
 	Leaving bool
 }
 
-// Successor returns the replica with the longest log. It returns false if there is
-// none that can take over, if fewer than needed replicas have answered, or if one that
-// cannot take over has a longer log. The caller sets needed so that each commit that was
-// acknowledged after a replica received it is in the log of at least one of that many
-// replicas.
-func Successor(replicas []Replica, needed int) (Replica, bool) {
+// Longest returns the replica with the longest log of those that can take over. It
+// returns false if there is none.
+func Longest(replicas []Replica) (Replica, bool) {
 	var best *Replica
 	for i := range replicas {
 		if r := &replicas[i]; !r.Leaving && (best == nil || r.isPreferredTo(best)) {
 			best = r
 		}
 	}
-	if best == nil || len(replicas) < needed {
+	if best == nil {
+		return Replica{}, false
+	}
+	return *best, true
+}
+
+// Successor returns the replica with the longest log. It returns false if there is
+// none that can take over, if fewer than needed replicas have answered, or if one that
+// cannot take over has a longer log. The caller sets needed so that each commit that was
+// acknowledged after a replica received it is in the log of at least one of that many
+// replicas.
+func Successor(replicas []Replica, needed int) (Replica, bool) {
+	best, ok := Longest(replicas)
+	if !ok || len(replicas) < needed {
 		return Replica{}, false
 	}
 	for _, r := range replicas {
@@ -164,7 +174,7 @@
 			return Replica{}, false
 		}
 	}
-	return *best, true
+	return best, true
 }
 
 func (r *Replica) isPreferredTo(other *Replica) bool {
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -61,6 +61,11 @@
 	// checks fencing tokens.
 	holdsDuty func() bool
 	log       *logrus.Entry
+	// answered is the number of replicas that replied last.
+	answered int
+	// logEnd is the end of the primary's log when it stepped down; zero if it did not. A
+	// replica that has it has every acknowledged commit.
+	logEnd group.Position
 	// unresolved is true if the outcome of a call is unknown, so that the order
 	// may still be executed.
 	unresolved bool
@@ -80,8 +85,7 @@
 
 // replace chooses the successor and orders its promotion.
 func (p *promotion) replace(ctx context.Context) error {
-	replicas := p.queryReplicas(ctx)
-	best, err := p.chooseSuccessor(replicas)
+	best, err := p.firstChoice(ctx)
 	if err != nil {
 		return err
 	}
@@ -97,10 +101,40 @@
 	}
 	p.order.Server = best.ID
 	p.log.WithFields(logrus.Fields{"event": "promotion_ordered", "server": best.ID, "received": best.Received.String(),
-		"answered": len(replicas)}).Info("successor chosen; ordering its promotion")
+		"answered": p.answered}).Info("successor chosen; ordering its promotion")
 	return p.requestPromotion(ctx)
 }
 
+// firstChoice returns the replica that would be promoted now.
+func (p *promotion) firstChoice(ctx context.Context) (succession.Replica, error) {
+	if p.reason == succession.PrimaryDraining && p.syncReplicas > 0 && p.primary != nil {
+		return p.awaitFollower(ctx)
+	}
+	return p.chooseSuccessor(p.queryReplicas(ctx))
+}
+
+// awaitFollower waits until a candidate has what a draining primary has now, for
+// catchUpTimeout at most. Such a candidate will also have the rest once the primary has
+// stepped down. Without one, the primary must not step down, since nothing may be able
+// to replace it.
+func (p *promotion) awaitFollower(ctx context.Context) (succession.Replica, error) {
+	commandCtx, cancel := context.WithTimeout(ctx, commandTimeout)
+	status, err := p.primary.SendCommand(commandCtx, statement.Statement{Kind: statement.Status})
+	cancel()
+	if err != nil {
+		return p.chooseSuccessor(p.queryReplicas(ctx))
+	}
+	for until := time.Now().Add(catchUpTimeout); ; time.Sleep(catchUpPollInterval) {
+		best, ok := succession.Longest(p.queryReplicas(ctx))
+		if ok && best.Received.Compare(status.Received) >= 0 {
+			return best, nil
+		}
+		if !time.Now().Before(until) {
+			return best, fmt.Errorf("%w: none follows the draining primary", errNoSuccessor)
+		}
+	}
+}
+
 // chooseSuccessor returns the replica to promote. It fails with errNoSuccessor if an
 // acknowledged commit may be missing in the logs of the replicas that replied.
 //
@@ -108,6 +142,9 @@
 // which the primary had after that holds everything that the server could hold, so its
 // reply is not needed.
 func (p *promotion) chooseSuccessor(replicas []succession.Replica) (succession.Replica, error) {
+	if best, ok := succession.Longest(replicas); ok && p.logEnd != (group.Position{}) && best.Received.Compare(p.logEnd) >= 0 {
+		return best, nil
+	}
 	needed := p.requiredReplies(p.holders.servers + p.holders.departed)
 	if best, ok := succession.Successor(replicas, needed); ok {
 		return best, nil
@@ -119,7 +156,7 @@
 			return best, nil
 		}
 	}
-	return succession.Replica{}, fmt.Errorf("%w: got %d replies, need %d, of which %d for servers that left", errNoSuccessor, len(replicas), needed, p.holders.departed)
+	return succession.Replica{}, fmt.Errorf("%w: got %d replies, need %d, of which %d for servers that left, and no longer log of a leaving server", errNoSuccessor, len(replicas), needed, p.holders.departed)
 }
 
 // requiredReplies returns the number of replicas that must reply if so many servers may
@@ -198,6 +235,7 @@
 			out = append(out, *a.replica)
 		}
 	}
+	p.answered = len(out)
 	return out
 }
 
@@ -208,23 +246,32 @@
 	if p.primary == nil {
 		return best, errNoSuccessor
 	}
-	commandCtx, cancel := context.WithTimeout(ctx, commandTimeout)
-	status, err := p.primary.SendCommand(commandCtx, statement.Statement{Kind: statement.Demote, Term: p.term + 1})
-	cancel()
+	if err := p.stepDown(ctx); err != nil {
+		return best, err
+	}
+	return p.awaitCatchUp(ctx, best)
+}
+
+// stepDown tells the primary to step down and records the end of its log.
+func (p *promotion) stepDown(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	status, err := p.primary.SendCommand(ctx, statement.Statement{Kind: statement.Demote, Term: p.term + 1})
 	if err != nil {
 		p.log.WithField("event", "step_down_failed").WithError(err).Warn("draining primary did not accept the command to step down")
-		return best, err
+		return err
 	}
-	return p.awaitCatchUp(ctx, best, status.Received)
+	p.logEnd = status.Received
+	return nil
 }
 
-// awaitCatchUp waits until a candidate has received the log up to the position,
-// for catchUpTimeout at most, and returns the best candidate. It fails with
+// awaitCatchUp waits until a candidate has received all that the primary had when it
+// stepped down, for catchUpTimeout at most, and returns the best candidate. It fails with
 // errNoSuccessor if commits wait for replicas and the candidate may lack one.
-func (p *promotion) awaitCatchUp(ctx context.Context, best succession.Replica, position group.Position) (succession.Replica, error) {
+func (p *promotion) awaitCatchUp(ctx context.Context, best succession.Replica) (succession.Replica, error) {
 	var err error
 	until := time.Now().Add(catchUpTimeout)
-	for best.Received.Compare(position) < 0 && time.Now().Before(until) {
+	for best.Received.Compare(p.logEnd) < 0 && time.Now().Before(until) {
 		time.Sleep(catchUpPollInterval)
 		var next succession.Replica
 		if next, err = p.chooseSuccessor(p.queryReplicas(ctx)); err == nil {
@@ -244,11 +291,17 @@
 	if err := p.revocation.run(ctx); err != nil {
 		return succession.Replica{}, err
 	}
+	p.logEnd = p.revocation.finalPosition()
+	if p.logEnd == (group.Position{}) && p.reason == succession.PrimaryDraining && p.primary != nil && p.syncReplicas > 0 {
+		// The hosts confirmed before the primary answered. Without the end of its log, the
+		// replies of other servers would be needed.
+		_ = p.stepDown(ctx)
+	}
 	best, err := p.chooseSuccessor(p.queryReplicas(ctx))
 	if err != nil {
 		return best, fmt.Errorf("after the revocation: %w", err)
 	}
-	if best, err = p.awaitCatchUp(ctx, best, p.revocation.finalPosition()); err != nil {
+	if best, err = p.awaitCatchUp(ctx, best); err != nil {
 		return best, err
 	}
 	if !p.holdsDuty() {
--- a/daemon/internal/fleet/promote_test.go
+++ b/daemon/internal/fleet/promote_test.go
@@ -183,3 +183,50 @@
 		}
 	})
 }
+
+// Guards against a draining primary that is not replaced because other servers, whose
+// replies do not matter while it can be asked itself, do not answer.
+func TestDrainingPrimaryIsReplacedWithoutAllReplies(t *testing.T) {
+	for _, leased := range []bool{false, true} {
+		t.Run(fmt.Sprintf("leased %t", leased), func(t *testing.T) {
+			deployWith(t, &deployment{limit: ampleLimit, leased: leased, network: newNetwork()}, func(d *deployment) {
+				d.holder()
+				d.waitForReplicas()
+				d.service.Crash("s3")
+				d.writeOn(0, "w")
+				time.Sleep(time.Second)
+				d.checkPlannedChange("s1")
+				if got := d.service.Committed(); len(got) != 1 {
+					t.Errorf("got commits %v, want the write", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against a draining primary that steps down although no replica receives its
+// commits, so that writes are refused until one does.
+func TestDrainingPrimaryIsKeptWithoutFollower(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.waitForReplicas()
+		for _, id := range []string{"s2", "s3"} {
+			d.service.SetReplicationPaused(id, true)
+		}
+		d.writeOn(0, "w")
+		d.mu.Lock()
+		d.draining["s1"] = true
+		d.mu.Unlock()
+		time.Sleep(3 * time.Second)
+		if p := d.service.Primary(); p != "s1" {
+			t.Errorf("got primary %q, want s1 while no replica follows it", p)
+		}
+		d.service.SetReplicationPaused("s2", false)
+		if took := d.awaitFailover("s1", 5*time.Second); took > time.Second+catchUpTimeout {
+			t.Errorf("failover took %s after a replica followed again, want about 1 s", took)
+		}
+		if got := d.service.Committed(); len(got) != 1 {
+			t.Errorf("got commits %v, want the write", got)
+		}
+	})
+}
