--- a/ctl/internal/burn/metrics.go
+++ b/ctl/internal/burn/metrics.go
@@ -114,7 +114,10 @@
 	for _, m := range families[readsMetric].GetMetric() {
 		out.add(label(m, serviceLabel), ReplicaRead, valueIfLabel(m, targetLabel, replicaTarget), value(m))
 	}
-	return out, out.check()
+	if err := out.check(); err != nil {
+		return nil, err
+	}
+	return out, nil
 }
 
 // ErrNotFinite is wrapped by the error of Parse for a metric whose value is not a
--- a/ctl/internal/cli/burn.go
+++ b/ctl/internal/cli/burn.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -42,6 +43,8 @@
 	At          time.Time              `json:"at"`
 	Objectives  []burn.ObjectiveStatus `json:"objectives"`
 	Unreachable []string               `json:"unreachable"`
+	// Errors holds why these hosts returned none, by address.
+	Errors map[string]string `json:"errors,omitempty"`
 }
 
 func (cmd *burnCommand) run(ctx context.Context, c *invocation) (report, error) {
@@ -57,10 +60,10 @@
 	if err != nil {
 		return nil, &commandLineError{err.Error()}
 	}
-	rep := &burnReport{At: c.env.Now().UTC(), Unreachable: []string{}}
-	hosts := scrapeAll(ctx, targets, snapshot, rep)
+	rep := &burnReport{At: c.env.Now().UTC(), Unreachable: []string{}, Errors: map[string]string{}}
+	hosts, err := scrapeAll(ctx, targets, snapshot, rep)
 	if len(hosts) == 0 {
-		return nil, fmt.Errorf("no host returned metrics: %w", errUnreachable)
+		return nil, fmt.Errorf("no host returned metrics: %w: %w", errUnreachable, err)
 	}
 	history.Add(rep.At, hosts)
 	if err := history.Write(cmd.History); err != nil {
@@ -125,29 +128,30 @@
 }
 
 // scrapeAll scrapes the targets concurrently, up to parallelHosts at a time. It adds
-// the targets that fail to the report and returns the counters of the others.
-func scrapeAll(ctx context.Context, targets []string, snapshot *config.Snapshot, rep *burnReport) map[string]burn.Counters {
-	counters := make([]burn.Counters, len(targets))
+// the targets that fail to the report, and returns the counters of the others and the
+// errors.
+func scrapeAll(ctx context.Context, targets []string, snapshot *config.Snapshot, rep *burnReport) (map[string]burn.Counters, error) {
+	counters, failures := make([]burn.Counters, len(targets)), make([]error, len(targets))
 	semaphore := make(chan struct{}, parallelHosts)
 	var wg sync.WaitGroup
 	for i, t := range targets {
 		semaphore <- struct{}{}
 		wg.Go(func() {
-			// A host whose scrape fails is reported as unreachable, whatever the error.
-			counters[i], _ = scrape(ctx, t, snapshot)
+			counters[i], failures[i] = scrape(ctx, t, snapshot)
 			<-semaphore
 		})
 	}
 	wg.Wait()
 	out := map[string]burn.Counters{}
 	for i, t := range targets {
-		if counters[i] == nil {
+		if err := failures[i]; err != nil {
 			rep.Unreachable = append(rep.Unreachable, t)
+			rep.Errors[t] = err.Error()
 			continue
 		}
 		out[t] = counters[i]
 	}
-	return out
+	return out, errors.Join(failures...)
 }
 
 // scrape reads the metrics of one host.
@@ -186,6 +190,6 @@
 	table.Flush()
 	fmt.Fprintln(w, "Burn rates: 1 uses up exactly the error budget. * marks a window that the history covers only partly.")
 	for _, address := range r.Unreachable {
-		fmt.Fprintf(w, "%s returned no metrics\n", address)
+		fmt.Fprintf(w, "%s returned no metrics: %s\n", address, r.Errors[address])
 	}
 }
--- a/ctl/internal/cli/hosts.go
+++ b/ctl/internal/cli/hosts.go
@@ -113,13 +113,34 @@
 	if !h.connected.Load() {
 		return fmt.Errorf("host %s: %w: %w", h.host.name, errUnreachable, err)
 	}
-	var answer twirp.Error
-	if errors.As(err, &answer) && slices.Contains(rejectionCodes, answer.Code()) {
-		return fmt.Errorf("host %s refused: %s", h.host.name, answer.Msg())
+	if refusal := h.refusal(err); refusal != nil {
+		return refusal
 	}
 	return fmt.Errorf("host %s: %w: %w", h.host.name, errOutcomeUnknown, err)
 }
 
+// classifyReadError wraps the error of a request that changes nothing: a refusal if the
+// host rejected the request, and errUnreachable if it did not answer.
+func (h *hostClient) classifyReadError(err error) error {
+	if err == nil {
+		return nil
+	}
+	if refusal := h.refusal(err); refusal != nil {
+		return refusal
+	}
+	return fmt.Errorf("host %s: %w: %w", h.host.name, errUnreachable, err)
+}
+
+// refusal returns the error of a request that the host rejected, or nil for any other
+// error.
+func (h *hostClient) refusal(err error) error {
+	var answer twirp.Error
+	if !h.connected.Load() || !errors.As(err, &answer) || !slices.Contains(rejectionCodes, answer.Code()) {
+		return nil
+	}
+	return fmt.Errorf("host %s refused: %s", h.host.name, answer.Msg())
+}
+
 // hostStatus is a host's response to a status request, or the error of the request.
 type hostStatus struct {
 	target target
@@ -155,8 +176,5 @@
 	defer cancel()
 	h := &hostClient{host: t}
 	answer, err := h.operatorClient().Status(ctx, &peerapi.StatusRequest{Service: service})
-	if err != nil {
-		err = fmt.Errorf("host %s: %w: %w", t.name, errUnreachable, err)
-	}
-	return hostStatus{target: t, answer: answer, err: err}
+	return hostStatus{target: t, answer: answer, err: h.classifyReadError(err)}
 }
--- a/ctl/internal/cli/status.go
+++ b/ctl/internal/cli/status.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"slices"
@@ -93,7 +94,11 @@
 
 func newHostLine(h hostStatus) hostLine {
 	if h.err != nil {
-		return hostLine{Host: h.target.name, Address: h.target.address, State: "unreachable", Error: h.err.Error()}
+		state := "refused"
+		if errors.Is(h.err, errUnreachable) {
+			state = "unreachable"
+		}
+		return hostLine{Host: h.target.name, Address: h.target.address, State: state, Error: h.err.Error()}
 	}
 	return hostLine{
 		Host:          h.answer.Host,
