--- a/core/statement/statementtest/conn.go
+++ b/core/statement/statementtest/conn.go
@@ -175,6 +175,9 @@
 	case statement.Pause:
 		sv.pauseTerm = r.Term
 		return statement.Answer{Rows: []string{sv.status()}}
+	case statement.Resume:
+		sv.pauseTerm = 0
+		return statement.Answer{Rows: []string{sv.status()}}
 	case statement.Demote:
 		if r.Term > sv.term {
 			sv.primary = false
--- a/core/statement/statementtest/history_test.go
+++ b/core/statement/statementtest/history_test.go
@@ -38,3 +38,37 @@
 		t.Errorf("got required writes %v, want w1", got)
 	}
 }
+
+// Guards against a stand-in that runs Resume as a read, so that a replica stays paused
+// in tests where a real one goes on.
+func TestResumeEndsPause(t *testing.T) {
+	s := New("service", Options{}, "s1", "s2")
+	dial := func(id string) statement.Conn {
+		conn, err := Backends{s}.Dial(context.Background(), catalog.Server{ID: id, Service: "service"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return conn
+	}
+	primary, replica := dial("s1"), dial("s2")
+	exchange := func(conn statement.Conn, st statement.Statement) statement.Answer {
+		t.Helper()
+		answers, _, err := conn.Exchange(time.Now().Add(time.Second), st)
+		if err != nil || answers[0].Code != statement.OK {
+			t.Fatalf("statement %d: got %+v, %v", st.Kind, answers, err)
+		}
+		return answers[0]
+	}
+	read := statement.Statement{ID: "r", Kind: statement.Read, Text: "READ a"}
+	exchange(replica, statement.Statement{Kind: statement.Pause, Term: 2})
+	exchange(primary, statement.Statement{ID: "w", Kind: statement.Write, Text: "WRITE a 1"})
+	if a := exchange(replica, read); len(a.Rows) != 0 {
+		t.Errorf("paused replica returned %v, want nothing", a.Rows)
+	}
+	if a := exchange(replica, statement.Statement{Kind: statement.Resume}); len(a.Rows) != 1 {
+		t.Errorf("resume returned rows %v, want the status", a.Rows)
+	}
+	if a := exchange(replica, read); !slices.Equal(a.Rows, []string{"1"}) {
+		t.Errorf("resumed replica returned %v, want the commit", a.Rows)
+	}
+}
--- a/standin/dbgroup/contract_test.go
+++ b/standin/dbgroup/contract_test.go
@@ -1,6 +1,7 @@
 package dbgroup_test
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -242,3 +243,22 @@
 	}
 	exec(t, after, insertJob, 1, "again")
 }
+
+// Guards against concurrent restarts of a killed slot, of which all but one find its
+// address in use.
+func TestConcurrentRestarts(t *testing.T) {
+	s := startGroup(t, nil).Slot(1)
+	s.Kill()
+	var running sync.WaitGroup
+	for range 4 {
+		running.Go(func() {
+			if err := s.Restart(); err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	running.Wait()
+	if !s.Running() {
+		t.Error("slot does not run after its restart")
+	}
+}
--- a/standin/dbgroup/slot.go
+++ b/standin/dbgroup/slot.go
@@ -41,6 +41,9 @@
 	// connectionGoroutines counts the goroutines of the sessions and of the listener.
 	connectionGoroutines sync.WaitGroup
 
+	// restarting is held by Restart, so that concurrent ones do not both listen.
+	restarting sync.Mutex
+
 	// mu guards the fields below. A commit holds it while it checks the role,
 	// commits in the embedded database and appends to the log.
 	mu                sync.Mutex
@@ -322,6 +325,8 @@
 // term and role. On a running slot it does nothing. It fails if the address is
 // in use or the saved state cannot be read.
 func (s *Slot) Restart() error {
+	s.restarting.Lock()
+	defer s.restarting.Unlock()
 	s.mu.Lock()
 	if s.running {
 		s.mu.Unlock()
--- a/standin/demo/demo.go
+++ b/standin/demo/demo.go
@@ -128,14 +128,20 @@
 	r.wait()
 }
 
-func startLoads(ctx context.Context, l *layout, seed uint64) ([]loadRun, error) {
+func startLoads(ctx context.Context, l *layout, seed uint64) (runs []loadRun, err error) {
+	defer func() {
+		if err != nil {
+			for _, r := range runs {
+				r.stop()
+			}
+		}
+	}()
 	healthChecks := newBalancer(l)
 	go healthChecks.run(ctx)
 	var addresses []string
 	for _, h := range l.hosts {
 		addresses = append(addresses, h.listen)
 	}
-	var runs []loadRun
 	for _, dep := range deployments {
 		loadCtx, cancel := context.WithCancel(ctx)
 		record, wait, err := load.Start(loadCtx, load.Options{
@@ -145,7 +151,7 @@
 		})
 		if err != nil {
 			cancel()
-			return nil, err
+			return runs, err
 		}
 		runs = append(runs, loadRun{dep, record, cancel, wait})
 	}
