Reset settings in the stand-in of a database as PostgreSQL does

RESET set a parameter to the empty text, and DISCARD ALL left all parameters set, also in a transaction block, where PostgreSQL refuses it (25001). So a test of the pooled connections of PostgreSQL callers could not notice settings of another session. Both return to the values of the startup packet now.

--- a/standin/dbgroup/driver_test.go
+++ b/standin/dbgroup/driver_test.go
@@ -339,3 +339,35 @@
 		}
 	})
 }
+
+// TestResetOfSettings guards against a stand-in on whose connections settings outlive a
+// reset, so that tests of pooled connections do not notice those of another session.
+func TestResetOfSettings(t *testing.T) {
+	c := connect(t, startGroup(t, nil).Slot(0))
+	show := func(name string) string {
+		var value string
+		if err := c.QueryRow(background, "SHOW "+name).Scan(&value); err != nil {
+			return ""
+		}
+		return value
+	}
+	initial := show("application_name")
+	for _, reset := range []string{"RESET ALL", "DISCARD ALL", "RESET application_name"} {
+		exec(t, c, "SET application_name = 'other'")
+		if got := show("application_name"); got != "other" {
+			t.Fatalf("application_name is %q after SET", got)
+		}
+		exec(t, c, reset)
+		if got := show("application_name"); got != initial {
+			t.Errorf("application_name is %q after %s, want %q", got, reset, initial)
+		}
+	}
+	exec(t, c, "SET my.tenant = 't1'")
+	exec(t, c, "DISCARD ALL")
+	if got := show("my.tenant"); got != "" {
+		t.Errorf("my.tenant is %q after DISCARD ALL, want none", got)
+	}
+	exec(t, c, "BEGIN")
+	_, err := c.Exec(background, "DISCARD ALL")
+	wantCode(t, err, "25001")
+}
--- a/standin/dbgroup/query.go
+++ b/standin/dbgroup/query.go
@@ -1,6 +1,7 @@
 package dbgroup
 
 import (
+	"maps"
 	"strconv"
 	"strings"
 	"time"
@@ -377,7 +378,7 @@
 	case kindSleep:
 		return "SELECT 1", c.sleep(target)
 	}
-	return c.changeSetting(cmd), nil
+	return c.changeSetting(cmd)
 }
 
 // endTransaction runs COMMIT, which rolls a failed transaction back.
@@ -393,28 +394,50 @@
 }
 
 // changeSetting runs SET, RESET, DISCARD and DEALLOCATE and returns the command tag.
-func (c *session) changeSetting(cmd command) (tag string) {
+func (c *session) changeSetting(cmd command) (tag string, err error) {
 	switch cmd.kind {
 	case kindSet:
 		c.changeSessionSetting(cmd.name, cmd.value)
-		return "SET"
+		return "SET", nil
 	case kindReset:
-		c.changeSessionSetting(cmd.name, "")
-		return "RESET"
+		c.resetSettings(cmd.name)
+		return "RESET", nil
 	case kindDiscard:
+		if c.tx.status != statusIdle {
+			return "", failf(codeActiveTransaction, "DISCARD ALL cannot run inside a transaction block")
+		}
+		c.resetSettings("all")
 		clear(c.prepared)
-		return "DISCARD ALL"
+		return "DISCARD ALL", nil
 	case kindDeallocate:
 		if cmd.name == "all" {
 			clear(c.prepared)
-			return "DEALLOCATE ALL"
+			return "DEALLOCATE ALL", nil
 		}
 		delete(c.prepared, cmd.name)
 	}
-	return "DEALLOCATE"
+	return "DEALLOCATE", nil
+}
+
+// resetSettings returns a setting, or all of them if the name is "all", to the values of
+// the startup packet.
+func (c *session) resetSettings(name string) {
+	for changed := range maps.Clone(c.settings) {
+		if name != "all" && name != changed {
+			continue
+		}
+		if value, set := c.startSettings[changed]; set || changed == "application_name" {
+			c.changeSessionSetting(changed, value)
+		} else {
+			delete(c.settings, changed)
+		}
+	}
 }
 
 func (c *session) changeSessionSetting(name, value string) {
+	if old, set := c.settings[name]; set && old == value {
+		return
+	}
 	c.settings[name] = value
 	if name == "application_name" {
 		c.setApplicationName(value)
--- a/standin/dbgroup/session.go
+++ b/standin/dbgroup/session.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"crypto/subtle"
+	"maps"
 	"net"
 	"net/netip"
 	"sync/atomic"
@@ -57,9 +58,11 @@
 	// The slot's mutex guards it.
 	counted bool
 
-	isControl        bool
-	user             string
-	settings         map[string]string
+	isControl bool
+	user      string
+	settings  map[string]string
+	// startSettings holds the settings of the startup packet, to which a reset returns.
+	startSettings    map[string]string
 	codec            *codec
 	statementCache   map[string][]*sqlite.Stmt
 	cachedStatements int
@@ -289,9 +292,7 @@
 
 // completeStartUp admits the session and sends the responses up to ReadyForQuery.
 func (c *session) completeStartUp(parameters map[string]string) bool {
-	for name, value := range parameters {
-		c.settings[name] = value
-	}
+	c.settings, c.startSettings = maps.Clone(parameters), parameters
 	c.user = parameters["user"]
 	c.setApplicationName(parameters["application_name"])
 	c.isControl = c.user == ControlUser
