--- a/standin/dbgroup/internal/sqlite/sqlite.go
+++ b/standin/dbgroup/internal/sqlite/sqlite.go
@@ -33,7 +33,8 @@
 // Error is an error that the library reports.
 type Error struct {
 	// Code is the extended result code of SQLite.
-	Code    int
+	Code int
+	// Message describes the error.
 	Message string
 }
 
--- a/standin/dbgroup/session.go
+++ b/standin/dbgroup/session.go
@@ -44,10 +44,11 @@
 	killed            atomic.Bool
 	silenced          atomic.Bool
 	terminationReason atomic.Pointer[sqlError]
-	// running is set while a message of the client is being processed. idleSince
-	// is the Unix time in nanoseconds at which it was last cleared.
-	running         atomic.Bool
-	idleSince       atomic.Int64
+	// running is set while a message of the client is being processed.
+	running atomic.Bool
+	// idleSince is the Unix time in nanoseconds at which running was last cleared.
+	idleSince atomic.Int64
+
 	cancelRequested atomic.Bool
 	cancelCh        chan struct{}
 	db              atomic.Pointer[sqlite.DB]
--- a/standin/dbgroup/slot.go
+++ b/standin/dbgroup/slot.go
@@ -66,14 +66,16 @@
 	changed chan struct{}
 
 	// rebuilding is set while the database is replaced; client connections are then
-	// rejected. generation numbers the files of successive copies.
+	// rejected.
 	rebuilding bool
+	// generation numbers the files of successive copies.
 	generation int
-	path       string
+	// path is that of the present copy.
+	path string
 	// adminDB creates the schema and copies the database, the latter under mu.
-	// apply runs replicated statements under the writer lock.
 	adminDB *sqlite.DB
-	apply   *applier
+	// apply runs replicated statements under the writer lock.
+	apply *applier
 }
 
 // slotSettings holds the settings that can be changed at run time.
--- a/standin/dbgroup/transaction.go
+++ b/standin/dbgroup/transaction.go
@@ -26,14 +26,16 @@
 type transaction struct {
 	status   byte
 	readOnly bool
-	// snapshot and writing are set while a transaction is open in the embedded
-	// database: for a snapshot, or under the writer lock.
+	// snapshot is set while a transaction is open in the embedded database for a
+	// snapshot.
 	snapshot bool
-	writing  bool
+	// writing is set while one is open under the writer lock.
+	writing bool
 	// epoch is the slot's epoch at the first write.
 	epoch uint64
 	// pending holds the writes to append to the replication log at the commit.
-	pending    []statement
+	pending []statement
+	// savepoints holds the savepoints that are set, the latest last.
 	savepoints []savepoint
 }
 
--- a/standin/demo/summary.go
+++ b/standin/demo/summary.go
@@ -16,35 +16,45 @@
 
 // Summary holds the results of a demo over all databases.
 type Summary struct {
-	// Statements counts acknowledged writes and answered reads, Reads only the
-	// reads.
+	// Statements counts acknowledged writes and answered reads.
 	Statements int
-	Reads      int
-	// ReplicaReads counts read transactions that the owners routed to replicas,
-	// DeclaredReads all transactions that callers declared as reads. Both come from
+	// Reads counts answered reads.
+	Reads int
+	// ReplicaReads counts the read transactions that the owners routed to replicas, by
 	// the hosts' metrics.
-	ReplicaReads  int
+	ReplicaReads int
+	// DeclaredReads counts the transactions that callers declared as reads, by the
+	// hosts' metrics.
 	DeclaredReads int
 	// FailoverGap is the longest time without an acknowledged write on any database.
 	FailoverGap time.Duration
-	// Lost, Duplicated and Stale count lost acknowledged writes, duplicated writes
-	// and stale session reads.
-	Lost       int
+	// Lost counts acknowledged writes that are missing.
+	Lost int
+	// Duplicated counts writes that are present more than once.
 	Duplicated int
-	Stale      int
+	// Stale counts reads that lack a write of their own session.
+	Stale int
 	// OtherFaults counts writes that are present although they were refused or
 	// aborted.
 	OtherFaults int
-	Unknown     int
-	Refused     int
+	// Unknown counts writes of unknown outcome.
+	Unknown int
+	// Refused counts writes that did not run.
+	Refused int
 	// Aborted counts writes that failed before they could commit.
-	Aborted        int
-	ReadsFailed    int
+	Aborted int
+	// ReadsFailed counts reads that failed.
+	ReadsFailed int
+	// ConnectsFailed counts connection attempts that failed.
 	ConnectsFailed int
-	KeyedSettled   int
-	KeyedRepeats   int
-	Examples       []string
-	Gaps           []Gap
+	// KeyedSettled counts keyed writes of unknown outcome that a retry got acknowledged.
+	KeyedSettled int
+	// KeyedRepeats counts keyed writes that were repeated after their acknowledgement.
+	KeyedRepeats int
+	// Examples describes some of the faults.
+	Examples []string
+	// Gaps holds the longest gap of each database.
+	Gaps []Gap
 }
 
 // Gap is the longest time without an acknowledged write on a database.
--- a/standin/fleet/caller.go
+++ b/standin/fleet/caller.go
@@ -20,9 +20,9 @@
 // Caller is a client of the line protocol that the hosts serve. It implements
 // statementtest.Caller.
 type Caller struct {
-	// Database is the database of the sessions. PickAddress returns the address of
-	// the host for the next session.
-	Database    string
+	// Database is the database of the sessions.
+	Database string
+	// PickAddress returns the address of the host for the next session.
 	PickAddress func() string
 
 	conn   net.Conn
--- a/standin/load/check.go
+++ b/standin/load/check.go
@@ -18,9 +18,11 @@
 	Lost int
 	// Duplicated counts writes that are present more than once.
 	Duplicated int
-	// RefusedPresent and AbortedPresent count writes that are present although
-	// the caller was told that they did not run.
+	// RefusedPresent counts writes that are present although the caller was told that
+	// they did not run.
 	RefusedPresent int
+	// AbortedPresent counts writes that are present although the caller was told that
+	// they were rolled back.
 	AbortedPresent int
 	// UnknownPresent counts writes of unknown outcome that are present, which
 	// violates no guarantee.
--- a/standin/load/load.go
+++ b/standin/load/load.go
@@ -38,9 +38,12 @@
 type Options struct {
 	// Addresses lists the proxies as host:port; at least one is required.
 	Addresses []string
-	Database  string
-	User      string
-	Password  string
+	// Database is the name of the database.
+	Database string
+	// User is the name that the callers log in with.
+	User string
+	// Password is that of the user.
+	Password string
 	// Run is a prefix that makes the write ids of this load unique in the table.
 	Run string
 	// Sessions is the number of sessions that write and read their own
--- a/standin/load/record.go
+++ b/standin/load/record.go
@@ -38,13 +38,16 @@
 
 // StaleRead is a read that did not return writes acknowledged to the same session before.
 type StaleRead struct {
+	// Session is the name of the session.
 	Session string
 	// Token is true if the session passes its session token when it connects.
-	Token   bool
+	Token bool
+	// Address is the proxy that answered.
 	Address string
 	// Missing lists the sequence numbers of the absent writes.
 	Missing []int
-	Done    time.Time
+	// Done is when the answer arrived.
+	Done time.Time
 }
 
 // Range of the latency histograms in microseconds, up to one minute, and their
@@ -64,33 +67,39 @@
 	longestGap time.Duration
 	// longestGapStart is the time from the start of the load to the longest gap.
 	longestGapStart time.Duration
-	writes          []Write
-	staleReads      []StaleRead
-	counts          Counts
-	writeLat        *hdrhistogram.Histogram
-	readLat         *hdrhistogram.Histogram
+
+	writes     []Write
+	staleReads []StaleRead
+	counts     Counts
+	writeLat   *hdrhistogram.Histogram
+	readLat    *hdrhistogram.Histogram
 }
 
 // Counts holds the totals of a load.
 type Counts struct {
+	// Acknowledged counts acknowledged writes.
 	Acknowledged int
-	Unknown      int
-	Refused      int
-	Aborted      int
-	// Reads counts answered reads of sessions, and StatusPageReads those of the
-	// status-page callers.
-	Reads           int
+	// Unknown counts writes of unknown outcome.
+	Unknown int
+	// Refused counts writes answered with "not run".
+	Refused int
+	// Aborted counts writes that failed before they could commit.
+	Aborted int
+	// Reads counts answered reads of sessions.
+	Reads int
+	// StatusPageReads counts answered reads of the status-page callers.
 	StatusPageReads int
-	// ReadsRefused counts reads answered with "not run", and ReadsFailed reads
-	// that failed otherwise.
+	// ReadsRefused counts reads answered with "not run".
 	ReadsRefused int
-	ReadsFailed  int
-	// Connects counts established connections, and ConnectsFailed failed attempts.
-	Connects       int
+	// ReadsFailed counts reads that failed otherwise.
+	ReadsFailed int
+	// Connects counts established connections.
+	Connects int
+	// ConnectsFailed counts connection attempts that failed.
 	ConnectsFailed int
-	// KeyedSettled counts keyed writes of unknown outcome that a retry got
-	// acknowledged, KeyedRepeats those repeated after their acknowledgement.
+	// KeyedSettled counts keyed writes of unknown outcome that a retry got acknowledged.
 	KeyedSettled int
+	// KeyedRepeats counts keyed writes that were repeated after their acknowledgement.
 	KeyedRepeats int
 }
 
