Refuse sessions that begin while a host drains

Cause: a host accepted sessions until its process ended. A balancer sends callers to stopping hosts while fewer than half of a zone's hosts are ready. With such callers the drain never settled and closed all sessions at its deadline, 5.3 s after SIGTERM, in the middle of statements accepted just before; a session that began after the drain had settled was awaited by nothing and ended with the process.

Change: from the start of the drain on (2.2 s after SIGTERM, when a balancer with other hosts has taken this one out), a session is refused as busy when it begins, under the lock under which sessions are registered. The drain ends with the last session, so it needs no settle time. Callers that come are told at once that nothing has run, and the host is back sooner.

TestDrainEndsWhileCallersKeepComing, TestNoSessionBeginsAfterDrain and TestDrainRefusesCallersThatWaitForConfiguration failed before. The stand-in of a caller's connection delivered answers after Close, which hid cut statements; it fails as a real connection does now.

--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -258,7 +259,11 @@
 	}
 }
 
+// Answer fails once the connection is closed, as that of a real caller does.
 func (c *caller) Answer(a statement.Answer) error {
+	if c.isClosed() {
+		return net.ErrClosed
+	}
 	c.out <- a
 	return nil
 }
--- a/daemon/internal/front/server.go
+++ b/daemon/internal/front/server.go
@@ -13,7 +13,6 @@
 package front
 
 import (
-	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -97,6 +96,8 @@
 
 	mu       sync.Mutex
 	sessions map[*session]bool
+	// draining is true once Drain was called. No session begins afterwards.
+	draining bool
 	running  sync.WaitGroup
 }
 
@@ -144,28 +145,41 @@
 	if err != nil {
 		return
 	}
-	if !s.awaitConfiguration() {
-		s.options.Recorder.SessionRefused(database, 0, statement.Busy)
-		_ = conn.Refuse(statement.Busy, "host does not know the configuration yet")
+	ss, code, reason := s.begin(conn, database)
+	if ss == nil {
+		s.options.Recorder.SessionRefused(database, s.configVersion(), code)
+		_ = conn.Refuse(code, reason)
 		return
 	}
+	defer s.remove(ss)
+	if conn.Accept() == nil {
+		ss.run()
+	}
+}
+
+// begin registers a new session. It returns nil and the refusal if the session can't be
+// served.
+func (s *Server) begin(conn statement.CallerConn, database string) (*session, statement.Code, string) {
+	if !s.awaitConfiguration() {
+		return nil, statement.Busy, "host does not know the configuration yet"
+	}
 	if route, _ := s.options.Catalog.Route(database); route == nil {
-		s.options.Recorder.SessionRefused(database, s.configVersion(), statement.NoDatabase)
-		_ = conn.Refuse(statement.NoDatabase, "no route for this database")
-		return
+		return nil, statement.NoDatabase, "no route for this database"
 	}
 	ss := newSession(s, conn, database)
 	s.mu.Lock()
-	s.sessions[ss] = true
-	s.mu.Unlock()
-	defer func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.sessions, ss)
-	}()
-	if conn.Accept() == nil {
-		ss.run()
+	defer s.mu.Unlock()
+	if s.draining {
+		return nil, statement.Busy, stoppingReason
 	}
+	s.sessions[ss] = true
+	return ss, statement.OK, ""
+}
+
+func (s *Server) remove(ss *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, ss)
 }
 
 // configVersion returns the version of the configuration in force, or 0 if
@@ -187,10 +201,10 @@
 )
 
 // awaitConfiguration waits for a configuration if there is none, and reports
-// whether there is one.
+// whether there is one. It does not wait during a drain.
 func (s *Server) awaitConfiguration() bool {
 	for until := time.Now().Add(configurationTimeout); s.options.Catalog.Configuration() == nil; {
-		if time.Now().After(until) {
+		if time.Now().After(until) || s.isDraining() {
 			return false
 		}
 		time.Sleep(configurationPollInterval)
@@ -198,59 +212,6 @@
 	return true
 }
 
-const (
-	// drainPollInterval is the time between checks of the sessions during a drain.
-	drainPollInterval = 20 * time.Millisecond
-	// drainSettleTime is how long there must have been no session for a drain to
-	// end.
-	drainSettleTime = 200 * time.Millisecond
-)
-
-// Drain ends each session once it is idle outside a transaction. After
-// rollbackAfter it rolls back open transactions that are idle, and when ctx
-// ends it closes the remaining sessions. It returns the number of sessions
-// closed that way.
-func (s *Server) Drain(ctx context.Context, rollbackAfter time.Time) int {
-	ticker := time.NewTicker(drainPollInterval)
-	defer ticker.Stop()
-	lastOpen := time.Now()
-	for {
-		now := time.Now()
-		if s.endIdle(now.After(rollbackAfter)) > 0 {
-			lastOpen = now
-		}
-		// Connections on which no session was started do not delay the drain.
-		if now.Sub(lastOpen) >= drainSettleTime {
-			return 0
-		}
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return s.closeAll()
-		}
-	}
-}
-
-// endIdle ends idle sessions and returns the number of sessions that were open.
-func (s *Server) endIdle(rollBack bool) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for ss := range s.sessions {
-		ss.endIfIdle(rollBack)
-	}
-	return len(s.sessions)
-}
-
-// closeAll closes the connections of all sessions and returns their number.
-func (s *Server) closeAll() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for ss := range s.sessions {
-		_ = ss.conn.Close()
-	}
-	return len(s.sessions)
-}
-
 // Sessions returns the number of open sessions.
 func (s *Server) Sessions() int {
 	s.mu.Lock()
