Answer the statements that still run at the end of a drain

Callers saw: at the end of the stop timeout (less 0.7 s) a stopping host closed the connections of all open sessions, also of those whose statement was at work at a backend server or still waited for one (LOST).

Cause: closeAll closed the caller's connection, so the answer, also a ready refusal, could not be delivered. Statements that waited for a primary were not told that the time was up, although the host knew that they had not run.

Change: at the deadline the waits of statements end, so that they refuse themselves. Statements without an answer after 50 ms are answered by the drain: in doubt for a commit and a write outside a transaction, aborted inside a transaction, which rolls back when its connection closes, busy for a read. A statement that is read after that is refused without running. A caller that does not read cannot hold the end up for more than 50 ms. The log event statement_cut and a counter name each such statement.

TestEndOfDrainAnswersRunningStatements, TestEndOfDrainRefusesWaitingStatements and TestEndOfDrainAnswersStatementThatIsBeingRead failed before ("session ended without an answer").

--- a/daemon/internal/fleet/record.go
+++ b/daemon/internal/fleet/record.go
@@ -95,6 +95,15 @@
 	}
 }
 
+// StatementCut counts and logs a statement that a drain ended.
+func (r *recorder) StatementCut(id, database string, code statement.Code) {
+	r.scope.Tagged(map[string]string{"code": code.String()}).Counter("statements_cut").Inc(1)
+	if skipped, ok := r.takeLogToken(); ok {
+		r.log.WithFields(logrus.Fields{"event": "statement_cut", "id": id, "database": database,
+			"code": code.String(), "lines_skipped": skipped}).Warn("statement was still running at the end of the drain")
+	}
+}
+
 func (r *recorder) metrics(o front.Outcome) *outcomeMetrics {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/daemon/internal/front/drain.go
+++ b/daemon/internal/front/drain.go
@@ -2,25 +2,40 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/statement"
 )
 
 // A drain ends the sessions of a host that is stopping. From its start on, new sessions
 // are refused, so callers that still come try another host at once, and the drain ends
 // with the last session. A load balancer may send callers to a stopping host until its
 // process has ended, for example when most hosts of an availability zone are stopping.
+//
+// A statement that has been read is always answered. When the time of the drain is up,
+// statements that wait for a backend server are refused, and those whose answer is
+// missing are answered by the drain.
 
 const (
 	// drainPollInterval is the time between checks of the sessions during a drain.
 	drainPollInterval = 20 * time.Millisecond
+	// endOfWaitTime is how long statements have to refuse themselves once their waits
+	// for a backend server have been ended.
+	endOfWaitTime = 50 * time.Millisecond
+	// cutTimeout bounds the wait for callers that do not read their answers.
+	cutTimeout = 50 * time.Millisecond
 	// stoppingReason is the detail of refusals during a drain.
 	stoppingReason = "host is stopping"
 )
 
 // Drain refuses new sessions, and ends each open one once it is idle outside a
 // transaction. After rollbackAfter it rolls back open transactions that are idle, and
-// when ctx ends it closes the remaining sessions. It returns the number of sessions
-// closed that way.
+// when ctx ends it ends the statements that still run. It returns the number of
+// statements ended that way.
 func (s *Server) Drain(ctx context.Context, rollbackAfter time.Time) int {
 	s.mu.Lock()
 	s.draining = true
@@ -31,7 +46,7 @@
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return s.closeAll()
+			return s.cutAll()
 		}
 	}
 	return 0
@@ -53,12 +68,78 @@
 	return len(s.sessions)
 }
 
-// closeAll closes the connections of all sessions and returns their number.
-func (s *Server) closeAll() int {
+// cutAll ends all sessions and returns the number of statements that it answered.
+func (s *Server) cutAll() int {
+	s.endWaits()
+	time.Sleep(endOfWaitTime)
+	var count atomic.Int64
+	var answers sync.WaitGroup
+	for _, ss := range s.openSessions() {
+		answers.Go(func() {
+			if ss.cut() {
+				count.Add(1)
+			}
+		})
+	}
+	written := make(chan struct{})
+	go func() {
+		answers.Wait()
+		close(written)
+	}()
+	select {
+	case <-written:
+	case <-time.After(cutTimeout):
+	}
+	return int(count.Load())
+}
+
+func (s *Server) openSessions() []*session {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for ss := range s.sessions {
-		_ = ss.conn.Close()
+	return slices.Collect(maps.Keys(s.sessions))
+}
+
+// cut ends the session and reports whether a statement was running, which it answers.
+// An answer that is being written is left alone, and a session without a statement ends
+// itself.
+func (ss *session) cut() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	ss.ended = true
+	switch ss.phase {
+	case answering:
+		return false
+	case idle:
+		ss.conn.Interrupt()
+		return false
 	}
-	return len(s.sessions)
+	ss.phase = answering
+	ss.server.options.Recorder.StatementCut(ss.running.ID, ss.database, ss.cutAnswer.Code)
+	_ = ss.conn.Answer(ss.cutAnswer)
+	_ = ss.conn.Close()
+	return true
+}
+
+// answerIfCut returns the answer to a statement that is cut while it runs. Only a
+// commit and a write outside a transaction can take effect after their session.
+func (ss *session) answerIfCut(st statement.Statement) statement.Answer {
+	commits := st.Kind == statement.Write || st.Kind == statement.Execute && ss.prepared[st.Name].writes
+	if ss.tx != nil {
+		commits = st.Kind == statement.Commit
+	}
+	if commits {
+		return refuse(statement.InDoubt, stoppingReason)
+	}
+	return ss.answerIfNotRun()
+}
+
+// answerIfNotRun returns the answer to a statement that is read after the session was
+// ended.
+func (ss *session) answerIfNotRun() statement.Answer {
+	if ss.tx == nil {
+		return refuse(statement.Busy, stoppingReason)
+	}
+	a := refuse(statement.Aborted, stoppingReason)
+	a.State = statement.Aborting
+	return a
 }
--- a/daemon/internal/front/drain_test.go
+++ b/daemon/internal/front/drain_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/core/statement/statementtest"
 )
 
 // drainResult is the result of a drain.
@@ -73,3 +74,78 @@
 		}
 	})
 }
+
+// Guards against a statement that is cut without an answer when the time of the drain is
+// up, and against a false promise about one whose outcome is open.
+func TestEndOfDrainAnswersRunningStatements(t *testing.T) {
+	options := serviceOptions
+	options.StatementTime = 500 * time.Millisecond
+	cases := []struct {
+		name string
+		do   func(c *caller) statement.Answer
+		want statement.Code
+	}{
+		{"read", func(c *caller) statement.Answer { return c.do(read("x")) }, statement.Busy},
+		{"write", func(c *caller) statement.Answer { return c.do(write("x", "1")) }, statement.InDoubt},
+		{"write in a transaction", func(c *caller) statement.Answer {
+			c.want(statement.OK, ofKind(statement.Begin))
+			return c.do(write("y", "1"))
+		}, statement.Aborted},
+	}
+	for _, test := range cases {
+		t.Run(test.name, func(t *testing.T) {
+			runInTestEnv(t, options, func(env *testEnv) {
+				c := env.connect("slow", primaryDatabase)
+				c.want(statement.OK, read("warm"))
+				cut := make(chan int, 1)
+				time.AfterFunc(50*time.Millisecond, func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+					defer cancel()
+					cut <- env.server.Drain(ctx, time.Now().Add(time.Second))
+				})
+				if a := test.do(c); a.Code != test.want {
+					t.Errorf("answer is %s (%s), want %s", a.Code, a.Detail, test.want)
+				}
+				if n := <-cut; n != 1 || !c.isClosed() {
+					t.Errorf("drain cut %d statements and the session is closed: %t; want 1 and true", n, c.isClosed())
+				}
+			})
+		})
+	}
+}
+
+// Guards against a statement that still waits for a primary when the time of the drain
+// is up: the host knows that it has not run, so the caller may repeat it elsewhere.
+func TestEndOfDrainRefusesWaitingStatements(t *testing.T) {
+	runInTestEnv(t, serviceOptions, func(env *testEnv) {
+		c := env.connect("waiting", primaryDatabase)
+		c.want(statement.OK, read("warm"))
+		env.service.Crash("s1")
+		time.Sleep(100 * time.Millisecond)
+		cut := make(chan int, 1)
+		time.AfterFunc(50*time.Millisecond, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			cut <- env.server.Drain(ctx, time.Now().Add(time.Second))
+		})
+		c.want(statement.Busy, write("x", "1"))
+		if n := <-cut; n != 0 {
+			t.Errorf("drain cut %d statements, want none", n)
+		}
+	})
+}
+
+// Guards against a session that is ended between the moment at which its statement is
+// read and the one at which it runs, without an answer (LOST).
+func TestEndOfDrainAnswersStatementThatIsBeingRead(t *testing.T) {
+	runInTestEnv(t, statementtest.Options{StatementTime: 5 * time.Millisecond}, func(env *testEnv) {
+		c := env.connect("reading", primaryDatabase)
+		c.readTime = 300 * time.Millisecond
+		time.AfterFunc(50*time.Millisecond, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			env.server.Drain(ctx, time.Now().Add(time.Second))
+		})
+		c.want(statement.Busy, read("x"))
+	})
+}
--- a/daemon/internal/front/helper_test.go
+++ b/daemon/internal/front/helper_test.go
@@ -24,6 +24,7 @@
 
 func (*nopRecorder) Statement(Outcome)                                   {}
 func (*nopRecorder) SessionRefused(string, uint64, statement.Code)       {}
+func (*nopRecorder) StatementCut(string, string, statement.Code)         {}
 func (*nopRecorder) ConnectionOpened(string)                             {}
 func (*nopRecorder) PrimaryChanged(string, string, group.Term)           {}
 func (*nopRecorder) SessionChangeRefused(string, string, statement.Code) {}
--- a/daemon/internal/front/server.go
+++ b/daemon/internal/front/server.go
@@ -13,6 +13,7 @@
 package front
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
@@ -44,6 +45,9 @@
 	Statement(o Outcome)
 	// SessionRefused records a session that was refused at its start.
 	SessionRefused(database string, version uint64, code statement.Code)
+	// StatementCut records a statement that a drain ended, with the code of the answer
+	// to its caller.
+	StatementCut(id, database string, code statement.Code)
 }
 
 // Outcome describes an answered statement.
@@ -93,6 +97,9 @@
 // Server serves the sessions of callers.
 type Server struct {
 	options Options
+	// waitCtx ends the waits of statements for a backend server.
+	waitCtx  context.Context
+	endWaits context.CancelFunc
 
 	mu       sync.Mutex
 	sessions map[*session]bool
@@ -103,7 +110,8 @@
 
 // NewServer returns a server without sessions.
 func NewServer(options Options) *Server {
-	return &Server{options: options, sessions: map[*session]bool{}}
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Server{options: options, waitCtx: ctx, endWaits: cancel, sessions: map[*session]bool{}}
 }
 
 // Serve accepts callers until the listener is closed. It fails with the error
--- a/daemon/internal/front/session.go
+++ b/daemon/internal/front/session.go
@@ -28,11 +28,28 @@
 	lastCommit map[string]group.Position
 
 	// mu guards the fields that are shared with the drain and the idle timer.
-	mu   sync.Mutex
-	busy bool
-	tx   *transaction
+	mu    sync.Mutex
+	phase phase
+	tx    *transaction
+	// running is the statement that runs or is answered, and cutAnswer the answer to it
+	// if a drain ends it.
+	running   statement.Statement
+	cutAnswer statement.Answer
+	// ended is true once a drain has ended the session. No statement runs afterwards.
+	ended bool
 }
 
+// phase is what a session does.
+type phase int
+
+const (
+	// idle means that no statement was read.
+	idle phase = iota
+	running
+	// answering means that an answer is being written.
+	answering
+)
+
 // preparedStatement is a prepared statement of a session.
 type preparedStatement struct {
 	template string
@@ -74,31 +91,57 @@
 		st, err := ss.conn.Next()
 		switch {
 		case errors.Is(err, statement.ErrInterrupted):
-			if ss.tx == nil {
+			if ss.tx == nil || ss.isEnded() {
 				return
 			}
 			continue
 		case err != nil:
 			return
 		}
-		ss.beginStatement()
+		if !ss.beginStatement(st) {
+			_ = ss.conn.Answer(ss.answerIfNotRun())
+			return
+		}
 		answer := ss.handle(st)
 		answer.State = ss.transactionState()
-		if ss.conn.Answer(answer) != nil {
+		if !ss.beginAnswer() || ss.conn.Answer(answer) != nil {
 			return
 		}
 		ss.endStatement()
 	}
 }
 
-// beginStatement marks the session as busy.
-func (ss *session) beginStatement() {
+// beginStatement marks the statement as running. It returns false if a drain has ended
+// the session.
+func (ss *session) beginStatement(st statement.Statement) bool {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.busy = true
+	if ss.ended {
+		return false
+	}
+	ss.phase, ss.running, ss.cutAnswer = running, st, ss.answerIfCut(st)
 	if ss.tx != nil && ss.tx.idleTimer != nil {
 		ss.tx.idleTimer.Stop()
 	}
+	return true
+}
+
+// beginAnswer reports whether the running statement is still to be answered, which it
+// is unless a drain has done so.
+func (ss *session) beginAnswer() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	if ss.phase == answering {
+		return false
+	}
+	ss.phase = answering
+	return true
+}
+
+func (ss *session) isEnded() bool {
+	ss.mu.Lock()
+	defer ss.mu.Unlock()
+	return ss.ended
 }
 
 // endStatement marks the session as idle and starts the idle timer of an open
@@ -106,7 +149,7 @@
 func (ss *session) endStatement() {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	ss.busy = false
+	ss.phase = idle
 	tx := ss.tx
 	if tx == nil || tx.failed {
 		return
@@ -123,7 +166,7 @@
 func (ss *session) expireTransaction(tx *transaction, reason string) {
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
-	if ss.busy || ss.tx != tx {
+	if ss.phase != idle || ss.tx != tx {
 		return
 	}
 	tx.failWhileIdle(reason)
@@ -137,11 +180,11 @@
 	ss.mu.Lock()
 	defer ss.mu.Unlock()
 	switch {
-	case ss.busy:
+	case ss.phase != idle:
 	case ss.tx == nil:
 		ss.conn.Interrupt()
 	case rollBack:
-		ss.tx.failWhileIdle("host is stopping")
+		ss.tx.failWhileIdle(stoppingReason)
 	}
 }
 
--- a/daemon/internal/front/single.go
+++ b/daemon/internal/front/single.go
@@ -65,7 +65,7 @@
 		timeout = defaultTimeout
 	}
 	deadline := time.Now().Add(timeout)
-	ctx, cancel := context.WithDeadline(context.Background(), deadline.Add(-min(refusalMargin, timeout/4)))
+	ctx, cancel := context.WithDeadline(ss.server.waitCtx, deadline.Add(-min(refusalMargin, timeout/4)))
 	r := &statementRun{
 		ss: ss, route: route, group: g, ctx: ctx, startedAt: ss.server.options.Now(), deadline: deadline,
 		tried: map[*backend.Pool]bool{}, outcome: Outcome{ID: id, Route: route},
