Await the statements that a stopping owner runs for other hosts

Change: running batches are counted with the open transactions and awaited until the deadline of the drain. At half of the stop timeout idle transactions of other hosts are rolled back, as those of own callers are; before, they stayed open until the process ended.

TestDrainAwaitsRunningBatches failed with the count that was used before ("0 statements and transactions are awaited while a statement runs, want 1").

--- a/daemon/internal/backend/forward_test.go
+++ b/daemon/internal/backend/forward_test.go
@@ -375,3 +375,34 @@
 		time.Sleep(10 * time.Second)
 	})
 }
+
+// Guards against an owner whose process ends while it runs a statement of another host:
+// a transaction between two statements was awaited, one with a running statement was not.
+func TestDrainAwaitsRunningBatches(t *testing.T) {
+	inForwarding(t, func(_ *statementtest.Service, entry *Group, first, _ *testOwner) {
+		c, _ := entry.Primary().Acquire(context.Background(), writeClass)
+		exchange := func(st statement.Statement) error {
+			_, _, err := c.ExchangeAsPrimary(time.Now().Add(time.Second), Session{}, st)
+			return err
+		}
+		if err := exchange(statement.Statement{Kind: statement.Begin}); err != nil {
+			t.Fatal(err)
+		}
+		answered := make(chan error, 1)
+		go func() { answered <- exchange(writeOf("w1")) }()
+		time.Sleep(time.Millisecond)
+		if n := first.group.DrainForwarded(true); n != 1 {
+			t.Errorf("%d statements and transactions are awaited while a statement runs, want 1", n)
+		}
+		if err := <-answered; err != nil {
+			t.Errorf("statement that ran when the drain began: %v", err)
+		}
+		if n := first.group.DrainForwarded(true); n != 0 {
+			t.Errorf("%d statements and transactions are awaited after the rollback, want none", n)
+		}
+		if err := exchange(statement.Statement{ID: "c1", Kind: statement.Commit}); err == nil {
+			t.Error("transaction was committed after its rollback")
+		}
+		c.Release()
+	})
+}
--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -159,22 +159,23 @@
 	return err
 }
 
-// heldPollInterval is the time between checks of the transactions of other hosts
-// during a drain.
-const heldPollInterval = 20 * time.Millisecond
+// forwardedPollInterval is the time between checks of the statements and transactions
+// of other hosts during a drain.
+const forwardedPollInterval = 20 * time.Millisecond
 
-// awaitHeldTransactions waits for the end of the transactions that this host runs
-// for others, until the given time at most.
-func (h *Host) awaitHeldTransactions(until time.Time) {
-	for time.Now().Before(until) {
-		held := 0
+// drainForwarded waits for the statements and transactions that this host runs for
+// others, until ctx ends at most. Transactions that are idle after rollbackAfter are
+// rolled back. New transactions are refused since the host began to leave.
+func (h *Host) drainForwarded(ctx context.Context, rollbackAfter time.Time) {
+	for ctx.Err() == nil {
+		rollBack, count := time.Now().After(rollbackAfter), 0
 		for _, g := range h.control.published.View().Groups {
-			held += g.HeldTransactions()
+			count += g.DrainForwarded(rollBack)
 		}
-		if held == 0 {
+		if count == 0 {
 			return
 		}
-		time.Sleep(heldPollInterval)
+		time.Sleep(forwardedPollInterval)
 	}
 }
 
@@ -189,7 +190,9 @@
 	return server.Close()
 }
 
-// drain closes the sessions between transactions, within the stop timeout.
+// drain ends the sessions of callers and the work for other hosts, within the stop
+// timeout. It serves as before until a load balancer has had time to notice that the
+// host is not ready, and refuses new sessions afterwards.
 func (h *Host) drain() {
 	startedAt := time.Now()
 	grace := h.settings.StopTimeout
@@ -202,8 +205,9 @@
 	case <-time.After(min(balancerDrainTime, grace/3)):
 	case <-ctx.Done():
 	}
-	cut := h.front.Drain(ctx, startedAt.Add(grace/2))
-	h.awaitHeldTransactions(startedAt.Add(grace / 2))
+	rollbackAfter := startedAt.Add(grace / 2)
+	cut := h.front.Drain(ctx, rollbackAfter)
+	h.drainForwarded(ctx, rollbackAfter)
 	select {
 	case done := <-leaving:
 		<-done
