Drop log lines that are written after the log was closed

Cause: main closes the log queue once the host has stopped, while sessions that are refused in the last moments of a stop, or whose caller does not read, may still log.

Change: Write drops and counts a line after Close.

TestLinesAfterCloseAreDropped panicked before.

--- a/daemon/internal/fleet/log.go
+++ b/daemon/internal/fleet/log.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -22,9 +23,12 @@
 // AsyncWriter writes lines to another writer without blocking. It drops and
 // counts lines while its queue is full.
 type AsyncWriter struct {
-	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+
+	mu     sync.Mutex
+	lines  chan []byte
+	closed bool
 }
 
 // NewAsyncWriter returns an AsyncWriter that writes to w.
@@ -41,16 +45,29 @@
 	return a
 }
 
-// Write queues a line, of which it keeps maxLineBytes at most. It never fails.
+// Write queues a line, of which it keeps maxLineBytes at most. It never fails. After
+// Close the line is dropped.
 func (a *AsyncWriter) Write(line []byte) (int, error) {
-	select {
-	case a.lines <- cutLine(line):
-	default:
+	if !a.queue(cutLine(line)) {
 		a.dropped.Add(1)
 	}
 	return len(line), nil
 }
 
+func (a *AsyncWriter) queue(line []byte) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.closed {
+		return false
+	}
+	select {
+	case a.lines <- line:
+		return true
+	default:
+		return false
+	}
+}
+
 // cutLine returns a copy of the line of at most maxLineBytes.
 func cutLine(line []byte) []byte {
 	if len(line) <= maxLineBytes {
@@ -63,10 +80,13 @@
 // written.
 func (a *AsyncWriter) Dropped() int64 { return a.dropped.Load() }
 
-// Close waits up to flushTimeout for the queued lines to be written. Write must
-// not be called afterwards.
+// Close waits up to flushTimeout for the queued lines to be written. Goroutines that
+// outlive it may still write.
 func (a *AsyncWriter) Close() {
+	a.mu.Lock()
+	a.closed = true
 	close(a.lines)
+	a.mu.Unlock()
 	select {
 	case <-a.done:
 	case <-time.After(flushTimeout):
--- a/daemon/internal/fleet/log_test.go
+++ b/daemon/internal/fleet/log_test.go
@@ -23,3 +23,17 @@
 		t.Errorf("got %d lines of which the first has %d bytes, want two lines, the first cut to %d bytes", len(lines)-1, len(lines[0]), maxLineBytes)
 	}
 }
+
+// Guards against a panic that ends a stopping process with an error, when a session that
+// outlives the drain logs a line after the log was closed.
+func TestLinesAfterCloseAreDropped(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	w.Close()
+	if n, err := w.Write([]byte("event=late\n")); n != len("event=late\n") || err != nil {
+		t.Errorf("write after Close returned %d, %v, want the length of the line", n, err)
+	}
+	if n := w.Dropped(); n != 1 || out.Len() != 0 {
+		t.Errorf("%d lines were dropped and %d bytes written, want 1 and none", n, out.Len())
+	}
+}
