Ignore SIGHUP until the settings can be reloaded

Cause: the handler of SIGHUP is set once the host serves; until then the signal has its default effect, which ends the process. Hosts of PostgreSQL callers, which do not reload, never set one.

Change: main ignores SIGHUP first; the settings are read after that.

The soak missed it because it started processes again however they had ended.

--- a/daemon/cmd/gypsumgap/main.go
+++ b/daemon/cmd/gypsumgap/main.go
@@ -56,6 +56,8 @@
 )
 
 func main() {
+	// SIGHUP would end the process until a host that reloads its settings handles it.
+	signal.Ignore(syscall.SIGHUP)
 	var args arguments
 	arg.MustParse(&args)
 	os.Exit(run(args))
--- a/standin/fleet/processes.go
+++ b/standin/fleet/processes.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,7 +28,12 @@
 	stopping bool
 	// launchErr is the error of a restart that failed; nil if there was none.
 	launchErr error
-	running   sync.WaitGroup
+	// ending is the signal that the running process was told to end with; zero if none.
+	// ownEnds describes each end without such a signal, and each end with SIGTERM whose
+	// exit status was not zero.
+	ending  syscall.Signal
+	ownEnds []string
+	running sync.WaitGroup
 }
 
 // Ports of a process. Each process has its own IP address.
@@ -92,6 +98,7 @@
 			command, exited := p.command, p.exited
 			p.mu.Unlock()
 			_ = command.Wait()
+			p.recordEnd(command.ProcessState)
 			close(exited)
 			time.Sleep(restartDelay)
 			p.mu.Lock()
@@ -119,9 +126,29 @@
 	return p.launchErr
 }
 
+// recordEnd records an end of the process that no signal of the soak explains.
+func (p *Process) recordEnd(state *os.ProcessState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.ending == syscall.SIGKILL:
+	case p.ending == syscall.SIGTERM && state.Success():
+	default:
+		p.ownEnds = append(p.ownEnds, state.String())
+	}
+}
+
+// OwnEnds describes the ends of the process that no signal of the soak explains.
+func (p *Process) OwnEnds() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.ownEnds)
+}
+
 func (p *Process) launch() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.ending = 0
 	p.command = exec.Command(p.binary, "--settings", p.settings)
 	p.command.Stdout, p.command.Stderr = p.log, p.log
 	p.exited = make(chan struct{})
@@ -135,6 +162,9 @@
 func (p *Process) Signal(s syscall.Signal) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if s == syscall.SIGKILL || s == syscall.SIGTERM && p.ending == 0 {
+		p.ending = s
+	}
 	_ = p.command.Process.Signal(s)
 }
 
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -416,6 +416,9 @@
 		if err := p.Err(); err != nil {
 			result.Problems = append(result.Problems, fmt.Sprintf("%s was not started again: %v", p.Name, err))
 		}
+		for _, end := range p.OwnEnds() {
+			result.Problems = append(result.Problems, fmt.Sprintf("%s ended by itself: %s", p.Name, end))
+		}
 		if err := p.checkMetrics(); err != nil {
 			result.Problems = append(result.Problems, err.Error())
 		}
