Ask another owner when a stopping one takes no statements

Callers saw: where a service has few connections, writes outside a transaction and commits that were forwarded to an owner during its stop (2 s and more, planned work only) were answered as in doubt, and reads failed or were repeated elsewhere only by the front, although nothing had run and other owners were there.

Cause: a stopping owner answers "unavailable", without answers. The entry host checks the number of answers of each response without a failure, took the refusal for a malformed message and concluded that the owner was lost after it had got the statements. The path to the next owner, which the tests of backend play with an owner in the same process, was never taken between processes.

Change: a response that says "unavailable" needs no answers. TestStoppingOwnerTakesNoStatements, which sends a batch through the messages of both hosts, failed before.

--- a/daemon/internal/fleet/owners.go
+++ b/daemon/internal/fleet/owners.go
@@ -129,7 +129,7 @@
 		}
 		result.Answers = append(result.Answers, a)
 	}
-	if result.Failure == "" && len(result.Answers) != len(b.Statements) {
+	if result.Failure == "" && !result.Unavailable && len(result.Answers) != len(b.Statements) {
 		return backend.BatchResult{}, fmt.Errorf("%w: %d answers to %d statements", errMalformedMessage, len(result.Answers), len(b.Statements))
 	}
 	return result, nil
--- a/daemon/internal/fleet/owners_test.go
+++ b/daemon/internal/fleet/owners_test.go
@@ -88,6 +88,27 @@
 	}
 }
 
+// Guards against statements that are reported as in doubt although a stopping owner has
+// taken none of them: its refusal was read as a malformed answer, and no other owner was
+// asked.
+func TestStoppingOwnerTakesNoStatements(t *testing.T) {
+	batch := backend.Batch{Statements: []statement.Statement{{Kind: statement.Write, Text: "WRITE a 1"}}, Timeout: time.Second}
+	group := backend.NewGroup("service", backend.Options{Now: time.Now})
+	defer group.Close()
+	var published PublishedView
+	for name, view := range map[string]View{
+		"stopping":        {Draining: true, Groups: map[string]*backend.Group{"service": group}},
+		"unknown service": {},
+	} {
+		published.view.Store(&view)
+		owner := peerOwner{name: "h", client: peerServer{published: &published}}
+		result, err := owner.Execute(context.Background(), "service", "s1", batch)
+		if err != nil || !result.Unavailable || result.MayRun {
+			t.Errorf("%s: got result %+v and error %v, want the owner to be unavailable and nothing to have run", name, result, err)
+		}
+	}
+}
+
 // Guards against commands that change the role of a server and come from a
 // statement of another host, and against one that runs in the place of a prepare.
 func TestForwardedStatementKinds(t *testing.T) {
