--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -1,13 +1,11 @@
 package fleet
 
 import (
-	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -92,46 +90,6 @@
 	disturbed []period
 }
 
-// period is a time span; end is zero while it lasts.
-type period struct{ start, end time.Time }
-
-// disturbanceSlack is how long after the faults were lifted statements that were
-// held up may still be executed.
-const disturbanceSlack = 2 * time.Second
-
-// startDisturbance records that messages or processes may be held up from now on.
-func (s *Soak) startDisturbance() {
-	if n := len(s.disturbed); n > 0 && s.disturbed[n-1].end.IsZero() {
-		return
-	}
-	s.disturbed = append(s.disturbed, period{start: time.Now()})
-}
-
-func (s *Soak) endDisturbance() {
-	if n := len(s.disturbed); n > 0 && s.disturbed[n-1].end.IsZero() {
-		s.disturbed[n-1].end = time.Now().Add(disturbanceSlack)
-	}
-}
-
-func (s *Soak) wasDisturbed(at time.Time) bool {
-	for _, p := range s.disturbed {
-		if !at.Before(p.start) && (p.end.IsZero() || at.Before(p.end)) {
-			return true
-		}
-	}
-	return false
-}
-
-// checkSplitCommits reports commits of replaced primaries, other than those of
-// hosts or connections that were held up.
-func (s *Soak) checkSplitCommits(result *Result, service *statementtest.Service) {
-	for _, at := range service.SplitCommits() {
-		if !s.wasDisturbed(at) {
-			result.Problems = append(result.Problems, fmt.Sprintf("a replaced primary of %s executed a commit at %s", service.Name, at.Format(time.RFC3339Nano)))
-		}
-	}
-}
-
 // Result holds the results of a soak.
 type Result struct {
 	// Problems describes each violated guarantee and each failed check.
@@ -311,99 +269,6 @@
 	return nil
 }
 
-type routeSpec struct {
-	Name            string `json:"name"`
-	Host            string `json:"host"`
-	Kind            string `json:"kind"`
-	TimeoutMs       int    `json:"timeoutMs"`
-	TargetLatencyMs int    `json:"targetLatencyMs"`
-	Priority        int    `json:"priority"`
-	Service         string `json:"service"`
-	MaxStalenessMs  int64  `json:"maxStalenessMs"`
-}
-
-type serviceSpec struct {
-	Name            string `json:"name"`
-	ConnectionLimit int    `json:"connectionLimit"`
-	SyncReplicas    int    `json:"syncReplicas"`
-}
-
-type configSpec struct {
-	Version  int            `json:"version"`
-	Routes   []routeSpec    `json:"routes"`
-	Services []serviceSpec  `json:"services"`
-	Limits   map[string]int `json:"limits"`
-}
-
-func databaseName(service, kind int) string {
-	return fmt.Sprintf("db-%d-%s", service, routeKinds[kind])
-}
-
-// configure writes the next version of the configuration to the store.
-func (s *Soak) configure() error {
-	s.version++
-	spec := configSpec{Version: s.version, Limits: map[string]int{"headerTimeoutMs": 3000, "transactionIdleMs": 3000}}
-	for i, service := range s.services {
-		spec.Services = append(spec.Services, serviceSpec{Name: service.Name, ConnectionLimit: s.connectionLimit()})
-		for k, kind := range routeKinds {
-			spec.Routes = append(spec.Routes, routeSpec{
-				Name: fmt.Sprintf("route-%d-%d", i, k), Host: databaseName(i, k), Kind: kind, TimeoutMs: int(routeTimeout.Milliseconds()), TargetLatencyMs: 1000,
-				Priority: k, Service: service.Name, MaxStalenessMs: staleness.Milliseconds(),
-			})
-		}
-	}
-	return s.store.Write(configurationKind, "main", spec)
-}
-
-type serverSpec struct {
-	Service  string `json:"service"`
-	Address  string `json:"address"`
-	Zone     string `json:"zone"`
-	Slots    int    `json:"slots"`
-	State    string `json:"state"`
-	Role     string `json:"databaseRole"`
-	Sequence int    `json:"sequence"`
-	Born     int64  `json:"born"`
-}
-
-// registerServers keeps the registrations of the running backend servers in the
-// store up to date, which real backend servers do themselves, and removes expired
-// ones.
-func (s *Soak) registerServers() {
-	last := map[string]time.Time{}
-	for {
-		s.drainingMu.Lock()
-		draining := s.draining
-		s.drainingMu.Unlock()
-		for i, service := range s.services {
-			for _, server := range service.Catalog() {
-				state := "ready"
-				if server.ID == draining[i] {
-					state = "draining"
-				}
-				role := "replica"
-				if server.Primary {
-					role = "primary"
-				}
-				_ = s.store.Write("servers", server.ID, serverSpec{
-					Service: server.Service, Address: s.addresses[server.ID], Zone: "zone-a", Slots: 3, State: state, Role: role, Born: 1,
-				})
-				last[server.ID] = time.Now()
-			}
-		}
-		for id, at := range last {
-			if time.Since(at) > registrationExpiry {
-				s.store.Remove("servers", id)
-			}
-		}
-		select {
-		case <-time.After(registrationInterval / 3):
-		case <-s.done:
-			return
-		}
-	}
-}
-
 // startCaller starts the i-th caller.
 func (s *Soak) startCaller(load *sync.WaitGroup, i int, until time.Time) {
 	rng := rand.New(rand.NewPCG(s.options.Seed, uint64(i)+100))
@@ -423,99 +288,6 @@
 	s.histories[service].RunCaller(&observedCaller{c, service, &s.cuts}, name, routeConsistencies[kind], rng, until)
 }
 
-// awaitService waits until each host answers a read on each route. Those that do
-// not within the limit are added to the problems of the result.
-func (s *Soak) awaitService(result *Result, limit time.Duration) {
-	until := time.Now().Add(limit)
-	var mu sync.Mutex
-	var checks sync.WaitGroup
-	for _, p := range s.processes {
-		for i := range s.services {
-			for k := range routeKinds {
-				checks.Go(func() {
-					if err := awaitRead(p, databaseName(i, k), until); err != nil {
-						mu.Lock()
-						defer mu.Unlock()
-						result.Problems = append(result.Problems, fmt.Sprintf("%s does not serve %s: %v", p.Name, databaseName(i, k), err))
-					}
-				})
-			}
-		}
-	}
-	checks.Wait()
-}
-
-// awaitStops waits until no process is stopping, within settleTime.
-func (s *Soak) awaitStops() {
-	for until := time.Now().Add(settleTime); time.Now().Before(until); time.Sleep(callerPause) {
-		if !slices.ContainsFunc(s.processes, (*Process).isStopping) {
-			return
-		}
-	}
-}
-
-// awaitRead repeats a read through the process until it succeeds. It returns the last
-// error if none succeeds before the given time.
-func awaitRead(p *Process, database string, until time.Time) error {
-	c := &Caller{Database: database, PickHost: func() *Process { return p }}
-	defer c.Close()
-	var last error
-	for time.Now().Before(until) {
-		a, err := c.Do(statement.Statement{ID: "check", Kind: statement.Read, Text: "READ x"})
-		if err == nil && a.Code == statement.OK {
-			return nil
-		}
-		last = errors.Join(err, fmt.Errorf("code %s", a.Code))
-		time.Sleep(callerPause)
-	}
-	return last
-}
-
-// finish collects the results and stops the processes.
-func (s *Soak) finish(result *Result) {
-	for i, h := range s.histories {
-		result.Problems = append(result.Problems, h.Violations()...)
-		counts, broken, reads := h.Attempts()
-		for code, n := range counts {
-			result.Writes[code] += n
-		}
-		result.Broken += broken
-		result.Reads += reads
-		result.Promotions += s.services[i].Promotions()
-		s.checkSplitCommits(result, s.services[i])
-	}
-	if s.options.Planned {
-		s.checkPlanned(result)
-	}
-	if s.options.NoFaults && result.Promotions > 0 {
-		result.Problems = append(result.Problems, fmt.Sprintf("%d primaries were replaced without a fault", result.Promotions))
-	}
-	for _, p := range s.processes {
-		if err := p.Err(); err != nil {
-			result.Problems = append(result.Problems, fmt.Sprintf("%s was not started again: %v", p.Name, err))
-		}
-		for _, end := range p.OwnEnds() {
-			result.Problems = append(result.Problems, fmt.Sprintf("%s ended by itself: %s", p.Name, end))
-		}
-		if err := p.checkMetrics(); err != nil {
-			result.Problems = append(result.Problems, err.Error())
-		}
-	}
-	var mu sync.Mutex
-	var stops sync.WaitGroup
-	for _, p := range s.processes {
-		stops.Go(func() {
-			if err := p.Stop(); err != nil {
-				mu.Lock()
-				defer mu.Unlock()
-				result.Problems = append(result.Problems, err.Error())
-			}
-		})
-	}
-	stops.Wait()
-	s.processes = nil
-}
-
 func (s *Soak) close() {
 	for _, p := range s.processes {
 		_ = p.Stop()
