Soak of planned work stops all hosts at once; tests of large fleets alone

- The soak of planned work also stops all hosts at once, and can run every second host with another version (--other-binary).

--- /dev/null
+++ b/daemon/internal/fleet/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package fleet
+
+const raceEnabled = false
--- a/standin/fleet/soak.go
+++ b/standin/fleet/soak.go
@@ -19,6 +19,9 @@
 type Options struct {
 	// Binary is the path of the gypsumgap program.
 	Binary string
+	// OtherBinary is the program of every second host, for example of another version;
+	// empty if all run Binary.
+	OtherBinary string
 	// Seed seeds the faults and the load.
 	Seed uint64
 	// Duration is the time for which load runs and faults are injected.
@@ -78,8 +81,9 @@
 	// addresses maps each backend server id to the address of its proxy.
 	addresses map[string]string
 	balancer  *balancer
-	cuts      cutStatements
-	version   int
+	// unresolved is checked after planned work.
+	unresolved unresolvedStatements
+	version    int
 	// draining holds the server of each service that has announced its stop.
 	drainingMu sync.Mutex
 	draining   [services]string
@@ -257,7 +261,11 @@
 	s.running.Go(s.registerServers)
 	for i := range s.options.Hosts {
 		ip := fmt.Sprintf("%s.%d.1", s.prefix, i+1)
-		p, err := NewProcess(s.options.Binary, s.options.Folder, fmt.Sprintf("host-%d", i), ip, s.zoneOf(i), store, promotions, s.platformFencing(), s.timing())
+		binary := s.options.Binary
+		if i%2 == 1 && s.options.OtherBinary != "" {
+			binary = s.options.OtherBinary
+		}
+		p, err := NewProcess(binary, s.options.Folder, fmt.Sprintf("host-%d", i), ip, s.zoneOf(i), store, promotions, s.platformFencing(), s.timing())
 		if err != nil {
 			return err
 		}
@@ -285,7 +293,7 @@
 	}
 	c := &Caller{Database: databaseName(service, kind), PickHost: func() *Process { return s.balancer.pick(zone, rng) }}
 	defer c.Close()
-	s.histories[service].RunCaller(&observedCaller{c, service, &s.cuts}, name, routeConsistencies[kind], rng, until)
+	s.histories[service].RunCaller(&observedCaller{c, service, &s.unresolved}, name, routeConsistencies[kind], rng, until)
 }
 
 func (s *Soak) close() {
