End the test's processes by SIGTERM, which nothing ignores

Shown by running the test with nohup (fails) and without (passes). The test ends its process by SIGTERM now, which takes the same branch, and so does TestEndBeforeStartIsNotReported, which would have shown nothing there.

--- a/standin/fleet/processes_test.go
+++ b/standin/fleet/processes_test.go
@@ -52,7 +52,7 @@
 
 // Guards against a soak that starts a crashed process again and reports no problem.
 func TestOwnEndIsReported(t *testing.T) {
-	for _, script := range []string{"sleep 0.1; exit 2", "trap 'exit 3' TERM; kill -TERM $$; sleep 60", "echo event=started; kill -HUP $$; sleep 60"} {
+	for _, script := range []string{"sleep 0.1; exit 2", "trap 'exit 3' TERM; kill -TERM $$; sleep 60", "echo event=started; kill -TERM $$; sleep 60"} {
 		p, _ := startProgram(t, script)
 		awaitTrue(t, "report of an end by itself: "+script, func() bool { return len(p.OwnEnds()) > 0 })
 		_ = p.Stop()
@@ -61,10 +61,10 @@
 
 // Guards against a report of processes that a signal ended before they could handle it.
 func TestEndBeforeStartIsNotReported(t *testing.T) {
-	p, _ := startProgram(t, "kill -HUP $$; sleep 60")
+	p, _ := startProgram(t, "kill -TERM $$; sleep 60")
 	time.Sleep(200 * time.Millisecond)
 	if ends := p.OwnEnds(); len(ends) != 0 {
-		t.Errorf("a process that SIGHUP ended before it had started is reported: %q", ends)
+		t.Errorf("a process that SIGTERM ended before it had started is reported: %q", ends)
 	}
 	_ = p.Stop()
 }
