Cover a lost log only by replies from after its loss

Cause: the holder asks the replicas for the ends of their logs, and then forgets each lost log that the longest one covers. A replica that replied and started again without its log before the reply was processed covered the loss of its own log, so an acknowledged commit could be in one log only.

Change: only logs that were lost before the question are forgotten. TestLaterLossIsNotCoveredByItsOwnReply fails without that.

--- a/daemon/internal/fleet/commitlogs.go
+++ b/daemon/internal/fleet/commitlogs.go
@@ -298,8 +298,8 @@
 // startCoverageCheck asks the replicas of a service for the ends of their logs while
 // there are lost logs.
 func (c *controller) startCoverageCheck(service string, g *backend.Group) {
-	primary := g.Health().Primary
-	if primary == "" || len(c.lostLogsOf(service)) == 0 || c.now().Sub(c.logRecords.checkedAt[service]) < coverageInterval {
+	primary, lost := g.Health().Primary, c.lostLogsOf(service)
+	if primary == "" || len(lost) == 0 || c.now().Sub(c.logRecords.checkedAt[service]) < coverageInterval {
 		return
 	}
 	c.logRecords.checkedAt[service] = c.now()
@@ -311,7 +311,7 @@
 	}
 	c.runAsync(func(ctx context.Context) {
 		received := longestLog(ctx, replicas)
-		c.post(ctx, func() { c.forgetCoveredLogs(service, g, received) })
+		c.post(ctx, func() { c.forgetCoveredLogs(g, lost, received) })
 	})
 }
 
@@ -338,16 +338,17 @@
 	return longest
 }
 
-// forgetCoveredLogs forgets the lost logs whose commits are all in the log of a replica,
-// given the end of the longest one.
-func (c *controller) forgetCoveredLogs(service string, g *backend.Group, received group.Position) {
-	for id, l := range c.lostLogsOf(service) {
+// forgetCoveredLogs forgets those of the lost logs whose commits are all in the log of a
+// replica, given the end of the longest one. The replicas must have been asked after
+// the logs were lost: a log that is lost later may be the one that covers the others.
+func (c *controller) forgetCoveredLogs(g *backend.Group, lost map[logID]lostLog, received group.Position) {
+	for id, l := range lost {
 		position, known := g.Freshness.LowestCovering(l.lostAt)
 		if !known || received.Compare(position) < 0 {
 			continue
 		}
 		delete(c.lostLogs, id)
-		c.log.WithFields(logrus.Fields{"event": "log_covered", "service": service, "server": id.server, "started": id.startedUnixMilli}).
+		c.log.WithFields(logrus.Fields{"event": "log_covered", "service": l.service, "server": id.server, "started": id.startedUnixMilli}).
 			Info("replica has all commits that a lost log may hold; forgetting the loss")
 	}
 }
--- a/daemon/internal/fleet/commitlogs_test.go
+++ b/daemon/internal/fleet/commitlogs_test.go
@@ -7,6 +7,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/catalog"
+	"github.com/gypsumgap/gypsumgap/core/group"
 )
 
 // isReplicated reports whether a replica has received the write.
@@ -104,6 +107,36 @@
 	}
 }
 
+// Guards against a loss that is forgotten because the lost log itself replied, just before
+// it was lost, that it covers an earlier loss.
+func TestLaterLossIsNotCoveredByItsOwnReply(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		holder := d.hosts[d.holder()]
+		d.waitForReplicas()
+		d.writeOn(0, "w")
+		time.Sleep(time.Second)
+		earlier, later := catalog.Server{ID: "s2", Service: "service"}, catalog.Server{ID: "s3", Service: "service"}
+		asked := queryState(holder, func() map[logID]lostLog {
+			holder.recordLostLog(earlier, "")
+			return holder.lostLogsOf("service")
+		})
+		queryState(holder, func() bool {
+			// No check of the holder itself runs during the test.
+			holder.logRecords.checkedAt["service"] = holder.now().Add(time.Minute)
+			holder.recordLostLog(later, "")
+			return true
+		})
+		time.Sleep(2 * time.Second)
+		left := queryState(holder, func() map[logID]lostLog {
+			holder.forgetCoveredLogs(holder.groups["service"], asked, group.Position{Term: 1, Offset: 100})
+			return holder.lostLogsOf("service")
+		})
+		if _, kept := left[logOf(later)]; !kept || len(left) != 1 {
+			d.t.Errorf("lost logs are %v, want only that of s3", left)
+		}
+	})
+}
+
 // Guards against calls to the store for the records of logs while nothing changes.
 func TestLogRecordsCostNoCallsWhileNothingChanges(t *testing.T) {
 	deploy(t, func(d *deployment) {
