--- a/Makefile
+++ b/Makefile
@@ -30,8 +30,8 @@
 	go test -race -timeout 30m $(call skip,$(call either,$(KNOWN_RED),$(LARGE_FLEETS))) $(PACKAGES)
 	$(LARGE_FLEETS_TEST) -timeout 30m -run '^($(LARGE_FLEETS))$$' $(call skip,$(KNOWN_RED)) $(FLEET)
 	go test -timeout 30m -run 'Goal|Together' ./core/failover
-	go test -timeout 30m -run LimitHoldsUnderFaults ./daemon/internal/control
 	go test -timeout 30m -run AcknowledgedCommitsSurviveRandomRestarts $(call skip,$(KNOWN_RED)) $(FLEET)
+	go test -timeout 30m -run LimitHoldsUnderFaults ./daemon/internal/control
 	$(MAKE) soak-short
 	@if [ -s KNOWN-RED.txt ]; then echo 'known red:'; cat KNOWN-RED.txt; fi
 
