--- a/review/standin4/cases.go
+++ b/review/standin4/cases.go
@@ -10,6 +10,7 @@
 	cases["new-replica"] = newReplica
 	cases["draining-replica"] = drainingReplica
 	cases["address"] = addressReuse
+	cases["paused"] = pausedReplicas
 }
 
 // lateOrder: the primary is partitioned from the two hosts of one region for 3.5 s. The
@@ -121,3 +122,33 @@
 	w.clients.stop()
 	return nil
 }
+
+// pausedReplicas: the primary is partitioned from the two hosts of one region for 4 s,
+// and the platform is cut off for 4.5 s. While the holder of the duty waits for the answer
+// to its order, the processes of all hosts are killed.
+func pausedReplicas(w *world) error {
+	primary := w.service.databases["i-p1"]
+	w.clients.pause.Store(int64(4 * busyPause))
+	for _, h := range w.hosts {
+		w.clients.startSessions(h, 3)
+	}
+	w.at(5 * time.Second)
+	if w.trouble {
+		cut := addresses(w.inZone("gelderland-a"))
+		w.cloud.setSilent(true)
+		primary.setCut(cut, true)
+		time.AfterFunc(4*time.Second, func() { primary.setCut(cut, false) })
+		time.AfterFunc(4500*time.Millisecond, func() { w.cloud.setSilent(false) })
+	}
+	w.at(8 * time.Second)
+	if w.trouble {
+		if err := w.killAll(800 * time.Millisecond); err != nil {
+			return err
+		}
+	} else {
+		w.killedAt, w.backAt = time.Now(), time.Now()
+	}
+	w.at(30 * time.Second)
+	w.clients.stop()
+	return nil
+}
--- a/review/standin4/clients.go
+++ b/review/standin4/clients.go
@@ -26,10 +26,12 @@
 	// writes that got a promise that nothing is kept.
 	acknowledged, refused map[string]time.Time
 	unknown               int
+	// sent holds when each write was sent.
+	sent map[string]time.Time
 }
 
 func newClients(rec *record, database string) *clients {
-	return &clients{record: rec, database: database, stopped: make(chan struct{}), acknowledged: map[string]time.Time{}, refused: map[string]time.Time{}}
+	return &clients{record: rec, database: database, stopped: make(chan struct{}), acknowledged: map[string]time.Time{}, refused: map[string]time.Time{}, sent: map[string]time.Time{}}
 }
 
 // promises are the codes that guarantee that nothing is kept.
@@ -103,6 +105,9 @@
 	id := fmt.Sprintf("%016x", n)
 	_ = conn.SetDeadline(time.Now().Add(operationTimeout))
 	c.record.add("client", "%s to %s: WRITE i%d", id, h.name, n%500)
+	c.mu.Lock()
+	c.sent[id] = time.Now()
+	c.mu.Unlock()
 	_, _ = fmt.Fprintf(conn, "QUERY %s WRITE i%d d%d\r\n", id, n%500, n)
 	result := ""
 	for {
@@ -137,3 +142,20 @@
 		c.unknown++
 	}
 }
+
+// servedBetween returns the number of writes that were sent in the time, and how many of
+// them succeeded.
+func (c *clients) servedBetween(from, to time.Time) (sent, served int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, at := range c.sent {
+		if at.Before(from) || at.After(to) {
+			continue
+		}
+		sent++
+		if _, ok := c.acknowledged[id]; ok {
+			served++
+		}
+	}
+	return sent, served
+}
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -46,6 +46,8 @@
 	// trouble is false if the case runs without its disruptions.
 	trouble bool
 	began   time.Time
+	// killedAt and backAt are the times of a final fault and of the restart after it.
+	killedAt, backAt time.Time
 }
 
 const (
@@ -92,7 +94,49 @@
 	for _, h := range w.hosts {
 		h.events("promotion_duty", "succession", "promotion_ordered", "promoted", "promotion_failed", "server", "server_lapsed", "log_lost", "log_covered")
 	}
-	return w.judgeLost()
+	if w.backAt.IsZero() {
+		return w.judgeLost()
+	}
+	return w.judgeRecovery()
+}
+
+// recovery is the bound recoveryS.
+const recovery = 15 * time.Second
+
+// judgeRecovery checks RECOVER: of the requests sent later than recoveryS after the hosts
+// are back, a quarter or more is served, if that was so before the final fault.
+func (w *world) judgeRecovery() int {
+	sentBefore, servedBefore := w.clients.servedBetween(w.began, w.killedAt.Add(-5*time.Second))
+	sent, served := w.clients.servedBetween(w.backAt.Add(recovery), w.backAt.Add(time.Hour))
+	w.record.say("before the disruptions %d of %d writes were served; later than %s after the hosts were back, %d of %d", servedBefore, sentBefore, recovery, served, sent)
+	switch {
+	case sentBefore < 100 || 4*servedBefore < sentBefore || sent < 20:
+		w.record.say("the case could not run: too few writes were sent or served")
+		return 2
+	case 4*served < sent:
+		w.record.say("RECOVER is broken")
+		return 1
+	default:
+		w.record.say("RECOVER holds")
+		return 0
+	}
+}
+
+// killAll kills the processes of all hosts and starts them again after a pause.
+func (w *world) killAll(down time.Duration) error {
+	w.killedAt = time.Now()
+	w.record.add("host", "the processes of all hosts are killed")
+	for _, h := range w.hosts {
+		h.kill()
+	}
+	time.Sleep(down)
+	for _, h := range w.hosts {
+		if err := h.start(); err != nil {
+			return err
+		}
+	}
+	w.backAt = time.Now()
+	return nil
 }
 
 // start starts the stand-ins and six hosts, two in each zone.
--- a/review/standin4/store.go
+++ b/review/standin4/store.go
@@ -248,6 +248,17 @@
 	// and is executed after lateBy; the others get 503.
 	disrupted bool
 	lateBy    time.Duration
+	// silent is true while the platform is cut off: calls get no answer and are not
+	// executed.
+	silent bool
+}
+
+// setSilent cuts the platform off, or ends that.
+func (c *cloud) setSilent(silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.silent = silent
+	c.record.add("cloud", "cut off: %v", silent)
 }
 
 // disrupt starts or ends the disruption.
@@ -267,9 +278,12 @@
 	what := fmt.Sprintf("promotion of %s by %s with token %d", body.ID, r.Header.Get("Duty-Holder"), token)
 	c.mu.Lock()
 	c.calls++
-	disrupted, first, late := c.disrupted, c.calls == 1, c.lateBy
+	disrupted, silent, first, late := c.disrupted, c.silent, c.calls == 1, c.lateBy
 	c.mu.Unlock()
 	switch {
+	case silent:
+		c.record.add("cloud", "%s: no answer, not executed", what)
+		<-r.Context().Done()
 	case disrupted && first:
 		c.record.add("cloud", "%s: no answer, carried out %s later", what, late)
 		time.AfterFunc(late, func() { c.record.add("cloud", "%s: carried out late, status %d", what, c.execute(body.ID, token)) })
