--- a/review/standin4/cases.go
+++ b/review/standin4/cases.go
@@ -1,6 +1,9 @@
 package main
 
-import "time"
+import (
+	"os"
+	"time"
+)
 
 // busyPause is the pause of a session between two operations on a busy day.
 const busyPause = 15 * time.Millisecond
@@ -10,6 +13,7 @@
 	cases["new-replica"] = newReplica
 	cases["draining-replica"] = drainingReplica
 	cases["address"] = addressReuse
+	cases["reborn"] = reborn
 	cases["paused"] = pausedReplicas
 }
 
@@ -63,7 +67,7 @@
 
 // drainingReplica: a replica reports draining and goes on receiving. The store is down
 // for 4.5 s; entries lapse meanwhile and are back within 2 s of its return. Then the
-// primary crashes.
+// primary goes dark.
 func drainingReplica(w *world) error {
 	w.service.databases["i-r2"].drain()
 	w.at(500 * time.Millisecond)
@@ -87,7 +91,7 @@
 	}
 	w.at(8500 * time.Millisecond)
 	if w.trouble {
-		w.service.databases["i-p1"].crash()
+		w.service.databases["i-p1"].goDark(addresses(w.hosts))
 	}
 	w.at(15 * time.Second)
 	w.clients.stop()
@@ -95,7 +99,7 @@
 }
 
 // addressReuse: a replica leaves as planned while another one receives nothing for 6.5 s,
-// and the primary crashes in that time. A database of another service has started at the
+// and the primary goes dark in that time. A database of another service has started at the
 // address of the one that left.
 func addressReuse(w *world) error {
 	other := newService("stock", 0, w.record, w.store, oneWay)
@@ -104,21 +108,21 @@
 	for _, h := range w.hosts {
 		w.clients.startSessions(h, 3)
 	}
-	w.at(9 * time.Second)
+	w.at(10 * time.Second)
 	if w.trouble {
 		w.service.databases["i-r1"].setDeaf(true)
 		time.AfterFunc(6500*time.Millisecond, func() { w.service.databases["i-r1"].setDeaf(false) })
 	}
-	w.at(10500 * time.Millisecond)
+	w.at(10800 * time.Millisecond)
 	left := w.service.databases["i-r2"]
 	left.leave()
-	w.at(11500 * time.Millisecond)
+	w.at(12900 * time.Millisecond)
 	other.start("i-s1", "randstad-b", left.address)
-	w.at(13 * time.Second)
+	w.at(13500 * time.Millisecond)
 	if w.trouble {
-		w.service.databases["i-p1"].crash()
+		w.service.databases["i-p1"].goDark(addresses(w.hosts))
 	}
-	w.at(19 * time.Second)
+	w.at(20400 * time.Millisecond)
 	w.clients.stop()
 	return nil
 }
@@ -152,3 +156,31 @@
 	w.clients.stop()
 	return nil
 }
+
+// reborn: as in an earlier review's case 7, the primary crashes while one replica receives
+// nothing, and the other one crashes and starts again without its log. It writes its
+// first entry only after the time in the variable DELAY, 600 ms if that is not set.
+func reborn(w *world) error {
+	delay, err := time.ParseDuration(os.Getenv("DELAY"))
+	if err != nil {
+		delay = 600 * time.Millisecond
+	}
+	w.clients.pause.Store(int64(busyPause))
+	for _, h := range w.hosts {
+		w.clients.startSessions(h, 3)
+	}
+	w.at(3 * time.Second)
+	if w.trouble {
+		r1, r2 := w.service.databases["i-r1"], w.service.databases["i-r2"]
+		r1.setDeaf(true)
+		time.AfterFunc(6500*time.Millisecond, func() { r1.setDeaf(false) })
+		time.Sleep(time.Second)
+		w.service.databases["i-p1"].crash()
+		r2.crash()
+		time.Sleep(5500 * time.Millisecond)
+		r2.startAgain(delay)
+	}
+	w.at(10800 * time.Millisecond)
+	w.clients.stop()
+	return nil
+}
--- a/review/standin4/database.go
+++ b/review/standin4/database.go
@@ -163,6 +163,29 @@
 	}
 }
 
+// startAgain starts a crashed database again under its ID, at its address, without its
+// log. It writes its entry after the delay.
+func (d *database) startAgain(delay time.Duration) {
+	s := d.service
+	ln, err := net.Listen("tcp", d.address)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	next := &database{service: s, id: d.id, zone: d.zone, address: d.address, born: time.Now().UnixMilli(), listener: ln, role: "replica",
+		state: "ready", term: s.term, running: true, cut: map[netip.Addr]bool{}, conns: map[net.Conn]netip.Addr{}, stop: make(chan struct{})}
+	s.databases[d.id] = next
+	s.mu.Unlock()
+	s.record.add("database", "%s started again without its log", d.id)
+	go next.accept()
+	go next.receive()
+	time.AfterFunc(delay, func() {
+		next.register()
+		s.record.add("database", "%s wrote its entry", d.id)
+		go next.heartbeat()
+	})
+}
+
 // setDeaf makes the database receive no commits, or receive them again.
 func (d *database) setDeaf(deaf bool) {
 	s := d.service
@@ -204,6 +227,20 @@
 	s.record.add("database", "%s ended, log ends at %s", d.id, d.end())
 }
 
+// goDark makes the database silent for everybody: its machine has lost power. Its log is
+// kept.
+func (d *database) goDark(hosts []netip.Addr) {
+	s := d.service
+	s.mu.Lock()
+	d.running = false
+	for _, h := range hosts {
+		d.cut[h] = true
+	}
+	s.notify()
+	s.mu.Unlock()
+	s.record.add("database", "%s goes dark, log ends at %s", d.id, d.end())
+}
+
 func reset(c net.Conn) {
 	if t, ok := c.(*net.TCPConn); ok {
 		_ = t.SetLinger(0)
@@ -398,6 +435,7 @@
 	defer c.Close()
 	s := d.service
 	from := netip.MustParseAddrPort(c.RemoteAddr().String()).Addr()
+	d.awaitPath(from)
 	s.mu.Lock()
 	if !d.running {
 		s.mu.Unlock()
@@ -441,10 +479,10 @@
 		}
 		id, text, _ := strings.Cut(line, " ")
 		answer, ok := ss.run(id, text)
+		d.awaitPath(from)
 		if !ok {
 			return
 		}
-		d.awaitPath(from)
 		if _, err := c.Write([]byte(answer)); err != nil {
 			return
 		}
