--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -10,8 +10,10 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sort"
+	"syscall"
 	"time"
 )
 
@@ -83,6 +85,13 @@
 	}
 	w := &world{record: rec, trouble: os.Getenv("TROUBLE") != "0"}
 	defer w.end()
+	interrupted := make(chan os.Signal, 1)
+	signal.Notify(interrupted, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-interrupted
+		w.end()
+		os.Exit(2)
+	}()
 	if err := w.start(temp); err != nil {
 		rec.say("the case could not run: %v", err)
 		return 2
