--- a/review/standin4/cases.go
+++ b/review/standin4/cases.go
@@ -1,9 +1,6 @@
 package main
 
-import (
-	"os"
-	"time"
-)
+import "time"
 
 // busyPause is the pause of a session between two operations on a busy day.
 const busyPause = 15 * time.Millisecond
@@ -57,7 +54,7 @@
 		time.AfterFunc(5*time.Second, func() { primary.setCut(cut, false) })
 	}
 	w.at(3300 * time.Millisecond)
-	w.service.start("i-r3", "randstad-b", "127.0.8.4")
+	w.service.start("i-r3", "randstad-b", w.ip("8.4"))
 	w.at(4300 * time.Millisecond)
 	w.service.databases["i-r2"].drain()
 	w.at(12 * time.Second)
@@ -129,7 +126,8 @@
 
 // pausedReplicas: the primary is partitioned from the two hosts of one region for 4 s,
 // and the platform is cut off for 4.5 s. While the holder of the duty waits for the answer
-// to its order, the processes of all hosts are killed.
+// to its order, a change of the configuration is acknowledged, and 100 ms later the
+// processes of all hosts are killed.
 func pausedReplicas(w *world) error {
 	primary := w.service.databases["i-p1"]
 	w.clients.pause.Store(int64(4 * busyPause))
@@ -145,6 +143,8 @@
 		time.AfterFunc(4500*time.Millisecond, func() { w.cloud.setSilent(false) })
 	}
 	w.at(8 * time.Second)
+	w.writeConfiguration(2)
+	time.Sleep(100 * time.Millisecond)
 	if w.trouble {
 		if err := w.killAll(800 * time.Millisecond); err != nil {
 			return err
@@ -157,14 +157,15 @@
 	return nil
 }
 
-// reborn: as in an earlier review's case 7, the primary goes dark while one replica receives
-// nothing, and the other one crashes and starts again without its log. It writes its
-// first entry only after the time in the variable DELAY, 600 ms if that is not set.
+// reborn: the primary goes dark while one replica receives nothing. At the same moment the
+// other one is partitioned from the store for 5 s, but not from the hosts; it crashes
+// behind the cut and starts again without its log 2 s later.
 func reborn(w *world) error {
-	delay, err := time.ParseDuration(os.Getenv("DELAY"))
-	if err != nil {
-		delay = 600 * time.Millisecond
-	}
+	const (
+		cut      = 5 * time.Second
+		down     = 2 * time.Second
+		lapseAge = 3 * heartbeatInterval
+	)
 	w.clients.pause.Store(int64(busyPause))
 	for _, h := range w.hosts {
 		w.clients.startSessions(h, 3)
@@ -175,12 +176,17 @@
 		r1.setDeaf(true)
 		time.AfterFunc(6500*time.Millisecond, func() { r1.setDeaf(false) })
 		time.Sleep(time.Second)
+		w.record.add("network", "i-r2 cut from the store for %s", cut)
 		w.service.databases["i-p1"].goDark(addresses(w.hosts))
 		r2.crash()
-		time.Sleep(2 * time.Second)
-		r2.startAgain(delay)
+		time.AfterFunc(lapseAge, func() {
+			w.store.remove("servers", r2.id)
+			w.record.add("store", "the entry of %s has lapsed", r2.id)
+		})
+		time.Sleep(down)
+		r2.startAgain(cut - down)
 	}
-	w.at(9 * time.Second)
+	w.at(10 * time.Second)
 	w.clients.stop()
 	return nil
 }
--- a/review/standin4/hosts.go
+++ b/review/standin4/hosts.go
@@ -45,20 +45,50 @@
 catch_up_timeout: 5000ms
 `
 
-// freeAddress returns an address with a port that is free now.
-func freeAddress(ip string) string {
-	ln, err := net.Listen("tcp", ip+":0")
-	if err != nil {
-		panic(err)
+// The ports of a host are below those that the system gives to outgoing connections, so
+// that none is taken between the choice and the start of the process.
+const (
+	callerPort  = 6432
+	readyPort   = 8081
+	metricsPort = 9100
+	peerPort    = 8432
+)
+
+// freeNetwork returns the second number of loopback addresses on which the ports of the
+// hosts are free, so that cases may run side by side. It binds a port there to keep it.
+func freeNetwork(hosts int) (network int, lock net.Listener, err error) {
+	for try := range 200 {
+		network = 20 + (os.Getpid()+try)%200
+		lock, err = net.Listen("tcp", fmt.Sprintf("127.%d.250.1:7400", network))
+		if err != nil {
+			continue
+		}
+		if portsAreFree(network, hosts) {
+			return network, lock, nil
+		}
+		_ = lock.Close()
+	}
+	return 0, nil, fmt.Errorf("no loopback network has free ports: %w", err)
+}
+
+func portsAreFree(network, hosts int) bool {
+	for i := range hosts {
+		for _, port := range []int{callerPort, readyPort, metricsPort, peerPort} {
+			ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.7.%d:%d", network, i+1, port))
+			if err != nil {
+				return false
+			}
+			_ = ln.Close()
+		}
 	}
-	defer ln.Close()
-	return ln.Addr().String()
+	return true
 }
 
 func newHost(folder, name, zone, ip, store, cloud string, rec *record) *host {
-	h := &host{name: name, zone: zone, ip: ip, listen: freeAddress(ip), ready: freeAddress(ip), record: rec,
+	at := func(port int) string { return fmt.Sprintf("%s:%d", ip, port) }
+	h := &host{name: name, zone: zone, ip: ip, listen: at(callerPort), ready: at(readyPort), record: rec,
 		settings: filepath.Join(folder, name+".yaml"), logFile: filepath.Join(folder, name+".log")}
-	text := fmt.Sprintf(settingsText, name, zone, h.listen, h.ready, freeAddress(ip), freeAddress(ip), store, cloud)
+	text := fmt.Sprintf(settingsText, name, zone, h.listen, h.ready, at(metricsPort), at(peerPort), store, cloud)
 	if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 		panic(err)
 	}
--- a/review/standin4/main.go
+++ b/review/standin4/main.go
@@ -7,6 +7,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -48,6 +49,9 @@
 	// trouble is false if the case runs without its disruptions.
 	trouble bool
 	began   time.Time
+	// network is the second number of the loopback addresses, which lock reserves.
+	network int
+	lock    net.Listener
 	// killedAt and backAt are the times of a final fault and of the restart after it.
 	killedAt, backAt time.Time
 }
@@ -57,6 +61,12 @@
 	databaseName = "claims"
 )
 
+// hostZones holds the zones of the hosts.
+var hostZones = []string{"gelderland-a", "gelderland-a", "randstad-a", "randstad-a", "randstad-b", "randstad-b"}
+
+// ip returns an address of the loopback network of the case.
+func (w *world) ip(rest string) string { return fmt.Sprintf("127.%d.%s", w.network, rest) }
+
 // cases holds the cases by number.
 var cases = map[string]func(*world) error{}
 
@@ -150,17 +160,22 @@
 
 // start starts the stand-ins and six hosts, two in each zone.
 func (w *world) start(temp string) error {
+	network, lock, err := freeNetwork(len(hostZones))
+	if err != nil {
+		return err
+	}
+	w.network, w.lock = network, lock
 	w.store = newStore()
 	w.service = newService(serviceName, 1, w.record, w.store, oneWay)
 	w.cloud = &cloud{service: w.service, record: w.record}
 	w.clients = newClients(w.record, databaseName)
-	storeAddress, cloudAddress := serveHTTP("127.0.9.1", w.store), serveHTTP("127.0.9.2", w.cloud)
+	storeAddress, cloudAddress := serveHTTP(w.ip("9.1"), w.store), serveHTTP(w.ip("9.2"), w.cloud)
 	w.writeConfiguration(1)
-	w.service.start("i-p1", "randstad-a", "127.0.8.1")
-	w.service.start("i-r1", "gelderland-a", "127.0.8.2")
-	w.service.start("i-r2", "randstad-b", "127.0.8.3")
-	for i, zone := range []string{"gelderland-a", "gelderland-a", "randstad-a", "randstad-a", "randstad-b", "randstad-b"} {
-		w.hosts = append(w.hosts, newHost(temp, fmt.Sprintf("front-%s-%d", zone, i+1), zone, fmt.Sprintf("127.0.7.%d", i+1), storeAddress, cloudAddress, w.record))
+	w.service.start("i-p1", "randstad-a", w.ip("8.1"))
+	w.service.start("i-r1", "gelderland-a", w.ip("8.2"))
+	w.service.start("i-r2", "randstad-b", w.ip("8.3"))
+	for i, zone := range hostZones {
+		w.hosts = append(w.hosts, newHost(temp, fmt.Sprintf("front-%s-%d", zone, i+1), zone, w.ip(fmt.Sprintf("7.%d", i+1)), storeAddress, cloudAddress, w.record))
 	}
 	for i, h := range w.hosts {
 		if err := h.start(); err != nil {
@@ -183,9 +198,10 @@
 }
 
 func (w *world) writeConfiguration(version int) {
+	w.record.add("operator", "configuration %d", version)
 	w.store.write("config", "main", map[string]any{
 		"version": version,
-		"routes": []any{map[string]any{"name": "claims", "host": databaseName, "kind": "primary", "service": serviceName, "timeoutMs": 1000,
+		"routes": []any{map[string]any{"name": "claims", "host": databaseName, "kind": "primary", "service": serviceName, "timeoutMs": 900 + 100*version,
 			"targetLatencyMs": 500, "priority": 0, "maxStalenessMs": 0}},
 		"services": []any{map[string]any{"name": serviceName, "connectionLimit": w.service.limit, "syncReplicas": w.service.syncReplicas}},
 		"limits":   map[string]any{"headerTimeoutMs": 5000, "transactionIdleMs": 5000},
