Complete a promotion whose order got no answer

Cause: the choice of a successor holds only while the replicas stay paused. After any failed attempt the holder resumed them, also when its order had got no answer and could still be carried out. The old primary served on, and the late order promoted a replica without what the other one had received since. The raised token fenced nothing, since no call showed it to the platform.

Change: the replicas stay paused while an order may still be carried out, and the holder completes the replacement with the higher token, also if the primary is well again. Its server is preferred among equal logs.

The stand-in of the tests now withholds the answer to a commit until SyncReplicas replicas have received it, and a write counts as acknowledged by that answer. Before, the test looked 50 ms later at logs that change only when they are asked for. TestDrainingPrimaryIsKeptWithoutFollower writes in the background, as its write is not acknowledged now; its checks stay.

--- a/core/statement/statementtest/conn.go
+++ b/core/statement/statementtest/conn.go
@@ -55,6 +55,9 @@
 			time.Sleep(c.server.service.options.StatementTime)
 		}
 		a, err := c.run(r)
+		if err == nil && a.Code == statement.OK && c.commits(r) {
+			err = c.awaitReceipts(deadline)
+		}
 		if err == errNoAnswer {
 			time.Sleep(time.Until(deadline))
 			return answers, true, os.ErrDeadlineExceeded
@@ -67,6 +70,56 @@
 	return answers, true, nil
 }
 
+// receiptPollInterval is the time between checks whether replicas have received a commit.
+const receiptPollInterval = 2 * time.Millisecond
+
+// commits reports whether a statement that succeeded may have appended a commit.
+func (c *Conn) commits(r statement.Statement) bool {
+	switch r.Kind {
+	case statement.Write, statement.Execute, statement.Commit:
+		return true
+	default:
+		return false
+	}
+}
+
+// awaitReceipts waits until as many replicas as Options.SyncReplicas have received the
+// log of the primary as it is now. It fails with errNoAnswer at the deadline and if the
+// server loses the lead, and with ErrClosed if the connection is closed.
+func (c *Conn) awaitReceipts(deadline time.Time) error {
+	s := c.server.service
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	term, length := c.server.term, len(c.server.log)
+	for s.options.SyncReplicas > 0 && c.tx == nil {
+		s.receiveAll(time.Now())
+		switch {
+		case c.closed:
+			return ErrClosed
+		case c.server.hung || !c.server.primary || c.server.term != term || !time.Now().Before(deadline):
+			return errNoAnswer
+		case s.receipts(c.server, length) >= s.options.SyncReplicas:
+			return nil
+		}
+		s.mu.Unlock()
+		time.Sleep(receiptPollInterval)
+		s.mu.Lock()
+	}
+	return nil
+}
+
+// receipts returns the number of servers that have received the log of the primary up to
+// the length.
+func (s *Service) receipts(primary *Server, length int) int {
+	n := 0
+	for _, sv := range s.servers {
+		if sv != primary && !sv.down && sv.term == primary.term && len(sv.log) >= length {
+			n++
+		}
+	}
+	return n
+}
+
 func takesStatementTime(k statement.Kind) bool {
 	switch k {
 	case statement.Read, statement.Write, statement.Execute, statement.Commit, statement.Status:
--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -37,6 +37,9 @@
 	// promotion service accept any fencing token. The primary steps down on a Demote,
 	// or StepDownDelay after it can reach its successor; see SetIsolated.
 	ReplacedPrimaryContinues bool
+	// SyncReplicas is the number of replicas that must receive a commit before the
+	// primary acknowledges it.
+	SyncReplicas int
 	// ConnectionLimit is the maximum number of connections to one server; 0 for no limit.
 	ConnectionLimit int
 }
@@ -198,9 +201,24 @@
 	change(s.servers[id])
 }
 
+// SetSyncReplicas replaces Options.SyncReplicas.
+func (s *Service) SetSyncReplicas(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.options.SyncReplicas = n
+}
+
+// receiveAll lets all replicas receive what has arrived by now.
+func (s *Service) receiveAll(now time.Time) {
+	for _, sv := range s.servers {
+		sv.receive(now)
+	}
+}
+
 // Crash closes the server's connections and refuses new ones until Start.
 func (s *Service) Crash(id string) {
 	s.updateServer(id, func(sv *Server) {
+		s.receiveAll(time.Now())
 		sv.down = true
 		for c := range sv.conns {
 			c.closed = true
@@ -237,8 +255,8 @@
 func (s *Service) Hang(id string) { s.updateServer(id, func(sv *Server) { sv.hung = true }) }
 
 // SetReplicationPaused pauses or resumes the replication of commits to a replica.
-func (s *Service) SetReplicationPaused(id string, deaf bool) {
-	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.replicationPaused = deaf })
+func (s *Service) SetReplicationPaused(id string, paused bool) {
+	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.replicationPaused = paused })
 }
 
 // SetIsolated cuts a server off from the other servers, or reconnects it.
--- a/core/succession/succession.go
+++ b/core/succession/succession.go
@@ -32,6 +32,9 @@
 	// PromotionTimeout is how long a promotion may take before the state of the
 	// service is evaluated again.
 	PromotionTimeout = 4 * time.Second
+	// UnfinishedRetryDelay replaces PromotionTimeout while an earlier order may still be
+	// carried out, since commits wait for the end of the replacement.
+	UnfinishedRetryDelay = time.Second
 )
 
 // View is what the holder knows about one service.
@@ -64,6 +67,9 @@
 	PromotionOrderedAt time.Time
 	// PromotionRefused is true if that promotion is known to have been refused.
 	PromotionRefused bool
+	// Unfinished is true if a replacement has begun whose order may still be carried
+	// out, and no other server leads since. It is used where commits wait for replicas.
+	Unfinished bool
 }
 
 // Reason is why a primary is replaced. It appears in logs.
@@ -86,6 +92,9 @@
 	PrimaryPartlyUnreachable Reason = "primary is unreachable for many hosts"
 	// NoPrimary promotes a primary in a service where none is known.
 	NoPrimary Reason = "service has no primary"
+	// PromotionUnfinished replaces a primary, even one that is well again, because an
+	// earlier order to replace it may still be carried out.
+	PromotionUnfinished Reason = "an earlier promotion may still be carried out"
 )
 
 // pollConfirmsLoss reports whether the holder and the hosts that answered it are
@@ -101,7 +110,7 @@
 	if v.Candidates == 0 {
 		return NoReplacement
 	}
-	if !v.PromotionOrderedAt.IsZero() && !v.PromotionRefused && now.Sub(v.PromotionOrderedAt) < PromotionTimeout {
+	if !v.PromotionOrderedAt.IsZero() && !v.PromotionRefused && now.Sub(v.PromotionOrderedAt) < v.retryDelay() {
 		return NoReplacement
 	}
 	if v.Primary == "" {
@@ -111,6 +120,9 @@
 		return NoReplacement
 	}
 	switch {
+	case v.Unfinished:
+		// Its replicas are paused, so that none can follow a primary that drains.
+		return PromotionUnfinished
 	case v.Draining:
 		return PrimaryDraining
 	case !v.Registered:
@@ -124,6 +136,14 @@
 	}
 }
 
+// retryDelay returns the time after a replacement before the next one.
+func (v View) retryDelay() time.Duration {
+	if v.Unfinished {
+		return UnfinishedRetryDelay
+	}
+	return PromotionTimeout
+}
+
 // reachesMissingShare reports whether the hosts that cannot reach the primary are
 // at least MissingShare of all hosts.
 func reachesMissingShare(missing, hosts int) bool {
@@ -139,6 +159,9 @@
 	// SameRegion is true if the replica is in the region of the holder, which is
 	// preferred among equal logs.
 	SameRegion bool
+	// Ordered is true if an order to promote it may still be carried out. It is preferred
+	// among equal logs, since it does not matter then which of two orders comes first.
+	Ordered bool
 	// Leaving is true if the replica is about to stop, so that it cannot take over. Its
 	// report shows what its log holds.
 	Leaving bool
@@ -178,6 +201,12 @@
 }
 
 func (r *Replica) isPreferredTo(other *Replica) bool {
-	c := r.Received.Compare(other.Received)
-	return c > 0 || c == 0 && r.SameRegion && !other.SameRegion
+	switch c := r.Received.Compare(other.Received); {
+	case c != 0:
+		return c > 0
+	case r.Ordered != other.Ordered:
+		return r.Ordered
+	default:
+		return r.SameRegion && !other.SameRegion
+	}
 }
--- a/daemon/internal/fleet/commitlogs_test.go
+++ b/daemon/internal/fleet/commitlogs_test.go
@@ -12,17 +12,6 @@
 	"github.com/gypsumgap/gypsumgap/core/group"
 )
 
-// isReplicated reports whether a replica has received the write.
-func (d *deployment) isReplicated(id string) bool {
-	primary := d.service.Primary()
-	for _, server := range []string{"s1", "s2", "s3"} {
-		if server != primary && d.service.WriteIDs(server, math.MaxInt)[id] {
-			return primary != ""
-		}
-	}
-	return false
-}
-
 // restartHosts replaces all hosts by new processes, one after the other.
 func (d *deployment) restartHosts() {
 	for i := range testHosts {
@@ -163,19 +152,11 @@
 	promotions   int
 }
 
-// write writes through a random running host. The write counts as acknowledged if a
-// replica has received it while its primary leads.
+// write writes through a random running host. The server acknowledges the write once a
+// replica has received it.
 func (f *logFaults) write(id string) {
 	i := f.rng.IntN(len(f.hosts))
-	if f.stopped(i) {
-		return
-	}
-	primary := f.service.Primary()
-	if !f.deployment.write(f.hosts[i], id) {
-		return
-	}
-	time.Sleep(50 * time.Millisecond)
-	if f.isReplicated(id) && f.service.Primary() == primary {
+	if !f.stopped(i) && f.deployment.write(f.hosts[i], id) {
 		f.acknowledged = append(f.acknowledged, id)
 	}
 }
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -78,6 +78,8 @@
 	// nextOrderDelay, if positive, makes the platform execute the next promotion
 	// after this delay without answering the call.
 	nextOrderDelay time.Duration
+	// promotionsDownUntil is the time until which the platform executes no other call.
+	promotionsDownUntil time.Time
 }
 
 // ampleLimit is a connection limit that allows each host more connections than
@@ -275,7 +277,11 @@
 	p.d.orders = append(p.d.orders, o)
 	late := p.d.nextOrderDelay
 	p.d.nextOrderDelay = 0
+	isDown := time.Now().Before(p.d.promotionsDownUntil)
 	p.d.mu.Unlock()
+	if late == 0 && isDown {
+		return objects.ErrUnavailable
+	}
 	if late == 0 {
 		return p.d.service.Promote(ctx, o)
 	}
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -68,17 +68,20 @@
 	// replica that has it has every acknowledged commit.
 	logEnd group.Position
 	// unresolved is true if the outcome of a call is unknown, so that the order
-	// may still be executed.
-	unresolved bool
+	// may still be executed, and unfinished if that of an earlier replacement may be.
+	unresolved, unfinished bool
+	// lastOrdered is the ID of the server of the last order without an answer.
+	lastOrdered string
 }
 
 // errNoSuccessor means that no successor was chosen. Nothing was ordered.
 var errNoSuccessor = errors.New("no replica can safely be promoted")
 
-// run replaces the primary. If that fails, replicas that it paused resume.
+// run replaces the primary. If that fails, replicas that it paused resume, unless an
+// order may still be carried out: its server lacks what others receive from now on.
 func (p *promotion) run(ctx context.Context) error {
 	err := p.replace(ctx)
-	if err != nil && p.pausesReplicas() {
+	if err != nil && p.pausesReplicas() && !p.unresolved && !p.unfinished {
 		p.resumeReplicas(ctx)
 	}
 	return err
@@ -253,7 +256,8 @@
 			if p.revocation == nil || !status.Primary {
 				// A replaced primary that has not noticed it cannot be promoted.
 				server := pool.Server()
-				a.replica = &succession.Replica{ID: server.ID, Received: status.Received, SameRegion: p.isSameRegion(server.Zone), Leaving: i >= len(p.candidates)}
+				a.replica = &succession.Replica{ID: server.ID, Received: status.Received, SameRegion: p.isSameRegion(server.Zone), Ordered: p.unfinished && server.ID == p.lastOrdered,
+					Leaving: i >= len(p.candidates)}
 			}
 			answers <- a
 		}()
--- a/daemon/internal/fleet/promote_test.go
+++ b/daemon/internal/fleet/promote_test.go
@@ -72,8 +72,9 @@
 }
 
 // waitForReplicas makes the service acknowledge commits only after one replica has
-// received them. The servers of the tests do not wait by themselves.
+// received them.
 func (d *deployment) waitForReplicas() {
+	d.service.SetSyncReplicas(1)
 	c := configuration(2, ampleLimit)
 	c.Services["service"] = catalog.Service{Name: "service", ConnectionLimit: ampleLimit, SyncReplicas: 1}
 	d.store.Configure(c)
@@ -213,7 +214,8 @@
 		for _, id := range []string{"s2", "s3"} {
 			d.service.SetReplicationPaused(id, true)
 		}
-		d.writeOn(0, "w")
+		// The primary executes the write, and acknowledges it once a replica follows.
+		go d.write(d.hosts[0], "w")
 		d.mu.Lock()
 		d.draining["s1"] = true
 		d.mu.Unlock()
--- a/daemon/internal/fleet/succession.go
+++ b/daemon/internal/fleet/succession.go
@@ -41,6 +41,19 @@
 	// unresolvedOrder is the last promotion with a call whose outcome is unknown.
 	// The platform may execute it until it has seen a higher token.
 	unresolvedOrder objects.Promotion
+	// unfinished is true if commits wait for replicas and a replacement of the primary
+	// replaced has begun whose order may still be carried out. The choice of its successor
+	// holds only while the replicas receive nothing, so they stay paused and the
+	// replacement is completed, also if that primary is well again.
+	unfinished bool
+}
+
+// endUnfinished ends an unfinished replacement once another server leads: the one that
+// was ordered, or any but the replaced one.
+func (s *successionState) endUnfinished(primary string) {
+	if primary != "" && (primary == s.unresolvedOrder.Server || s.replaced != "" && primary != s.replaced) {
+		s.unfinished = false
+	}
 }
 
 // mayTakeEffect reports whether the last promotion may still take effect, given the
@@ -77,6 +90,7 @@
 			continue
 		}
 		c.startPoll(name, g)
+		s.endUnfinished(g.Health().Primary)
 		view := c.successionView(name, g, s)
 		reason := succession.Decide(now, view)
 		if reason == succession.NoReplacement {
@@ -98,7 +112,7 @@
 	h := g.Health()
 	v := succession.View{
 		Primary: h.Primary, Reachable: !h.Suspected, LiveHosts: c.hostCount, NoPrimarySince: h.NoPrimarySince,
-		PromotionOrderedAt: s.startedAt, PromotionRefused: s.refused,
+		PromotionOrderedAt: s.startedAt, PromotionRefused: s.refused, Unfinished: s.unfinished,
 	}
 	if h.Term == 0 {
 		// This host has never seen a primary; it may be about to register.
@@ -155,7 +169,7 @@
 		group: g, reason: reason, primary: g.Primary(), replaced: v.Primary, term: g.HighestTerm(), candidates: c.candidates(g, s, h.Primary),
 		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, holders: c.commitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
-		promoter: c.promoter, store: c.store, isSameRegion: c.isSameRegion,
+		promoter: c.promoter, store: c.store, isSameRegion: c.isSameRegion, unfinished: s.unfinished, lastOrdered: s.unresolvedOrder.Server,
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
@@ -182,7 +196,13 @@
 		s.startedAt = c.now()
 	}
 	if err == nil || job.unresolved {
-		s.orderedAt, s.replaced = c.now(), job.replaced
+		s.orderedAt = c.now()
+		if !s.unfinished {
+			s.replaced = job.replaced
+		}
+	}
+	if job.syncReplicas > 0 {
+		s.unfinished = err != nil && (s.unfinished || job.unresolved)
 	}
 	if job.unresolved {
 		s.unresolvedOrder = job.order
