Count a draining server until its process has ended

Cause: the lapse of a draining server's entry counted as its departure, at once. Its log counted as closed, and its entry was ignored when it was back, though the server lived, received and acknowledged. The holder of the duty neither asked nor counted it.

Change: whether a server is used and whether its log may receive are kept apart. A draining server without an entry is not used, as before, but its log counts until its address refuses connections or another server uses it, or for 30 s. The holder of the duty keeps a session with each server whose log counts, so that it can ask those without an entry; before, it asked the registered ones only.

In the stand-in a crashed primary sends nothing any more.

--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -377,7 +377,7 @@
 // receive appends the primary's commits that have arrived at a replica by now.
 func (sv *Server) receive(now time.Time) {
 	leader := sv.service.primaryServer()
-	if sv.primary || sv.replicationPaused || sv.down || sv.pauseTerm > 0 || leader == nil || !sv.reaches(leader) {
+	if sv.primary || sv.replicationPaused || sv.down || sv.pauseTerm > 0 || leader == nil || leader.down || !sv.reaches(leader) {
 		return
 	}
 	if sv.term < leader.term {
--- a/daemon/internal/fleet/commitlogs.go
+++ b/daemon/internal/fleet/commitlogs.go
@@ -14,7 +14,6 @@
 	"github.com/gypsumgap/gypsumgap/core/catalog"
 	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/objects"
-	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -38,8 +37,9 @@
 	logRecordDelay = 10 * time.Second
 	// logRetryPause is the pause after a failed call for a record.
 	logRetryPause = time.Second
-	// coverageInterval is the time between checks whether lost logs may be forgotten.
-	coverageInterval = time.Second
+	// logPollInterval is the time between polls of the logs by the holder, which also
+	// find whether lost logs may be forgotten.
+	logPollInterval = time.Second
 )
 
 // logID identifies a log: that of one start of a backend server.
@@ -61,8 +61,8 @@
 
 // commitHolders describes the logs of a service that may hold acknowledged commits.
 type commitHolders struct {
-	// servers is the number of those of servers that are registered or disappeared
-	// without notice, the primary included.
+	// servers is the number of those of servers that are registered or whose entries have
+	// lapsed, the primary included.
 	servers int
 	// lost is the number of lost logs, and lostAt when the last one was lost. Until then,
 	// their receipts let commits be acknowledged.
@@ -71,17 +71,7 @@
 }
 
 func (c *controller) commitHolders(service string) commitHolders {
-	var h commitHolders
-	for _, r := range c.servers {
-		if r.server.Service == service {
-			h.servers++
-		}
-	}
-	for _, l := range c.lostServers {
-		if l.server.Service == service {
-			h.servers++
-		}
-	}
+	h := commitHolders{servers: len(c.liveLogs(service))}
 	for _, l := range c.lostLogsOf(service) {
 		h.lost++
 		if l.lostAt.After(h.lostAt) {
@@ -154,8 +144,8 @@
 	retryAt time.Time
 	// stored holds the records in the store, by service.
 	stored map[string]objects.Object
-	// checkedAt is when coverage was last checked, by service.
-	checkedAt map[string]time.Time
+	// polledAt is when the logs were last polled, by service.
+	polledAt map[string]time.Time
 }
 
 // knowsLogs reports whether the holder knows the logs of the service well enough to
@@ -170,6 +160,7 @@
 	if !c.lease.Holding() || c.draining || !c.serversListed || c.configuration == nil {
 		return
 	}
+	c.closeUnusedLogSessions()
 	for name, g := range c.groups {
 		if !c.waitsForReplicas(name) {
 			continue
@@ -178,7 +169,7 @@
 			c.callForRecords(c.readLogRecords)
 			return
 		}
-		c.startCoverageCheck(name, g)
+		c.startLogPoll(name, g)
 		c.storeLogRecord(name)
 	}
 }
@@ -221,7 +212,7 @@
 // applyLogRecords adds the losses that this host has not seen to those that it knows.
 func (c *controller) applyLogRecords(list objects.Snapshot) {
 	c.logRecords.token, c.logRecords.era = c.lease.Token(), c.storeEra
-	c.logRecords.stored, c.logRecords.checkedAt = map[string]objects.Object{}, map[string]time.Time{}
+	c.logRecords.stored, c.logRecords.polledAt = map[string]objects.Object{}, map[string]time.Time{}
 	for _, o := range list.Objects {
 		c.logRecords.stored[o.Name] = o
 		var record logRecord
@@ -240,7 +231,8 @@
 	for _, l := range record.Logs {
 		id := logID{l.Server, l.StartedUnixMilli}
 		recorded[id] = true
-		if _, known := c.lostLogs[id]; !known && !live[id] {
+		_, known := c.lostLogs[id]
+		if _, isLive := live[id]; !known && !isLive {
 			c.lostLogs[id] = lostLog{service: service, lostAt: now, address: l.Address}
 		}
 	}
@@ -251,18 +243,18 @@
 	})
 }
 
-// liveLogs returns the logs of the servers of a service that are registered or
-// disappeared without notice.
-func (c *controller) liveLogs(service string) map[logID]bool {
-	out := map[logID]bool{}
+// liveLogs returns the servers of a service whose logs may still receive commits, by log:
+// those that are registered, and those whose entries have lapsed.
+func (c *controller) liveLogs(service string) map[logID]catalog.Server {
+	out := map[logID]catalog.Server{}
 	for _, r := range c.servers {
 		if r.server.Service == service {
-			out[logOf(r.server)] = true
+			out[logOf(r.server)] = r.server
 		}
 	}
 	for _, l := range c.lostServers {
 		if l.server.Service == service {
-			out[logOf(l.server)] = true
+			out[logOf(l.server)] = l.server
 		}
 	}
 	return out
@@ -295,49 +287,6 @@
 	})
 }
 
-// startCoverageCheck asks the replicas of a service for the ends of their logs while
-// there are lost logs.
-func (c *controller) startCoverageCheck(service string, g *backend.Group) {
-	primary, lost := g.Health().Primary, c.lostLogsOf(service)
-	if primary == "" || len(lost) == 0 || c.now().Sub(c.logRecords.checkedAt[service]) < coverageInterval {
-		return
-	}
-	c.logRecords.checkedAt[service] = c.now()
-	var replicas []*backend.Pool
-	for _, p := range g.Pools() {
-		if p.Server().ID != primary {
-			replicas = append(replicas, p)
-		}
-	}
-	c.runAsync(func(ctx context.Context) {
-		received := longestLog(ctx, replicas)
-		c.post(ctx, func() { c.forgetCoveredLogs(g, lost, received) })
-	})
-}
-
-// longestLog returns the greatest end of the replicas' logs; zero if none replies.
-func longestLog(ctx context.Context, replicas []*backend.Pool) group.Position {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	ends := make(chan group.Position, len(replicas))
-	for _, p := range replicas {
-		go func() {
-			status, err := p.SendCommand(ctx, statement.Statement{Kind: statement.Status})
-			if err != nil || status.Primary {
-				status.Received = group.Position{}
-			}
-			ends <- status.Received
-		}()
-	}
-	var longest group.Position
-	for range replicas {
-		if end := <-ends; end.Compare(longest) > 0 {
-			longest = end
-		}
-	}
-	return longest
-}
-
 // forgetCoveredLogs forgets those of the lost logs whose commits are all in the log of a
 // replica, given the end of the longest one. The replicas must have been asked after
 // the logs were lost: a log that is lost later may be the one that covers the others.
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -123,14 +123,16 @@
 	servers       map[string]*registeredServer
 	// lastRegistered is when a new server of each service last registered.
 	lastRegistered map[string]time.Time
-	// lostServers holds the servers that disappeared without notice, by ID.
+	// lostServers holds the servers whose entries have lapsed, by ID.
 	lostServers map[string]lostServer
 	// departedServers holds the servers that left after they had announced it, by ID.
 	departedServers map[string]departedServer
 	// lostLogs holds the logs that receive nothing any more, and logRecords the holder's
 	// state of the stored logs.
-	lostLogs      map[logID]lostLog
-	logRecords    logRecords
+	lostLogs   map[logID]lostLog
+	logRecords logRecords
+	// logSessions holds the holder's sessions with the servers whose logs it follows.
+	logSessions   map[logID]*backend.LogSession
 	serversListed bool
 	draining      bool
 	// departure is the planned stop of this host until the duty is handed over; nil
@@ -196,7 +198,7 @@
 func newController(o options) *controller {
 	c := &controller{
 		options: o, published: &PublishedView{}, events: make(chan func(), eventQueueSize),
-		groups: map[string]*backend.Group{}, servers: map[string]*registeredServer{}, lastRegistered: map[string]time.Time{}, lostServers: map[string]lostServer{}, departedServers: map[string]departedServer{}, lostLogs: map[logID]lostLog{}, hostCount: defaultHostCount,
+		groups: map[string]*backend.Group{}, servers: map[string]*registeredServer{}, lastRegistered: map[string]time.Time{}, lostServers: map[string]lostServer{}, departedServers: map[string]departedServer{}, lostLogs: map[logID]lostLog{}, logSessions: map[logID]*backend.LogSession{}, hostCount: defaultHostCount,
 		failingSince: map[objects.Kind]time.Time{},
 		lease:        lease.New(o.host, o.incarnation, rand.N(maxTakeoverDelay)),
 		reports:      map[string]receivedReport{},
--- a/daemon/internal/fleet/duty.go
+++ b/daemon/internal/fleet/duty.go
@@ -73,6 +73,7 @@
 		c.stopReports = nil
 	}
 	if !holding {
+		c.closeLogSessions()
 		return
 	}
 	c.runAsync(func(ctx context.Context) {
--- /dev/null
+++ b/daemon/internal/fleet/logsessions.go
@@ -0,0 +1,134 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/statement"
+	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
+)
+
+// The holder of the promotion duty keeps a session with each server whose log may hold
+// acknowledged commits, also with one whose entry has lapsed: the entry shows whether a
+// server reaches the store, the session whether it still runs and what it has received.
+
+// logPollTimeout bounds the poll of one log.
+const logPollTimeout = 300 * time.Millisecond
+
+// trackLogs opens the sessions with the servers of a service and closes those with
+// servers that count no more.
+func (c *controller) trackLogs(g *backend.Group) {
+	live := c.liveLogs(g.Name())
+	for id, session := range c.logSessions {
+		if server, isLive := live[id]; session.Server().Service == g.Name() && (!isLive || session.Server().Address != server.Address) {
+			c.closeLogSession(id)
+		}
+	}
+	for id, server := range live {
+		if c.logSessions[id] == nil {
+			c.logSessions[id] = g.NewLogSession(server)
+		}
+	}
+}
+
+// closeUnusedLogSessions closes the sessions with servers of services that were removed,
+// or whose commits do not wait for replicas any more.
+func (c *controller) closeUnusedLogSessions() {
+	for id, session := range c.logSessions {
+		if service := session.Server().Service; c.groups[service] == nil || !c.waitsForReplicas(service) {
+			c.closeLogSession(id)
+		}
+	}
+}
+
+func (c *controller) closeLogSession(id logID) {
+	// A command may be running.
+	go c.logSessions[id].Close()
+	delete(c.logSessions, id)
+}
+
+func (c *controller) closeLogSessions() {
+	for id := range c.logSessions {
+		c.closeLogSession(id)
+	}
+}
+
+// logPoll is the answer of a server to the question for its log.
+type logPoll struct {
+	id    logID
+	reply backend.LogReply
+	err   error
+}
+
+// startLogPoll asks the servers of a service for the ends of their logs.
+func (c *controller) startLogPoll(service string, g *backend.Group) {
+	if c.now().Sub(c.logRecords.polledAt[service]) < logPollInterval {
+		return
+	}
+	c.logRecords.polledAt[service] = c.now()
+	c.trackLogs(g)
+	sessions := map[logID]*backend.LogSession{}
+	for id, s := range c.logSessions {
+		if s.Server().Service == service {
+			sessions[id] = s
+		}
+	}
+	lost := c.lostLogsOf(service)
+	c.runAsync(func(ctx context.Context) {
+		polls := pollLogs(ctx, sessions)
+		c.post(ctx, func() { c.applyLogPolls(g, lost, polls) })
+	})
+}
+
+// pollLogs sends a status query over each session.
+func pollLogs(ctx context.Context, sessions map[logID]*backend.LogSession) []logPoll {
+	ctx, cancel := context.WithTimeout(ctx, logPollTimeout)
+	defer cancel()
+	answers := make(chan logPoll, len(sessions))
+	for id, s := range sessions {
+		go func() {
+			reply, err := s.Send(ctx, statement.Statement{Kind: statement.Status})
+			answers <- logPoll{id, reply, err}
+		}()
+	}
+	out := make([]logPoll, 0, len(sessions))
+	for range sessions {
+		out = append(out, <-answers)
+	}
+	return out
+}
+
+// applyLogPolls records which servers have ended, and forgets those of the lost logs that
+// a replica covers.
+func (c *controller) applyLogPolls(g *backend.Group, lost map[logID]lostLog, polls []logPoll) {
+	var longest group.Position
+	for _, p := range polls {
+		if p.err != nil {
+			c.recordEnd(p.id, p.err)
+			continue
+		}
+		if !p.reply.Primary && p.reply.Received.Compare(longest) > 0 {
+			longest = p.reply.Received
+		}
+	}
+	c.forgetCoveredLogs(g, lost, longest)
+}
+
+// recordEnd records that a server that had announced its stop has ended, if the error of
+// its session shows that no such process listens at its address any more. A server that
+// crashed may come back with its log.
+func (c *controller) recordEnd(id logID, err error) {
+	l, known := c.lostServers[id.server]
+	if known && logOf(l.server) == id && l.server.Draining && !l.isRegistered && hasEnded(err) {
+		c.recordLoss(l.server)
+	}
+}
+
+// hasEnded reports whether the error of a connection shows that the server does not run.
+func hasEnded(err error) bool {
+	var refused *statement.RefusedError
+	return errors.Is(err, syscall.ECONNREFUSED) || errors.As(err, &refused) && refused.Code == statement.WrongServer
+}
--- a/daemon/internal/fleet/servers.go
+++ b/daemon/internal/fleet/servers.go
@@ -18,8 +18,8 @@
 	// lapsed without notice. Entries that lapsed while the store was unavailable
 	// are back within 2 s of its return.
 	lapseGracePeriod = 2500 * time.Millisecond
-	// lostServerRetention is how long a server that disappeared without notice counts as
-	// one that may still receive commits. It would have registered again by then.
+	// lostServerRetention is how long a server whose entry has lapsed counts as one that
+	// may still receive commits. It would have registered again by then.
 	lostServerRetention = 30 * time.Second
 	// departedServerRetention is how long a server that left after it had announced it
 	// is refused. It exceeds the age of the copies to which a store goes back.
@@ -33,11 +33,14 @@
 	missingSince time.Time
 }
 
-// lostServer is a backend server that disappeared without notice. Its log may
-// hold commits that no other server has.
+// lostServer is a backend server whose entry has lapsed and that is not used any more. Its
+// log may hold commits that no other server has, and may go on receiving: a server that
+// only lost contact with the store does, also one that has announced its stop.
 type lostServer struct {
 	server catalog.Server
 	lostAt time.Time
+	// isRegistered is true while the entry of a server that has announced its stop is back.
+	isRegistered bool
 }
 
 // departedServer is a backend server that left after it had announced it.
@@ -79,6 +82,7 @@
 func (c *controller) registerServer(s catalog.Server) {
 	old := c.servers[s.ID]
 	if left, departed := c.departedServers[s.ID]; departed && isSameStart(left.server.StartedUnixMilli, s) {
+		c.recordReturn(left.server)
 		return
 	}
 	if old != nil && old.server.Draining && isSameStart(old.server.StartedUnixMilli, s) {
@@ -95,14 +99,22 @@
 		c.recordLostLog(old.server, "")
 	}
 	if lost, known := c.lostServers[s.ID]; known && logOf(lost.server) != logOf(s) {
-		c.recordLostLog(lost.server, "")
+		c.recordLoss(lost.server)
 	}
+	c.recordSuccessors(s)
 	c.servers[s.ID] = &registeredServer{server: s}
 	delete(c.lostServers, s.ID)
 	delete(c.departedServers, s.ID)
 	delete(c.lostLogs, logOf(s))
 }
 
+// recordReturn records that the entry of a server that has announced its stop is back. Its
+// process is not used again, but may go on receiving.
+func (c *controller) recordReturn(s catalog.Server) {
+	c.lostServers[s.ID] = lostServer{server: s, lostAt: c.now(), isRegistered: true}
+	delete(c.lostLogs, logOf(s))
+}
+
 // isSameStart reports whether the entry is from the process that started at the given
 // time, in Unix milliseconds. A process whose start is unknown counts as another one.
 func isSameStart(startedUnixMilli int64, s catalog.Server) bool {
@@ -110,10 +122,12 @@
 }
 
 // recordLapse records that an entry no longer names its server. A server that announced its
-// stop is removed with its entry. Any other server may only have lost contact
-// with the store.
+// stop is not used any more. Any other server may only have lost contact with the store.
 func (c *controller) recordLapse(id string, now time.Time) {
 	r := c.servers[id]
+	if l := c.lostServers[id]; r == nil && l.isRegistered {
+		c.lostServers[id] = lostServer{server: l.server, lostAt: now}
+	}
 	if r == nil || !r.missingSince.IsZero() {
 		return
 	}
@@ -122,12 +136,32 @@
 	if r.server.Draining {
 		delete(c.servers, id)
 		c.departedServers[id] = departedServer{r.server, now}
-		c.recordLostLog(r.server, r.server.Address)
+		c.lostServers[id] = lostServer{server: r.server, lostAt: now}
 		return
 	}
 	r.missingSince = now
 }
 
+// recordLoss records that a server whose entry has lapsed receives nothing any more.
+func (c *controller) recordLoss(s catalog.Server) {
+	delete(c.lostServers, s.ID)
+	address := ""
+	if s.Draining {
+		address = s.Address
+	}
+	c.recordLostLog(s, address)
+}
+
+// recordSuccessors records that the servers which had announced their stop and whose
+// address a server now uses have ended.
+func (c *controller) recordSuccessors(s catalog.Server) {
+	for id, l := range c.lostServers {
+		if l.server.Draining && l.server.Address == s.Address && id != s.ID {
+			c.recordLoss(l.server)
+		}
+	}
+}
+
 // removeLapsedServers removes the servers whose grace period has ended, counts the logs
 // of those that did not return as lost, and forgets departed servers after their
 // retention.
@@ -137,14 +171,13 @@
 	for id, r := range c.servers {
 		if !r.missingSince.IsZero() && now.Sub(r.missingSince) >= lapseGracePeriod {
 			delete(c.servers, id)
-			c.lostServers[id] = lostServer{r.server, now}
+			c.lostServers[id] = lostServer{server: r.server, lostAt: now}
 			changed = true
 		}
 	}
-	for id, l := range c.lostServers {
-		if now.Sub(l.lostAt) >= lostServerRetention {
-			delete(c.lostServers, id)
-			c.recordLostLog(l.server, "")
+	for _, l := range c.lostServers {
+		if !l.isRegistered && now.Sub(l.lostAt) >= lostServerRetention {
+			c.recordLoss(l.server)
 		}
 	}
 	c.removeOldLosses(now)
--- a/daemon/internal/fleet/succession.go
+++ b/daemon/internal/fleet/succession.go
@@ -149,33 +149,17 @@
 	return out
 }
 
-// leavingReplicas returns the registered servers, other than the primary, that are
-// about to stop.
-func (c *controller) leavingReplicas(g *backend.Group, primary string) []*backend.Pool {
-	var out []*backend.Pool
-	for _, p := range g.Pools() {
-		server := p.Server()
-		if r := c.servers[server.ID]; server.ID != primary && server.Draining && r != nil && r.missingSince.IsZero() {
-			out = append(out, p)
-		}
-	}
-	return out
-}
-
 // startSuccession starts to replace the primary in the background.
 func (c *controller) startSuccession(g *backend.Group, s *successionState, v succession.View, reason succession.Reason) {
 	h := g.Health()
 	job := &promotion{
-		group: g, reason: reason, primary: g.Primary(), replaced: v.Primary, term: g.HighestTerm(), candidates: c.candidates(g, s, h.Primary),
+		group: g, reason: reason, primary: g.Primary(), replaced: v.Primary, term: g.HighestTerm(), replicas: c.replicaLogs(g, s, h.Primary),
 		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, holders: c.commitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
 		promoter: c.promoter, store: c.store, isSameRegion: c.isSameRegion, unfinished: s.unfinished, lastOrdered: s.unresolvedOrder.Server,
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
-	if job.syncReplicas > 0 {
-		job.leaving = c.leavingReplicas(g, h.Primary)
-	}
 	if c.writeLease != nil {
 		job.revocation = c.newRevocation(g, job)
 		job.holdsDuty = job.revocation.holdsDuty
