Suspend a primary on all hosts while its successor is ordered

Cause: no commit may be acknowledged between the choice of the successor and the moment at which it leads. The holder of the duty only paused the replicas that it knew. One that starts meanwhile is not paused, and its receipts let the commits of the other hosts be acknowledged.

Change: where commits wait for replicas, the holder first makes all hosts that answer stop using the primary, and waits up to 0.5 s for what they have sent to it. If nothing is ordered they use it again, and a suspension ends by itself after 8 s. An attempt first asks without pausing, so one that cannot succeed pauses and suspends nothing. Before the order the holder reads the entries again, and orders nothing if a server has registered that was not asked.

Ruled out: a choice by wrong replies, and a refused pause; both replicas replied with equal logs that did not grow until the promotion.

--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -201,6 +201,17 @@
 	change(s.servers[id])
 }
 
+// Add starts a new replica, to which the log of the primary has been transferred.
+func (s *Service) Add(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	sv := &Server{service: s, id: id, term: s.term, conns: map[*Conn]bool{}}
+	if leader := s.primaryServer(); leader != nil {
+		sv.term, sv.log = leader.term, slices.Clone(leader.log)
+	}
+	s.servers[id] = sv
+}
+
 // SetSyncReplicas replaces Options.SyncReplicas.
 func (s *Service) SetSyncReplicas(n int) {
 	s.mu.Lock()
--- a/daemon/internal/backend/group.go
+++ b/daemon/internal/backend/group.go
@@ -62,6 +62,8 @@
 	// connectionsScarce is true if the limit does not allow minShare connections
 	// for each host.
 	connectionsScarce atomic.Bool
+	// suspended is the suspension of the primary; nil if there is none.
+	suspended atomic.Pointer[suspension]
 	// fewerConnectionsThanHosts is true if the limit does not allow one connection
 	// for each host, or some hosts own the connections.
 	fewerConnectionsThanHosts atomic.Bool
@@ -322,7 +324,7 @@
 // WaitPrimary returns the pool of the primary. It waits while none is known or
 // the known one is suspected to have failed, because the outcome of a write
 // sent to a failed server would be unknown, whereas a write that was not sent
-// can be refused. It fails with ErrNoPrimary when ctx ends, and with
+// can be refused, and while it is suspended. It fails with ErrNoPrimary when ctx ends, and with
 // ErrNoWriteLease if the host has held no lease for writeLeaseWait.
 func (g *Group) WaitPrimary(ctx context.Context) (*Pool, error) {
 	startedAt := g.options.Now()
@@ -333,13 +335,14 @@
 			return nil, ErrNoWriteLease
 		}
 		g.mu.Lock()
-		p, changed, suspected := g.primary, g.primaryChanged, g.probes.isSuspected()
+		p, changed, unusable := g.primary, g.primaryChanged, g.probes.isSuspected()
 		g.mu.Unlock()
-		if p != nil && !suspected && leased {
+		unusable = unusable || p != nil && g.isSuspended(p)
+		if p != nil && !unusable && leased {
 			return p, nil
 		}
 		var poll <-chan time.Time
-		if suspected || !leased {
+		if unusable || !leased {
 			poll = time.After(suspectPollInterval)
 		}
 		select {
--- a/daemon/internal/backend/pool.go
+++ b/daemon/internal/backend/pool.go
@@ -340,15 +340,15 @@
 }
 
 // ExchangeAsPrimary is like Exchange, for statements that only the primary may
-// execute. It fails with ErrNoWriteLease, and sends nothing, if this host may not
-// use the server as the primary.
+// execute. It fails with ErrNoWriteLease or ErrSuspended, and sends nothing, if this host
+// may not use the server as the primary.
 func (c *Conn) ExchangeAsPrimary(deadline time.Time, want Session, requests ...statement.Statement) ([]statement.Answer, bool, error) {
 	// The statement counts as outstanding before the check, so that a revocation
 	// is confirmed only after statements that passed the check have ended.
 	c.pool.outstanding.Add(1)
 	defer c.pool.outstanding.Add(-1)
-	if !c.pool.group.mayUse(c.pool) {
-		return nil, false, ErrNoWriteLease
+	if err := c.pool.group.checkUse(c.pool); err != nil {
+		return nil, false, err
 	}
 	return c.exchange(deadline, true, want, requests)
 }
--- a/daemon/internal/backend/probe.go
+++ b/daemon/internal/backend/probe.go
@@ -256,7 +256,7 @@
 // the server refuses either of them.
 func (g *Group) sendProbe(ctx context.Context, p *Pool, exchange exchangeFunc) error {
 	deadline, _ := ctx.Deadline()
-	sent, leased := g.options.Now(), g.mayUse(p)
+	sent, leased := g.options.Now(), g.checkUse(p) == nil
 	answers, _, err := exchange(deadline, statement.Statement{Kind: statement.Begin}, statement.Statement{Kind: statement.Rollback})
 	if err != nil {
 		return err
--- a/daemon/internal/backend/session.go
+++ b/daemon/internal/backend/session.go
@@ -123,9 +123,11 @@
 		if refused := c.refusedChange(changes, answers); refused != nil {
 			return slices.Repeat([]statement.Answer{*refused}, len(requests)), false, nil
 		}
-		if asPrimary && !c.pool.group.mayUse(c.pool) {
+		if asPrimary {
 			// The lease may have ended since the changes were sent.
-			return nil, false, ErrNoWriteLease
+			if err := c.pool.group.checkUse(c.pool); err != nil {
+				return nil, false, err
+			}
 		}
 	}
 	return c.send(deadline, requests...)
--- a/daemon/internal/backend/writelease.go
+++ b/daemon/internal/backend/writelease.go
@@ -34,10 +34,18 @@
 	return lease == nil || lease.Valid(g.options.Now())
 }
 
-// mayUse reports whether a statement may be sent to the server as the primary.
-func (g *Group) mayUse(p *Pool) bool {
+// checkUse returns nil if a statement may be sent to the server as the primary. It fails
+// with ErrNoWriteLease or ErrSuspended.
+func (g *Group) checkUse(p *Pool) error {
 	lease := g.options.WriteLease
-	return lease == nil || lease.Allows(g.options.Now(), g.name, p.primaryTerm())
+	switch {
+	case lease != nil && !lease.Allows(g.options.Now(), g.name, p.primaryTerm()):
+		return ErrNoWriteLease
+	case g.isSuspended(p):
+		return ErrSuspended
+	default:
+		return nil
+	}
 }
 
 // isRevoked reports whether no server may be used as the primary of the term; 0
@@ -124,14 +132,7 @@
 // reports whether that was so before ctx ended. Statements on a server that does
 // not answer are not waited for.
 func (g *Group) DrainRevoked(ctx context.Context) bool {
-	for g.hasOutstandingOnRevoked() {
-		select {
-		case <-ctx.Done():
-			return false
-		case <-time.After(drainPollInterval):
-		}
-	}
-	return true
+	return poll(ctx, func() bool { return !g.hasOutstandingOnRevoked() })
 }
 
 func (g *Group) hasOutstandingOnRevoked() bool {
@@ -159,5 +160,5 @@
 }
 
 func (g *Group) isOutstandingOnRevoked(p *Pool, now time.Time) bool {
-	return p.outstanding.Load() > 0 && now.Sub(p.LastAnswer()) < lostAnswerAge && g.isRevoked(p.primaryTerm())
+	return p.hasOutstanding(now) && g.isRevoked(p.primaryTerm())
 }
--- a/daemon/internal/control/peerserver.go
+++ b/daemon/internal/control/peerserver.go
@@ -102,6 +102,12 @@
 	return nil, errNoWriteLeases
 }
 
+// Suspend implements peerapi.Peer. It always fails: the owners of a database fence its
+// servers.
+func (PeerServer) Suspend(context.Context, *peerapi.SuspendRequest) (*peerapi.SuspendResponse, error) {
+	return nil, errNoWriteLeases
+}
+
 // Revoke implements peerapi.Peer. It always fails, as WriteLease does.
 func (PeerServer) Revoke(context.Context, *peerapi.RevokeRequest) (*peerapi.RevokeResponse, error) {
 	return nil, errNoWriteLeases
--- a/daemon/internal/control/simulation_test.go
+++ b/daemon/internal/control/simulation_test.go
@@ -641,6 +641,10 @@
 	return callPeer(ctx, l, r, PeerServer.WriteLease)
 }
 
+func (l link) Suspend(ctx context.Context, r *peerapi.SuspendRequest) (*peerapi.SuspendResponse, error) {
+	return callPeer(ctx, l, r, PeerServer.Suspend)
+}
+
 func (l link) Revoke(ctx context.Context, r *peerapi.RevokeRequest) (*peerapi.RevokeResponse, error) {
 	return callPeer(ctx, l, r, PeerServer.Revoke)
 }
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -274,6 +274,15 @@
 	return s.Revoke(ctx, q)
 }
 
+func (r remotePeer) Suspend(ctx context.Context, q *peerapi.SuspendRequest) (*peerapi.SuspendResponse, error) {
+	s, err := r.server(ctx)
+	if err != nil {
+		return nil, err
+	}
+	time.Sleep(r.d.network.delay(r.from, r.address))
+	return s.Suspend(ctx, q)
+}
+
 func (r remotePeer) Samples(ctx context.Context, q *peerapi.SamplesRequest) (*peerapi.SamplesResponse, error) {
 	s, err := r.server(ctx)
 	if err != nil {
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -52,6 +52,10 @@
 	promoter     objects.Promoter
 	store        objects.Store
 	isSameRegion func(zone string) bool
+	// suspension precedes the choice of the successor; nil if there is nothing to suspend.
+	suspension *suspension
+	// paused is true once replicas were told to pause.
+	paused bool
 	// revocation precedes the order; nil if the platform stops replaced primaries.
 	revocation *revocation
 	// holdsDuty reports whether this host still holds the duty; nil if the platform
@@ -73,12 +77,17 @@
 // errNoSuccessor means that no successor was chosen. Nothing was ordered.
 var errNoSuccessor = errors.New("no replica can safely be promoted")
 
-// run replaces the primary. If that fails, replicas that it paused resume, unless an
-// order may still be carried out: its server lacks what others receive from now on.
+// run replaces the primary. If that fails, replicas that it paused resume and hosts use
+// the primary again, unless an order may still be carried out: its server lacks what
+// others receive from now on.
 func (p *promotion) run(ctx context.Context) error {
 	err := p.replace(ctx)
-	if err != nil && p.pausesReplicas() && !p.unresolved && !p.unfinished {
-		p.resumeReplicas(ctx)
+	if err == nil || !p.paused || p.unresolved || p.unfinished {
+		return err
+	}
+	p.resumeReplicas(ctx)
+	if p.suspension != nil {
+		p.suspension.end(ctx)
 	}
 	return err
 }
@@ -113,6 +122,15 @@
 	if p.reason == succession.PrimaryDraining && p.syncReplicas > 0 && p.primary != nil {
 		return p.awaitFollower(ctx)
 	}
+	if p.pausesReplicas() && !p.unfinished {
+		// Without a successor, nothing is suspended or paused.
+		if best, err := p.chooseSuccessor(p.ask(ctx, statement.Statement{Kind: statement.Status})); err != nil {
+			return best, err
+		}
+	}
+	if p.suspension != nil {
+		p.suspension.begin(ctx)
+	}
 	return p.chooseSuccessor(p.queryReplicas(ctx))
 }
 
@@ -162,9 +180,10 @@
 	return succession.Replica{}, fmt.Errorf("%w: got %d replies, need %d, of which %d for lost logs, and no longer log of a leaving server", errNoSuccessor, len(replicas), needed, p.holders.lost)
 }
 
-// confirmLogs fails with errNoSuccessor if a replica may have started again without its
-// log before it replied, while its entry in the store had not arrived here. That does not
-// matter if the successor has all that the primary had when it stepped down.
+// confirmLogs fails with errNoSuccessor if a server has registered that was not asked, or
+// a replica may have started again without its log before it replied, while its entry in
+// the store had not arrived here. Neither matters if the successor has all that the primary
+// had when it stepped down.
 func (p *promotion) confirmLogs(ctx context.Context, best succession.Replica) error {
 	if p.syncReplicas == 0 || p.logEnd != (group.Position{}) && best.Received.Compare(p.logEnd) >= 0 {
 		return nil
@@ -175,10 +194,18 @@
 	if err != nil {
 		return fmt.Errorf("%w: entries of the replicas could not be read: %w", errNoSuccessor, err)
 	}
+	asked := map[logID]bool{}
+	for _, r := range p.replicas {
+		asked[logOf(r.server)] = true
+	}
 	registered := map[logID]bool{}
 	for _, o := range list.Objects {
-		if o.Server != nil {
-			registered[logOf(*o.Server)] = true
+		if o.Server == nil || o.Server.Service != p.group.Name() {
+			continue
+		}
+		registered[logOf(*o.Server)] = true
+		if !asked[logOf(*o.Server)] && o.Server.ID != p.replaced {
+			return fmt.Errorf("%w: server %s has registered since", errNoSuccessor, o.Server.ID)
 		}
 	}
 	for _, r := range p.replicas {
--- a/daemon/internal/fleet/replicas.go
+++ b/daemon/internal/fleet/replicas.go
@@ -61,12 +61,17 @@
 // replicas, it pauses replication first, so that no commit is acknowledged after the
 // choice that the successor lacks.
 func (p *promotion) queryReplicas(ctx context.Context) []succession.Replica {
-	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
-	defer cancel()
-	command := statement.Statement{Kind: statement.Status}
 	if p.pausesReplicas() {
-		command = statement.Statement{Kind: statement.Pause, Term: p.term + 1}
+		p.paused = true
+		return p.ask(ctx, statement.Statement{Kind: statement.Pause, Term: p.term + 1})
 	}
+	return p.ask(ctx, statement.Statement{Kind: statement.Status})
+}
+
+// ask sends a command to the replicas and returns the state of those that reply.
+func (p *promotion) ask(ctx context.Context, command statement.Statement) []succession.Replica {
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
 	replies := make([]*backend.LogReply, len(p.replicas))
 	var commands sync.WaitGroup
 	for i, r := range p.replicas {
--- a/daemon/internal/fleet/succession.go
+++ b/daemon/internal/fleet/succession.go
@@ -160,6 +160,7 @@
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
+	job.suspension = c.newSuspension(g, job)
 	if c.writeLease != nil {
 		job.revocation = c.newRevocation(g, job)
 		job.holdsDuty = job.revocation.holdsDuty
