Count a reply only for the process whose log it is about

Cause: the holder of the duty took a reply for one of the log whose entry it knew, though nothing in a reply tells which start of a server sent it. The new entry came seconds later, and the check of the entries before the order read the same outdated one.

Change: a reply counts for a log only over a connection that is proven to reach that log's process: the server wrote the entry after the connection was opened, or the entry has not lapsed in the time in which it would have. Otherwise the log counts as lost when the connection was opened, until a replica covers that. The holder keeps its connections, and the setting heartbeat_interval tells when an entry lapses.

--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -231,13 +231,20 @@
 	s.updateServer(id, func(sv *Server) {
 		s.receiveAll(time.Now())
 		sv.down = true
-		for c := range sv.conns {
-			c.closed = true
-		}
-		clear(sv.conns)
+		sv.closeConns()
 	})
 }
 
+func (sv *Server) closeConns() {
+	for c := range sv.conns {
+		c.closed = true
+	}
+	clear(sv.conns)
+}
+
+// CloseConnections closes all connections to a server that goes on running.
+func (s *Service) CloseConnections(id string) { s.updateServer(id, (*Server).closeConns) }
+
 // CrashPrimary crashes the primary, if there is one.
 func (s *Service) CrashPrimary() {
 	if id := s.Primary(); id != "" {
--- a/daemon/internal/fleet/control.go
+++ b/daemon/internal/fleet/control.go
@@ -96,6 +96,8 @@
 	// watchWait is how long a watch waits for a change. It bounds the delay of
 	// changes that the store fails to report.
 	watchWait time.Duration
+	// heartbeatInterval is the time between the heartbeats of a backend server.
+	heartbeatInterval time.Duration
 	// now returns the current time. Its clock must also advance while the host is
 	// suspended.
 	now func() time.Time
@@ -132,9 +134,14 @@
 	lostLogs   map[logID]lostLog
 	logRecords logRecords
 	// logSessions holds the holder's sessions with the servers whose logs it follows.
-	logSessions   map[logID]*backend.LogSession
-	serversListed bool
-	draining      bool
+	logSessions map[logID]*backend.LogSession
+	// logProofs holds when the connection was opened that is known to reach the process
+	// whose log it is, by log.
+	logProofs map[logID]time.Time
+	// serversRegainedAt is when the entries of servers could last be read again.
+	serversRegainedAt time.Time
+	serversListed     bool
+	draining          bool
 	// departure is the planned stop of this host until the duty is handed over; nil
 	// before and after that.
 	departure *departure
@@ -198,7 +205,7 @@
 func newController(o options) *controller {
 	c := &controller{
 		options: o, published: &PublishedView{}, events: make(chan func(), eventQueueSize),
-		groups: map[string]*backend.Group{}, servers: map[string]*registeredServer{}, lastRegistered: map[string]time.Time{}, lostServers: map[string]lostServer{}, departedServers: map[string]departedServer{}, lostLogs: map[logID]lostLog{}, logSessions: map[logID]*backend.LogSession{}, hostCount: defaultHostCount,
+		groups: map[string]*backend.Group{}, servers: map[string]*registeredServer{}, lastRegistered: map[string]time.Time{}, lostServers: map[string]lostServer{}, departedServers: map[string]departedServer{}, lostLogs: map[logID]lostLog{}, logSessions: map[logID]*backend.LogSession{}, logProofs: map[logID]time.Time{}, hostCount: defaultHostCount,
 		failingSince: map[objects.Kind]time.Time{},
 		lease:        lease.New(o.host, o.incarnation, rand.N(maxTakeoverDelay)),
 		reports:      map[string]receivedReport{},
@@ -268,6 +275,9 @@
 	c.observeEra(ch.revision)
 	if since, failed := c.failingSince[ch.kind]; failed {
 		delete(c.failingSince, ch.kind)
+		if ch.kind == objects.Servers {
+			c.serversRegainedAt = c.now()
+		}
 		c.log.WithFields(logrus.Fields{"event": "store_regained", "kind": ch.kind.String(), "lost_ms": c.now().Sub(since).Milliseconds()}).
 			Info("object store answers again; following its changes")
 	}
--- a/daemon/internal/fleet/fleet_test.go
+++ b/daemon/internal/fleet/fleet_test.go
@@ -192,7 +192,7 @@
 	c := newController(options{
 		host: name, incarnation: fmt.Sprint(len(d.hosts)), zone: d.zoneOf(name), zones: map[string]string{"a": "r"},
 		peerAddress: name, peer: func(address string) peerapi.Peer { return remotePeer{d: d, from: name, address: address} },
-		store: objectstest.Client{Store: d.store, Host: name}, promoter: recordingPromoter{d}, watchWait: 3750 * time.Millisecond,
+		store: objectstest.Client{Store: d.store, Host: name}, promoter: recordingPromoter{d}, watchWait: 3750 * time.Millisecond, heartbeatInterval: heartbeatInterval,
 		now: time.Now, scope: tally.NoopScope, log: logrus.NewEntry(log),
 		groups: backend.Options{Backends: d.network.backends(name, statementtest.Backends{d.service}), Recorder: countingRecorder{d.opened[name]}, Now: time.Now,
 			Zone: "a", RegionOf: map[string]string{"a": "r"}, WriteLease: writeLease},
--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -99,8 +99,9 @@
 		host: s.Host, incarnation: strconv.FormatInt(time.Now().UnixNano(), 36), zone: s.AvailabilityZone, zones: s.Zones,
 		peerAddress: s.PeerListen, peer: h.peers.Peer,
 		store: p.Store, promoter: p.Promoter, now: bootTime, scope: h.metrics.Scope(), log: log,
-		watchWait: time.Duration(watchTimeoutShare * float64(s.CatchUpTimeout)),
-		groups:    backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones, WriteLease: lease},
+		heartbeatInterval: s.HeartbeatInterval,
+		watchWait:         time.Duration(watchTimeoutShare * float64(s.CatchUpTimeout)),
+		groups:            backend.Options{Backends: p.Backends, Recorder: recorder, Now: bootTime, Zone: s.AvailabilityZone, RegionOf: s.Zones, WriteLease: lease},
 	})
 	h.front = front.NewServer(front.Options{Catalog: h.control.published, Recorder: recorder, Wrap: p.Wrap, Now: bootTime})
 	return h
--- a/daemon/internal/fleet/logsessions.go
+++ b/daemon/internal/fleet/logsessions.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/gypsumgap/gypsumgap/core/group"
+	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/statement"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
@@ -14,9 +15,52 @@
 // The holder of the promotion duty keeps a session with each server whose log may hold
 // acknowledged commits, also with one whose entry has lapsed: the entry shows whether a
 // server reaches the store, the session whether it still runs and what it has received.
+//
+// A server that starts again under its ID without its log may reply before its new entry
+// is seen. A reply therefore counts for the log whose entry is known only if it came over
+// a connection that is proven to reach that log's process: a connection reaches one
+// process for as long as it lasts.
 
-// logPollTimeout bounds the poll of one log.
-const logPollTimeout = 300 * time.Millisecond
+const (
+	// logPollTimeout bounds the poll of one log.
+	logPollTimeout = 300 * time.Millisecond
+	// lapseHeartbeats is the number of heartbeats without which an entry lapses, and
+	// lapseMargin the time after that by which it is gone.
+	lapseHeartbeats = 3
+	lapseMargin     = 500 * time.Millisecond
+	// minRestartTime is the shortest time in which a server that has just written its
+	// entry ends and another process accepts connections in its place.
+	minRestartTime = 250 * time.Millisecond
+)
+
+// updateProof records whether a connection is proven to reach the process of a log.
+func (c *controller) updateProof(id logID, connectedAt time.Time) {
+	if !c.logProofs[id].Equal(connectedAt) {
+		delete(c.logProofs, id)
+	}
+	if c.isProven(id, connectedAt) {
+		c.logProofs[id] = connectedAt
+	}
+}
+
+// isProven reports whether the server with the known entry must have been alive after a
+// connection to its address was opened: it wrote the entry after that, or just before, or
+// the entry would have lapsed otherwise. An entry may outlive its server while the store
+// does not answer.
+func (c *controller) isProven(id logID, connectedAt time.Time) bool {
+	r := c.servers[id.server]
+	if r == nil || logOf(r.server) != id || !r.missingSince.IsZero() {
+		return false
+	}
+	if connectedAt.Sub(r.writtenAt) <= minRestartTime {
+		return true
+	}
+	if _, failing := c.failingSince[objects.Servers]; failing {
+		return false
+	}
+	now, lapse := c.now(), lapseHeartbeats*c.heartbeatInterval+lapseMargin
+	return now.Sub(connectedAt) >= lapse && now.Sub(c.serversRegainedAt) >= lapse && now.Sub(c.eraSeenAt) >= lapse
+}
 
 // trackLogs opens the sessions with the servers of a service and closes those with
 // servers that count no more.
@@ -48,6 +92,7 @@
 	// A command may be running.
 	go c.logSessions[id].Close()
 	delete(c.logSessions, id)
+	delete(c.logProofs, id)
 }
 
 func (c *controller) closeLogSessions() {
@@ -110,6 +155,9 @@
 			c.recordEnd(p.id, p.err)
 			continue
 		}
+		if c.logSessions[p.id] != nil {
+			c.updateProof(p.id, p.reply.ConnectedAt)
+		}
 		if !p.reply.Primary && p.reply.Received.Compare(longest) > 0 {
 			longest = p.reply.Received
 		}
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -62,8 +62,10 @@
 	// checks fencing tokens.
 	holdsDuty func() bool
 	log       *logrus.Entry
-	// answered is the number of replicas that replied last.
+	// answered is the number of replicas that replied last, and doubts are their doubtful
+	// replies.
 	answered int
+	doubts   doubts
 	// logEnd is the end of the primary's log when it stepped down; zero if it did not. A
 	// replica that has it has every acknowledged commit.
 	logEnd group.Position
@@ -159,6 +161,9 @@
 // chooseSuccessor returns the replica to promote. It fails with errNoSuccessor if an
 // acknowledged commit may be missing in the logs of the replicas that replied.
 //
+// A reply may be from a process that has started without the log it was asked for. That log
+// counts as lost, at the latest when the connection was opened.
+//
 // A lost log has received no commit since its loss. A log that reaches the position which
 // the primary had after that holds everything that the lost one could hold, so its reply
 // is not needed.
@@ -166,18 +171,23 @@
 	if best, ok := succession.Longest(replicas); ok && p.logEnd != (group.Position{}) && best.Received.Compare(p.logEnd) >= 0 {
 		return best, nil
 	}
-	needed := p.requiredReplies(p.holders.servers + p.holders.lost)
+	lost, lostAt := p.holders.lost+p.doubts.count, p.holders.lostAt
+	if p.doubts.lostAt.After(lostAt) {
+		lostAt = p.doubts.lostAt
+	}
+	needed := p.requiredReplies(p.holders.servers + lost)
 	if best, ok := succession.Successor(replicas, needed); ok {
 		return best, nil
 	}
-	if p.holders.lost > 0 {
+	if lost > 0 {
 		best, ok := succession.Successor(replicas, p.requiredReplies(p.holders.servers))
-		position, known := p.group.Freshness.LowestCovering(p.holders.lostAt)
+		position, known := p.group.Freshness.LowestCovering(lostAt)
 		if ok && known && best.Received.Compare(position) >= 0 {
 			return best, nil
 		}
 	}
-	return succession.Replica{}, fmt.Errorf("%w: got %d replies, need %d, of which %d for lost logs, and no longer log of a leaving server", errNoSuccessor, len(replicas), needed, p.holders.lost)
+	return succession.Replica{}, fmt.Errorf("%w: got %d replies, need %d, of which %d for lost logs and %d for doubtful replies, and no longer log of a leaving server",
+		errNoSuccessor, len(replicas), needed, p.holders.lost, p.doubts.count)
 }
 
 // confirmLogs fails with errNoSuccessor if a server has registered that was not asked, or
--- a/daemon/internal/fleet/replicas.go
+++ b/daemon/internal/fleet/replicas.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -21,7 +22,10 @@
 	mayLead bool
 	// isRegistered is false if the entry of the server has lapsed.
 	isRegistered bool
-	send         func(context.Context, statement.Statement) (backend.LogReply, error)
+	// provenAt is when the connection was opened that is known to reach the process of the
+	// log; zero if none is.
+	provenAt time.Time
+	send     func(context.Context, statement.Statement) (backend.LogReply, error)
 }
 
 // replicaLogs returns the replicas to ask about the successor of a primary. Where commits
@@ -43,7 +47,7 @@
 		if server := session.Server(); server.Service == g.Name() && server.ID != primary {
 			r := c.servers[server.ID]
 			out = append(out, replicaLog{server: server, mayLead: mayLead[server.ID] && logOf(r.server) == id,
-				isRegistered: r != nil && r.missingSince.IsZero() && logOf(r.server) == id, send: session.Send})
+				isRegistered: r != nil && r.missingSince.IsZero() && logOf(r.server) == id, provenAt: c.logProofs[id], send: session.Send})
 		}
 	}
 	return out
@@ -57,6 +61,21 @@
 	}
 }
 
+// doubts are the replies that may be from processes which have started without the logs
+// for which they were asked. Each such log counts as lost when the connection was opened.
+type doubts struct {
+	count int
+	// lostAt is when the last of the logs was lost, at the latest.
+	lostAt time.Time
+}
+
+func (d *doubts) add(connectedAt time.Time) {
+	d.count++
+	if connectedAt.After(d.lostAt) {
+		d.lostAt = connectedAt
+	}
+}
+
 // queryReplicas returns the state of the replicas that reply. If commits wait for
 // replicas, it pauses replication first, so that no commit is acknowledged after the
 // choice that the successor lacks.
@@ -83,10 +102,14 @@
 	}
 	commands.Wait()
 	var out []succession.Replica
+	p.doubts = doubts{}
 	for i, reply := range replies {
 		if reply == nil {
 			continue
 		}
+		if r := p.replicas[i]; p.syncReplicas > 0 && (r.provenAt.IsZero() || !r.provenAt.Equal(reply.ConnectedAt)) {
+			p.doubts.add(reply.ConnectedAt)
+		}
 		p.term = max(p.term, reply.Term, reply.Received.Term)
 		// A replaced primary that has not noticed it cannot be promoted.
 		if p.revocation == nil || !reply.Primary {
--- a/daemon/internal/fleet/servers.go
+++ b/daemon/internal/fleet/servers.go
@@ -31,6 +31,9 @@
 	server catalog.Server
 	// missingSince is when the entry lapsed; zero while the entry exists.
 	missingSince time.Time
+	// writtenAt is when this host saw that the server had just written its entry; zero if
+	// it has only found the entry.
+	writtenAt time.Time
 }
 
 // lostServer is a backend server whose entry has lapsed and that is not used any more. Its
@@ -63,6 +66,9 @@
 		}
 		seen[o.Name] = true
 		c.registerServer(*o.Server)
+		if r := c.servers[o.Name]; r != nil && !ch.full {
+			r.writtenAt = now
+		}
 	}
 	if ch.full {
 		c.serversListed = true
@@ -103,6 +109,8 @@
 	}
 	c.recordSuccessors(s)
 	c.servers[s.ID] = &registeredServer{server: s}
+	// Its session is opened at once, see isProven.
+	delete(c.logRecords.polledAt, s.Service)
 	delete(c.lostServers, s.ID)
 	delete(c.departedServers, s.ID)
 	delete(c.lostLogs, logOf(s))
--- a/daemon/internal/fleet/settings.go
+++ b/daemon/internal/fleet/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"net/netip"
 	"os"
@@ -42,6 +43,9 @@
 	// CatchUpTimeout is the time after a failure of the store, or of connections
 	// to it, within which the host must have learned every change.
 	CatchUpTimeout time.Duration `yaml:"-"`
+	// HeartbeatInterval is the time between the heartbeats of a backend server. The
+	// platform removes its entry after three intervals without one.
+	HeartbeatInterval time.Duration `yaml:"-"`
 	// PlatformFencing is true if the platform stops a replaced primary and checks
 	// fencing tokens. Otherwise the hosts use write leases.
 	PlatformFencing bool `yaml:"platform_fencing"`
@@ -53,11 +57,15 @@
 // file is the form of the settings in the file, which holds durations as
 // strings.
 type file struct {
-	Settings       `yaml:",inline"`
-	StopTimeout    string `yaml:"stop_timeout"`
-	CatchUpTimeout string `yaml:"catch_up_timeout"`
+	Settings          `yaml:",inline"`
+	StopTimeout       string `yaml:"stop_timeout"`
+	CatchUpTimeout    string `yaml:"catch_up_timeout"`
+	HeartbeatInterval string `yaml:"heartbeat_interval"`
 }
 
+// defaultHeartbeatInterval applies if the settings give no heartbeat_interval.
+const defaultHeartbeatInterval = "1200ms"
+
 // IsStatements reports whether the data are settings of this package.
 func IsStatements(data []byte) bool {
 	var s struct {
@@ -88,6 +96,7 @@
 		return nil, findings.Err()
 	}
 	s := f.Settings
+	f.HeartbeatInterval = cmp.Or(f.HeartbeatInterval, defaultHeartbeatInterval)
 	for _, required := range []struct{ key, value string }{
 		{"host", s.Host}, {"availability_zone", s.AvailabilityZone},
 	} {
@@ -109,7 +118,8 @@
 	for _, duration := range []struct {
 		key, text string
 		to        *time.Duration
-	}{{"stop_timeout", f.StopTimeout, &s.StopTimeout}, {"catch_up_timeout", f.CatchUpTimeout, &s.CatchUpTimeout}} {
+	}{{"stop_timeout", f.StopTimeout, &s.StopTimeout}, {"catch_up_timeout", f.CatchUpTimeout, &s.CatchUpTimeout},
+		{"heartbeat_interval", f.HeartbeatInterval, &s.HeartbeatInterval}} {
 		d, err := time.ParseDuration(duration.text)
 		if err != nil || d <= 0 {
 			findings.Errorf(place, "a positive duration with a unit, such as 6s", "setting %s is %q", duration.key, duration.text)
--- a/daemon/internal/fleet/settings_test.go
+++ b/daemon/internal/fleet/settings_test.go
@@ -20,6 +20,7 @@
 promotions: 10.0.0.9:81
 stop_timeout: 6s
 catch_up_timeout: 5000ms
+heartbeat_interval: 900ms
 memory_limit_mb: 206
 platform_fencing: true
 `
@@ -30,7 +31,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.Host != "h1" || s.Zones["b"] != "s" || s.StopTimeout != 6*time.Second || s.CatchUpTimeout != 5*time.Second || s.MemoryLimitMB != 206 || !s.PlatformFencing {
+	if s.Host != "h1" || s.Zones["b"] != "s" || s.StopTimeout != 6*time.Second || s.CatchUpTimeout != 5*time.Second || s.HeartbeatInterval != 900*time.Millisecond || s.MemoryLimitMB != 206 || !s.PlatformFencing {
 		t.Errorf("got settings %+v, want those of the file", s)
 	}
 	if !IsStatements([]byte(goodSettings)) || IsStatements([]byte("host: e1\n")) {
@@ -48,6 +49,7 @@
 		{"host: h1\n", "", []string{"host"}},
 		{"10.0.0.9:80\n", "store\n", []string{"setting store", "10.0.1.1:6432"}},
 		{"zones: {a: r, b: s}", "zones: {b: s}", []string{"zones", `"a"`}},
+		{"heartbeat_interval: 900ms", "heartbeat_interval: soon", []string{"heartbeat_interval"}},
 		{"stop_timeout: 6s\ncatch_up_timeout: 5000ms", "stop_timeout: 0s", []string{"stop_timeout", "catch_up_timeout"}},
 		{"206", "-1", []string{"memory_limit_mb"}},
 		{"host: h1", "hots: h1", []string{"hots"}},
