Complete the replacement of a primary that a lost holder has begun

Cause: that a replacement had begun was known to its holder only. Nobody else resumed the replicas that it had paused, nor knew that its order might still be carried out.

Change: the holder stores that it replaces the primary, in the record of the service's logs, before it suspends or pauses anything. The next holder completes the replacement with its higher token. If the former primary answers, this is a planned change, with the hosts kept away from it while the replicas resume and one follows. Paused replicas are resumed if nothing is pending. A holder that may have lost the duty orders nothing.

--- a/core/statement/statementtest/conn.go
+++ b/core/statement/statementtest/conn.go
@@ -248,13 +248,13 @@
 	return statement.Answer{}
 }
 
-// status returns the role of the server and the term that it holds.
+// status returns the role of the server, the term that it holds and that of a pause.
 func (sv *Server) status() string {
 	role := "replica"
 	if sv.primary {
 		role = "primary"
 	}
-	return fmt.Sprintf("%s %d", role, sv.term)
+	return fmt.Sprintf("%s %d %d", role, sv.term, sv.pauseTerm)
 }
 
 func (c *Conn) begin(r statement.Statement) statement.Answer {
--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -277,6 +277,11 @@
 	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.replicationPaused = paused })
 }
 
+// Pause makes a replica receive nothing, as the command does.
+func (s *Service) Pause(id string, term group.Term) {
+	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.pauseTerm = term })
+}
+
 // SetIsolated cuts a server off from the other servers, or reconnects it.
 func (s *Service) SetIsolated(id string, isolated bool) {
 	s.updateServer(id, func(sv *Server) { sv.receive(time.Now()); sv.isolated = isolated })
@@ -492,11 +497,11 @@
 		return statement.ServerStatus{}, fmt.Errorf("status query failed: %s", a.Code)
 	}
 	var role string
-	var term group.Term
-	if _, err := fmt.Sscanf(a.Rows[0], "%s %d", &role, &term); err != nil {
+	var term, pauseTerm group.Term
+	if _, err := fmt.Sscanf(a.Rows[0], "%s %d %d", &role, &term, &pauseTerm); err != nil {
 		return statement.ServerStatus{}, fmt.Errorf("status %q: %w", a.Rows[0], err)
 	}
-	return statement.ServerStatus{Primary: role == "primary", Term: term, Received: a.Position}, nil
+	return statement.ServerStatus{Primary: role == "primary", Term: term, Received: a.Position, PauseTerm: pauseTerm}, nil
 }
 
 // ErrClosed is the error of statements on a closed connection.
--- a/daemon/internal/fleet/commitlogs.go
+++ b/daemon/internal/fleet/commitlogs.go
@@ -26,8 +26,9 @@
 //
 // All hosts learn of losses from the entries of the servers. The holder of the promotion
 // duty also stores the logs of each service that waits for replicas, so that a host that
-// has started since finds the losses that it has not seen. It reads them when it takes
-// the duty over, and writes them only when they change.
+// has started since finds the losses that it has not seen. With them it stores that a
+// replacement of the primary has begun; see pendingReplacement. It reads the records when
+// it takes the duty over, and writes them only when they change.
 
 const (
 	// lostLogRetention is how long a host remembers a lost log, unless it holds the duty
@@ -124,6 +125,8 @@
 // commits.
 type logRecord struct {
 	Logs []recordedLog `json:"logs"`
+	// Pending is the replacement of the primary that has begun; nil if there is none.
+	Pending *pendingReplacement `json:"pending,omitempty"`
 }
 
 type recordedLog struct {
@@ -228,6 +231,7 @@
 func (c *controller) mergeLogRecord(service string, record logRecord) {
 	now := c.now()
 	live, recorded := c.liveLogs(service), map[logID]bool{}
+	c.adoptReplacement(service, record.Pending)
 	for _, l := range record.Logs {
 		id := logID{l.Server, l.StartedUnixMilli}
 		recorded[id] = true
@@ -262,7 +266,7 @@
 
 // storeLogRecord writes the record of a service if it has changed.
 func (c *controller) storeLogRecord(service string) {
-	record := logRecord{Logs: []recordedLog{}}
+	record := logRecord{Logs: []recordedLog{}, Pending: c.successionOf(service).pending}
 	for id := range c.liveLogs(service) {
 		record.Logs = append(record.Logs, recordedLog{Server: id.server, StartedUnixMilli: id.startedUnixMilli})
 	}
@@ -283,7 +287,12 @@
 			return nil, err
 		}
 		written.Value = value
-		return func() { c.logRecords.stored[service] = written }, nil
+		return func() {
+			c.logRecords.stored[service] = written
+			// A replacement may wait for its record, as may the record of another service.
+			c.stepLogRecords()
+			c.stepSuccession()
+		}, nil
 	})
 }
 
--- a/daemon/internal/fleet/lateorder_test.go
+++ b/daemon/internal/fleet/lateorder_test.go
@@ -23,6 +23,7 @@
 	for n := 0; time.Now().Before(until); n++ {
 		f.write(fmt.Sprint(name, n))
 		f.checkPromotion()
+		time.Sleep(5 * time.Millisecond)
 	}
 }
 
--- a/daemon/internal/fleet/logsessions.go
+++ b/daemon/internal/fleet/logsessions.go
@@ -6,6 +6,8 @@
 	"syscall"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/gypsumgap/gypsumgap/core/group"
 	"github.com/gypsumgap/gypsumgap/core/objects"
 	"github.com/gypsumgap/gypsumgap/core/statement"
@@ -157,6 +159,7 @@
 		}
 		if c.logSessions[p.id] != nil {
 			c.updateProof(p.id, p.reply.ConnectedAt)
+			c.resumeForgotten(g.Name(), p)
 		}
 		if !p.reply.Primary && p.reply.Received.Compare(longest) > 0 {
 			longest = p.reply.Received
@@ -165,6 +168,23 @@
 	c.forgetCoveredLogs(g, lost, longest)
 }
 
+// resumeForgotten resumes a replica that is paused although no replacement of the primary
+// runs or is pending, because it could not be told so when one failed.
+func (c *controller) resumeForgotten(service string, p logPoll) {
+	s := c.successionOf(service)
+	if p.reply.PauseTerm == 0 || p.reply.Primary || s.running || s.pending != nil {
+		return
+	}
+	c.log.WithFields(logrus.Fields{"event": "replica_resumed", "service": service, "server": p.id.server}).
+		Info("replica is paused although its primary is not being replaced; resuming it")
+	session := c.logSessions[p.id]
+	c.runAsync(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+		defer cancel()
+		_, _ = session.Send(ctx, statement.Statement{Kind: statement.Resume})
+	})
+}
+
 // recordEnd records that a server that had announced its stop has ended, if the error of
 // its session shows that no such process listens at its address any more. A server that
 // crashed may come back with its log.
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -34,9 +34,14 @@
 
 // promotion is one replacement of a primary.
 type promotion struct {
-	group   *backend.Group
-	reason  succession.Reason
-	primary *backend.Pool
+	group  *backend.Group
+	reason succession.Reason
+	// isPlanned is true if the primary can be asked to step down, so that the replicas
+	// need not be paused.
+	isPlanned bool
+	// isRecorded is true if the record of the service shows this replacement.
+	isRecorded bool
+	primary    *backend.Pool
 	// replaced is the ID of the primary; empty if there was none.
 	replaced string
 	// term is the highest known term of the service.
@@ -59,7 +64,7 @@
 	// revocation precedes the order; nil if the platform stops replaced primaries.
 	revocation *revocation
 	// holdsDuty reports whether this host still holds the duty; nil if the platform
-	// checks fencing tokens.
+	// checks fencing tokens and commits do not wait for replicas.
 	holdsDuty func() bool
 	log       *logrus.Entry
 	// answered is the number of replicas that replied last, and doubts are their doubtful
@@ -79,6 +84,10 @@
 // errNoSuccessor means that no successor was chosen. Nothing was ordered.
 var errNoSuccessor = errors.New("no replica can safely be promoted")
 
+// errNotRecorded means that a successor can be chosen once the replacement is recorded.
+// Nothing was changed.
+var errNotRecorded = errors.New("replacement of the primary is not recorded yet")
+
 // run replaces the primary. If that fails, replicas that it paused resume and hosts use
 // the primary again, unless an order may still be carried out: its server lacks what
 // others receive from now on.
@@ -105,7 +114,7 @@
 		if best, err = p.revokePrimary(ctx); err != nil {
 			return err
 		}
-	case p.reason == succession.PrimaryDraining:
+	case p.isPlanned:
 		if best, err = p.demotePrimary(ctx, best); err != nil && p.syncReplicas > 0 {
 			return err
 		}
@@ -121,25 +130,32 @@
 
 // firstChoice returns the replica that would be promoted now.
 func (p *promotion) firstChoice(ctx context.Context) (succession.Replica, error) {
-	if p.reason == succession.PrimaryDraining && p.syncReplicas > 0 && p.primary != nil {
-		return p.awaitFollower(ctx)
-	}
 	if p.pausesReplicas() && !p.unfinished {
-		// Without a successor, nothing is suspended or paused.
-		if best, err := p.chooseSuccessor(p.ask(ctx, statement.Statement{Kind: statement.Status})); err != nil {
+		// Without a successor, nothing is recorded, suspended or paused.
+		best, err := p.chooseSuccessor(p.ask(ctx, statement.Statement{Kind: statement.Status}))
+		if err != nil {
 			return best, err
 		}
+		if !p.isRecorded {
+			return best, errNotRecorded
+		}
 	}
 	if p.suspension != nil {
 		p.suspension.begin(ctx)
 	}
+	if p.isPlanned && p.syncReplicas > 0 && p.primary != nil {
+		if p.unfinished {
+			p.resumeReplicas(ctx)
+		}
+		return p.awaitFollower(ctx)
+	}
 	return p.chooseSuccessor(p.queryReplicas(ctx))
 }
 
-// awaitFollower waits until a candidate has what a draining primary has now, for
-// catchUpTimeout at most. Such a candidate will also have the rest once the primary has
-// stepped down. Without one, the primary must not step down, since nothing may be able
-// to replace it.
+// awaitFollower waits until a candidate has what a primary has now that can be asked to
+// step down, for catchUpTimeout at most. Such a candidate will also have the rest once the
+// primary has stepped down. Without one, the primary must not step down, since nothing may
+// be able to replace it.
 func (p *promotion) awaitFollower(ctx context.Context) (succession.Replica, error) {
 	commandCtx, cancel := context.WithTimeout(ctx, commandTimeout)
 	status, err := p.primary.SendCommand(commandCtx, statement.Statement{Kind: statement.Status})
@@ -153,7 +169,7 @@
 			return best, nil
 		}
 		if !time.Now().Before(until) {
-			return best, fmt.Errorf("%w: none follows the draining primary", errNoSuccessor)
+			return best, fmt.Errorf("%w: none follows the primary", errNoSuccessor)
 		}
 	}
 }
@@ -239,10 +255,10 @@
 // pausesReplicas reports whether replication is paused before the successor is
 // chosen.
 func (p *promotion) pausesReplicas() bool {
-	return p.syncReplicas > 0 && p.reason != succession.PrimaryDraining
+	return p.syncReplicas > 0 && !p.isPlanned
 }
 
-// demotePrimary makes a draining primary a replica, so that it accepts no more
+// demotePrimary makes the primary a replica, so that it accepts no more
 // commits, and waits until a candidate has received everything that it
 // committed.
 func (p *promotion) demotePrimary(ctx context.Context, best succession.Replica) (succession.Replica, error) {
@@ -261,7 +277,7 @@
 	defer cancel()
 	status, err := p.primary.SendCommand(ctx, statement.Statement{Kind: statement.Demote, Term: p.term + 1})
 	if err != nil {
-		p.log.WithField("event", "step_down_failed").WithError(err).Warn("draining primary did not accept the command to step down")
+		p.log.WithField("event", "step_down_failed").WithError(err).Warn("primary did not accept the command to step down")
 		return err
 	}
 	p.logEnd = status.Received
--- a/daemon/internal/fleet/succession.go
+++ b/daemon/internal/fleet/succession.go
@@ -41,6 +41,9 @@
 	// unresolvedOrder is the last promotion with a call whose outcome is unknown.
 	// The platform may execute it until it has seen a higher token.
 	unresolvedOrder objects.Promotion
+	// pending is the replacement that is stored; nil if none has begun. It is used where
+	// commits wait for replicas.
+	pending *pendingReplacement
 	// unfinished is true if commits wait for replicas and a replacement of the primary
 	// replaced has begun whose order may still be carried out. The choice of its successor
 	// holds only while the replicas receive nothing, so they stay paused and the
@@ -81,11 +84,7 @@
 		return
 	}
 	for name, g := range c.groups {
-		s := c.successions[name]
-		if s == nil {
-			s = &successionState{excludedUntil: map[string]time.Time{}}
-			c.successions[name] = s
-		}
+		s := c.successionOf(name)
 		if s.running || !c.knowsLogs(name) {
 			continue
 		}
@@ -95,6 +94,7 @@
 		reason := succession.Decide(now, view)
 		if reason == succession.NoReplacement {
 			s.dueSince = time.Time{}
+			c.endReplacement(view.Primary, s)
 			continue
 		}
 		if s.dueSince.IsZero() {
@@ -157,6 +157,8 @@
 		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, holders: c.commitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
 		promoter: c.promoter, store: c.store, isSameRegion: c.isSameRegion, unfinished: s.unfinished, lastOrdered: s.unresolvedOrder.Server,
+		isPlanned:  reason == succession.PrimaryDraining || reason == succession.PromotionUnfinished && v.Reachable && c.writeLease == nil,
+		isRecorded: c.isRecorded(g.Name(), v.Primary),
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
@@ -164,6 +166,10 @@
 	if c.writeLease != nil {
 		job.revocation = c.newRevocation(g, job)
 		job.holdsDuty = job.revocation.holdsDuty
+	} else if job.syncReplicas > 0 {
+		// The next holder takes over what this one has begun.
+		token := job.order.Token
+		job.holdsDuty = func() bool { return c.holdsDuty(token) }
 	}
 	s.running, s.startedAt, s.refused = true, c.now(), false
 	job.log.WithField("event", "succession").Info("replacing the primary")
@@ -198,6 +204,11 @@
 			"took_ms": c.now().Sub(s.startedAt).Milliseconds()}).Info("platform promoted a backend server")
 		return
 	}
+	if errors.Is(err, errNotRecorded) {
+		s.refused = true
+		c.recordReplacement(job.group.Name(), job.replaced)
+		return
+	}
 	job.log.WithFields(logrus.Fields{"event": "promotion_failed", "server": job.order.Server}).WithError(err).
 		Warn("promotion failed; the primary was not replaced")
 	switch {
@@ -209,6 +220,7 @@
 		c.lease.RequireRenewal()
 	case errors.Is(err, errNoSuccessor):
 		s.refused = true
+		c.endReplacement(job.replaced, s)
 	}
 }
 
--- a/daemon/internal/fleet/suspend.go
+++ b/daemon/internal/fleet/suspend.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/gypsumgap/gypsumgap/core/peerapi"
+	"github.com/gypsumgap/gypsumgap/core/succession"
 	"github.com/gypsumgap/gypsumgap/daemon/internal/backend"
 )
 
@@ -106,7 +107,7 @@
 // is none to suspend: a draining primary steps down first, and write leases keep the hosts
 // away where there are some.
 func (c *controller) newSuspension(g *backend.Group, job *promotion) *suspension {
-	if !job.pausesReplicas() || job.replaced == "" || c.writeLease != nil {
+	if job.syncReplicas == 0 || job.reason == succession.PrimaryDraining || job.replaced == "" || c.writeLease != nil {
 		return nil
 	}
 	s := &suspension{group: g, server: job.replaced, peer: c.peer, log: job.log}
