Do not pass a lost log on to a server of another service

Cause: the log of a server that left passes on to the next server of its service at its address. Any server at the address was taken for that one, also one of another service, to which addresses are given again.

--- a/daemon/internal/fleet/commitlogs.go
+++ b/daemon/internal/fleet/commitlogs.go
@@ -83,11 +83,13 @@
 }
 
 // lostLogsOf returns the lost logs of a service, except those that have passed on to a
-// registered server.
+// registered server. Another service may use the address again, and takes no log over.
 func (c *controller) lostLogsOf(service string) map[logID]lostLog {
 	addresses := map[string]bool{}
 	for _, r := range c.servers {
-		addresses[r.server.Address] = true
+		if r.server.Service == service {
+			addresses[r.server.Address] = true
+		}
 	}
 	out := map[logID]lostLog{}
 	for id, l := range c.lostLogs {
--- a/daemon/internal/fleet/promote_test.go
+++ b/daemon/internal/fleet/promote_test.go
@@ -153,15 +153,17 @@
 }
 
 // Guards against a server that left and counts beside the one that has taken over its
-// log at its address.
+// log at its address, and against a lost log that is forgotten because a server of another
+// service uses the address (LOST).
 func TestServerAtSameAddressTakesLogOver(t *testing.T) {
 	deploy(t, func(d *deployment) {
 		c := d.hosts[0]
 		gone := func(id string) { c.recordEnd(logID{id, 7}, syscall.ECONNREFUSED) }
-		apply := func(id, address string, draining, deleted bool) {
-			server := catalog.Server{ID: id, Service: "service", Address: address, Zone: "a", StatementLimit: 1, StartedUnixMilli: 7, Draining: draining}
+		applyTo := func(service, id, address string, draining, deleted bool) {
+			server := catalog.Server{ID: id, Service: service, Address: address, Zone: "a", StatementLimit: 1, StartedUnixMilli: 7, Draining: draining}
 			c.applyServers(storeChange{kind: objects.Servers, objects: []objects.Object{{Name: id, Server: &server, Deleted: deleted}}})
 		}
+		apply := func(id, address string, draining, deleted bool) { applyTo("service", id, address, draining, deleted) }
 		counts := func(change func()) [2]int {
 			return queryState(c, func() [2]int {
 				change()
@@ -182,6 +184,7 @@
 			{"entry removed again", func() { apply("x", "x:1", true, true) }, [2]int{4, 0}},
 			{"server left", func() { gone("x") }, [2]int{3, 1}},
 			{"another server registered", func() { apply("y", "y:1", false, false) }, [2]int{4, 1}},
+			{"server of another service at its address registered", func() { applyTo("other", "o", "x:1", false, false) }, [2]int{4, 1}},
 			{"server at its address registered", func() { apply("z", "x:1", false, false) }, [2]int{5, 0}},
 		} {
 			if got := counts(step.change); got != step.want {
