End the connections of other hosts with the answers of a stopping host

Cause: at its end a stopping owner closes idle connections to other hosts, which go on sending it statements. A request on its way then gets no answer.

Change: from the start of its drain a host ends each connection of another host with its next answer (Connection: close), so that few are idle at the end.

--- a/daemon/internal/fleet/host.go
+++ b/daemon/internal/fleet/host.go
@@ -121,6 +121,9 @@
 	}
 }
 
+// isDraining reports whether this host is shutting down.
+func (h *Host) isDraining() bool { return h.control.published.View().Draining }
+
 // Run serves until ctx ends and then shuts down gracefully. It fails if it
 // cannot listen on one of the configured addresses, or if serving fails.
 func (h *Host) Run(ctx context.Context) error {
@@ -147,7 +150,7 @@
 	running.Go(func() error { return h.front.Serve(callers) })
 	readyServer := web.Serve(&running, ready, h.platform.Ready(h.checkReady))
 	adminServer := web.Serve(&running, admin, h.metrics.Handler(h.checkReady))
-	peerServer := web.Serve(&running, peers, peerapi.NewPeerServer(h.control.peerServer()))
+	peerServer := web.Serve(&running, peers, web.CloseWhile(h.isDraining, peerapi.NewPeerServer(h.control.peerServer())))
 	go h.watchSettings(controlCtx)
 	h.log.WithFields(logrus.Fields{"event": "started", "listen": h.settings.Listen, "zone": h.settings.AvailabilityZone}).
 		Info("host accepts callers")
--- a/daemon/internal/web/web.go
+++ b/daemon/internal/web/web.go
@@ -26,3 +26,15 @@
 	})
 	return server
 }
+
+// CloseWhile makes the server end each connection with its next response while the
+// condition holds, as Connection: close asks the client to. A server that closed idle
+// connections at its end would lose the requests that are on their way then.
+func CloseWhile(condition func() bool, handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if condition() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
