Do not repeat an order for a server that has started again

Change: before a call is repeated, the holder asks the server over the connection over which it was chosen. If that is gone, the order fails as one without an answer, and the replacement is completed with a higher token.

In the stand-in a late order no longer promotes a server that has started again without its log since, as an order in time did not before: no holder can prevent that.

--- a/core/statement/statementtest/history.go
+++ b/core/statement/statementtest/history.go
@@ -3,8 +3,10 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -59,6 +61,13 @@
 	return h.counts, h.broken, h.reads
 }
 
+// Acknowledged returns the IDs of the writes whose success a caller has received.
+func (h *History) Acknowledged() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Sorted(maps.Keys(h.acknowledged))
+}
+
 func (h *History) addViolation(format string, args ...any) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/core/statement/statementtest/service.go
+++ b/core/statement/statementtest/service.go
@@ -11,6 +11,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -74,6 +75,8 @@
 	// token is the highest fencing token received.
 	token      uint64
 	promotions int
+	// added is the number of servers that were added.
+	added int
 	// lastPromoted is the ID of the server that became the primary last.
 	lastPromoted string
 	// promotedLength is the length of the primary's log when it was promoted.
@@ -201,17 +204,44 @@
 	change(s.servers[id])
 }
 
-// Add starts a new replica, to which the log of the primary has been transferred.
+// Add starts a new replica, to which the log of the primary has been transferred, unless
+// there is a server with the ID.
 func (s *Service) Add(id string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	sv := &Server{service: s, id: id, term: s.term, conns: map[*Conn]bool{}}
+	if s.servers[id] != nil {
+		return
+	}
+	sv := &Server{service: s, id: id, term: s.term, conns: map[*Conn]bool{}, restarts: s.added}
+	s.added++
 	if leader := s.primaryServer(); leader != nil {
 		sv.term, sv.log = leader.term, slices.Clone(leader.log)
 	}
 	s.servers[id] = sv
 }
 
+// Remove ends a replica for good.
+func (s *Service) Remove(id string) {
+	s.Crash(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.servers, id)
+}
+
+// Has reports whether there is a server with the ID.
+func (s *Service) Has(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.servers[id] != nil
+}
+
+// Servers returns the IDs of all servers, sorted.
+func (s *Service) Servers() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.servers))
+}
+
 // SetSyncReplicas replaces Options.SyncReplicas.
 func (s *Service) SetSyncReplicas(n int) {
 	s.mu.Lock()
@@ -316,19 +346,36 @@
 // Promote implements objects.Promoter. It refuses a fencing token lower than the
 // highest one received.
 func (s *Service) Promote(ctx context.Context, p objects.Promotion) error {
+	return s.promote(p, s.starts(p.Server))
+}
+
+// PromoteLate carries a promotion out after a delay. A server that has started again
+// without its log meanwhile is not promoted.
+func (s *Service) PromoteLate(delay time.Duration, p objects.Promotion) {
+	starts := s.starts(p.Server)
+	time.AfterFunc(delay, func() { _ = s.promote(p, starts) })
+}
+
+// starts returns how often a server has started without its log.
+func (s *Service) starts(id string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if sv := s.servers[id]; sv != nil {
+		return sv.restarts
+	}
+	return 0
+}
+
+func (s *Service) promote(p objects.Promotion, starts int) error {
 	s.mu.Lock()
 	sv := s.servers[p.Server]
 	refused := sv == nil || sv.down || p.Token < s.token && !s.options.ReplacedPrimaryContinues
 	s.token = max(s.token, p.Token)
-	restarts := 0
-	if sv != nil {
-		restarts = sv.restarts
-	}
 	s.mu.Unlock()
 	if refused {
 		return objects.ErrRefused
 	}
-	time.AfterFunc(s.options.PromotionDelay, func() { s.completePromotion(p.Server, restarts) })
+	time.AfterFunc(s.options.PromotionDelay, func() { s.completePromotion(p.Server, starts) })
 	return nil
 }
 
@@ -340,7 +387,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	next := s.servers[id]
-	if next.primary || next.down || next.restarts != restarts {
+	if next == nil || next.primary || next.down || next.restarts != restarts {
 		return
 	}
 	next.receive(time.Now())
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -67,6 +67,8 @@
 	// checks fencing tokens and commits do not wait for replicas.
 	holdsDuty func() bool
 	log       *logrus.Entry
+	// replies holds the last reply of each of the replicas; nil for those that gave none.
+	replies []*backend.LogReply
 	// answered is the number of replicas that replied last, and doubts are their doubtful
 	// replies.
 	answered int
@@ -329,6 +331,28 @@
 	return best, nil
 }
 
+// confirmSuccessor fails with errNoSuccessor if commits wait for replicas and the server
+// that is ordered may have started again without its log since it was chosen. The order
+// would make the new process the primary.
+func (p *promotion) confirmSuccessor(ctx context.Context) error {
+	if p.syncReplicas == 0 {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
+	defer cancel()
+	for i, r := range p.replicas {
+		before := p.replies[i]
+		if r.server.ID != p.order.Server || before == nil {
+			continue
+		}
+		reply, err := r.send(ctx, statement.Statement{Kind: statement.Status})
+		if err == nil && reply.ConnectedAt.Equal(before.ConnectedAt) {
+			return nil
+		}
+	}
+	return fmt.Errorf("%w: server %s may have started again since it was chosen", errNoSuccessor, p.order.Server)
+}
+
 // requestPromotion repeats the order until its outcome is known, at most
 // promoteAttempts times. A call without an answer may still be executed, so no
 // other server may be named with the same token.
@@ -337,6 +361,9 @@
 	for try := range promoteAttempts {
 		if try > 0 {
 			time.Sleep(promoteRetryPause)
+			if err := p.confirmSuccessor(ctx); err != nil {
+				return err
+			}
 		}
 		if p.holdsDuty != nil && !p.holdsDuty() {
 			return fmt.Errorf("%w: promotion duty may have been taken over", errNotRevoked)
--- a/daemon/internal/fleet/replicas.go
+++ b/daemon/internal/fleet/replicas.go
@@ -116,7 +116,7 @@
 			out = append(out, p.describe(p.replicas[i], reply.Received))
 		}
 	}
-	p.answered = len(out)
+	p.replies, p.answered = replies, len(out)
 	return out
 }
 
