Keep hosts away from a primary that comes back before its successor leads

Cause: the entry of a crashed primary had lapsed, so no primary was known when its successor was ordered. Nothing was suspended, and as soon as the former primary was back, the promotion counted as over: the replicas were resumed and hosts committed, before the promotion took effect. The commit was acknowledged by a replica that had been without an entry for over 30 s and did not count any more.

Change: the last known primary counts as the one that is replaced. A server without an entry counts as long as it replies to the holder. A primary that leads again is not suspended any more on any host, and a new holder does not take an old order of its own for the adopted one. took_ms of the event promoted was always 0.

--- a/daemon/internal/fleet/commitlogs_test.go
+++ b/daemon/internal/fleet/commitlogs_test.go
@@ -104,6 +104,26 @@
 	}
 }
 
+// Guards against acknowledged commits that are lost with a replica which has been without
+// an entry for so long that it is not expected back, and goes on receiving (LOST).
+func TestReplicaWithoutEntryCountsWhileItReplies(t *testing.T) {
+	deploy(t, func(d *deployment) {
+		d.holder()
+		d.waitForReplicas()
+		d.set(d.silent, "s3", true)
+		time.Sleep(lostServerRetention + 20*time.Second)
+		d.service.SetReplicationPaused("s2", true)
+		d.writeOn(0, "w")
+		d.service.Crash("s1")
+		time.Sleep(10 * time.Second)
+		d.service.Start("s1")
+		time.Sleep(5 * time.Second)
+		if got := d.service.Committed(); len(got) != 1 {
+			d.t.Errorf("got commits %v, want the write", got)
+		}
+	})
+}
+
 // Guards against a service that stays without a primary because lost logs count although
 // a replica has all that they could hold, also on hosts that have started since.
 func TestCoveredLossDoesNotDelayPromotion(t *testing.T) {
--- a/daemon/internal/fleet/logsessions.go
+++ b/daemon/internal/fleet/logsessions.go
@@ -157,6 +157,7 @@
 			c.recordEnd(p.id, p.err)
 			continue
 		}
+		c.recordLife(p.id)
 		if c.logSessions[p.id] != nil {
 			c.updateProof(p.id, p.reply.ConnectedAt)
 			c.resumeForgotten(g.Name(), p)
@@ -185,6 +186,14 @@
 	})
 }
 
+// recordLife records that a server whose entry has lapsed replies, so that it may receive.
+func (c *controller) recordLife(id logID) {
+	if l, known := c.lostServers[id.server]; known && logOf(l.server) == id {
+		l.lostAt = c.now()
+		c.lostServers[id.server] = l
+	}
+}
+
 // recordEnd records that a server that had announced its stop has ended, if the error of
 // its session shows that no such process listens at its address any more. A server that
 // crashed may come back with its log.
--- a/daemon/internal/fleet/newreplica_test.go
+++ b/daemon/internal/fleet/newreplica_test.go
@@ -33,3 +33,35 @@
 		})
 	}
 }
+
+// Guards against acknowledged commits that are lost because a primary whose entry has
+// lapsed comes back before the promotion takes effect: hosts committed on it, and the
+// replicas resumed as if nothing were pending (LOST).
+func TestPrimaryThatReturnsDuringPromotionLosesNoCommit(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			deployWith(t, &deployment{limit: ampleLimit, promotionDelay: time.Second}, func(d *deployment) {
+				f := &logFaults{deployment: d, rng: rand.New(rand.NewPCG(seed, 1))}
+				d.holder()
+				d.waitForReplicas()
+				time.Sleep(6 * time.Second)
+				d.promotionsDownUntil = time.Now().Add(12 * time.Second)
+				d.service.Crash("s1")
+				time.Sleep(12 * time.Second)
+				before := d.orderCount()
+				d.running.Go(func() {
+					for d.orderCount() == before {
+						time.Sleep(10 * time.Millisecond)
+					}
+					ordered := d.orders[before].Server
+					d.service.SetReplicationPaused(ordered, true)
+					d.service.Start("s1")
+				})
+				f.keepWriting("w", 5*time.Second)
+				if f.promotions == 0 || len(f.acknowledged) == 0 {
+					d.t.Errorf("got %d promotions and %d acknowledged writes", f.promotions, len(f.acknowledged))
+				}
+			})
+		})
+	}
+}
--- a/daemon/internal/fleet/pending.go
+++ b/daemon/internal/fleet/pending.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/gypsumgap/gypsumgap/core/objects"
 )
 
 // Where commits wait for replicas, a replacement of the primary pauses the replicas before
@@ -62,6 +64,8 @@
 		return
 	}
 	s.pending, s.unfinished, s.replaced = pending, true, pending.Primary
+	// It does not tell whether the present primary is the one that was ordered.
+	s.unresolvedOrder = objects.Promotion{}
 	c.log.WithFields(logrus.Fields{"event": "replacement_adopted", "service": service, "primary": pending.Primary, "holder": pending.Holder}).
 		Info("former holder has begun to replace the primary; completing it")
 }
--- a/daemon/internal/fleet/promote.go
+++ b/daemon/internal/fleet/promote.go
@@ -42,7 +42,8 @@
 	// isRecorded is true if the record of the service shows this replacement.
 	isRecorded bool
 	primary    *backend.Pool
-	// replaced is the ID of the primary; empty if there was none.
+	// replaced is the ID of the primary or, if none is known now, of the last one; empty if
+	// none ever was.
 	replaced string
 	// term is the highest known term of the service.
 	term group.Term
@@ -59,6 +60,8 @@
 	isSameRegion func(zone string) bool
 	// suspension precedes the choice of the successor; nil if there is nothing to suspend.
 	suspension *suspension
+	// endSuspension makes all hosts use a server again; nil if there are no suspensions.
+	endSuspension func(ctx context.Context, server string)
 	// paused is true once replicas were told to pause.
 	paused bool
 	// revocation precedes the order; nil if the platform stops replaced primaries.
@@ -95,6 +98,10 @@
 // others receive from now on.
 func (p *promotion) run(ctx context.Context) error {
 	err := p.replace(ctx)
+	if err == nil && p.endSuspension != nil {
+		// A former primary that leads again may still be suspended.
+		p.endSuspension(ctx, p.order.Server)
+	}
 	if err == nil || !p.paused || p.unresolved || p.unfinished {
 		return err
 	}
--- a/daemon/internal/fleet/servers.go
+++ b/daemon/internal/fleet/servers.go
@@ -18,8 +18,9 @@
 	// lapsed without notice. Entries that lapsed while the store was unavailable
 	// are back within 2 s of its return.
 	lapseGracePeriod = 2500 * time.Millisecond
-	// lostServerRetention is how long a server whose entry has lapsed counts as one that
-	// may still receive commits. It would have registered again by then.
+	// lostServerRetention is how long a server whose entry has lapsed, and that does not
+	// reply to the holder of the duty, counts as one that may still receive commits. It
+	// would have registered again by then.
 	lostServerRetention = 30 * time.Second
 	// departedServerRetention is how long a server that left after it had announced it
 	// is refused. It exceeds the age of the copies to which a store goes back.
--- a/daemon/internal/fleet/succession.go
+++ b/daemon/internal/fleet/succession.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"time"
@@ -34,8 +35,10 @@
 	refused bool
 	// excludedUntil holds the time until which servers are excluded, by ID.
 	excludedUntil map[string]time.Time
+	// lastPrimary is the ID of the last primary that this host knew; empty if none.
+	lastPrimary string
 	// orderedAt is when the last promotion was ordered that may have an effect, and
-	// replaced the primary before it; empty if there was none.
+	// replaced the last known primary before it; empty if there was none.
 	orderedAt time.Time
 	replaced  string
 	// unresolvedOrder is the last promotion with a call whose outcome is unknown.
@@ -122,6 +125,7 @@
 		v.Registered, v.Draining = r.missingSince.IsZero() || c.now().Sub(r.missingSince) < lapseGracePeriod, r.server.Draining
 	}
 	if h.Primary != "" {
+		s.lastPrimary = h.Primary
 		v.MissingReports, v.MissingReportedAt = c.countMissingReports(name, h.Primary)
 		v.PolledHosts, v.PolledMissing = c.pollResult(name, h.Primary)
 	}
@@ -152,17 +156,25 @@
 // startSuccession starts to replace the primary in the background.
 func (c *controller) startSuccession(g *backend.Group, s *successionState, v succession.View, reason succession.Reason) {
 	h := g.Health()
+	replaced := cmp.Or(v.Primary, s.lastPrimary)
 	job := &promotion{
-		group: g, reason: reason, primary: g.Primary(), replaced: v.Primary, term: g.HighestTerm(), replicas: c.replicaLogs(g, s, h.Primary),
+		group: g, reason: reason, primary: g.Primary(), replaced: replaced, term: g.HighestTerm(), replicas: c.replicaLogs(g, s, h.Primary),
 		syncReplicas: c.configuration.Services[g.Name()].SyncReplicas, holders: c.commitHolders(g.Name()),
 		order:    objects.Promotion{Service: g.Name(), Holder: c.host, Token: c.lease.Token()},
 		promoter: c.promoter, store: c.store, isSameRegion: c.isSameRegion, unfinished: s.unfinished, lastOrdered: s.unresolvedOrder.Server,
 		isPlanned:  reason == succession.PrimaryDraining || reason == succession.PromotionUnfinished && v.Reachable && c.writeLease == nil,
-		isRecorded: c.isRecorded(g.Name(), v.Primary),
+		isRecorded: c.isRecorded(g.Name(), replaced),
 		log: c.log.WithFields(logrus.Fields{"service": g.Name(), "reason": string(reason), "primary": v.Primary, "term": h.Term,
 			"token": c.lease.Token(), "missing_hosts": v.MissingReports, "hosts": v.LiveHosts}),
 	}
 	job.suspension = c.newSuspension(g, job)
+	if job.syncReplicas > 0 && c.writeLease == nil {
+		all := c.suspensionOf(g, "", job.log)
+		job.endSuspension = func(ctx context.Context, server string) {
+			all.server = server
+			all.end(ctx)
+		}
+	}
 	if c.writeLease != nil {
 		job.revocation = c.newRevocation(g, job)
 		job.holdsDuty = job.revocation.holdsDuty
@@ -182,6 +194,7 @@
 // endSuccession processes the result of a replacement.
 func (c *controller) endSuccession(s *successionState, job *promotion, err error) {
 	s.running = false
+	took := c.now().Sub(s.startedAt)
 	if err == nil {
 		// The state of the service is evaluated again after succession.PromotionTimeout.
 		s.startedAt = c.now()
@@ -201,7 +214,7 @@
 	}
 	if err == nil {
 		job.log.WithFields(logrus.Fields{"event": "promoted", "server": job.order.Server,
-			"took_ms": c.now().Sub(s.startedAt).Milliseconds()}).Info("platform promoted a backend server")
+			"took_ms": took.Milliseconds()}).Info("platform promoted a backend server")
 		return
 	}
 	if errors.Is(err, errNotRecorded) {
--- a/daemon/internal/fleet/suspend.go
+++ b/daemon/internal/fleet/suspend.go
@@ -103,14 +103,19 @@
 	return &peerapi.SuspendResponse{Drained: suspend(ctx, g, r.GetServer(), period)}, nil
 }
 
-// newSuspension returns the suspension of the primary that a job replaces, or nil if there
-// is none to suspend: a draining primary steps down first, and write leases keep the hosts
-// away where there are some.
+// newSuspension returns the suspension of the primary that a job replaces, which may come
+// back before the successor leads, or nil if there is none to suspend: a draining primary
+// steps down first, and write leases keep the hosts away where there are some.
 func (c *controller) newSuspension(g *backend.Group, job *promotion) *suspension {
 	if job.syncReplicas == 0 || job.reason == succession.PrimaryDraining || job.replaced == "" || c.writeLease != nil {
 		return nil
 	}
-	s := &suspension{group: g, server: job.replaced, peer: c.peer, log: job.log}
+	return c.suspensionOf(g, job.replaced, job.log)
+}
+
+// suspensionOf returns the suspension of a server on all hosts.
+func (c *controller) suspensionOf(g *backend.Group, server string, log *logrus.Entry) *suspension {
+	s := &suspension{group: g, server: server, peer: c.peer, log: log}
 	for _, p := range c.peers {
 		s.hosts = append(s.hosts, p.address)
 	}
