Do not cover a lost log by the log of the primary itself

A primary that had just stepped down counted as the replica, and the check ran without a known primary. The commits would then be in that log alone.

--- a/daemon/internal/fleet/logsessions.go
+++ b/daemon/internal/fleet/logsessions.go
@@ -123,10 +123,10 @@
 			sessions[id] = s
 		}
 	}
-	lost := c.lostLogsOf(service)
+	primary, lost := g.Health().Primary, c.lostLogsOf(service)
 	c.runAsync(func(ctx context.Context) {
 		polls := pollLogs(ctx, sessions)
-		c.post(ctx, func() { c.applyLogPolls(g, lost, polls) })
+		c.post(ctx, func() { c.applyLogPolls(g, primary, lost, polls) })
 	})
 }
 
@@ -149,8 +149,9 @@
 }
 
 // applyLogPolls records which servers have ended, and forgets those of the lost logs that
-// a replica covers.
-func (c *controller) applyLogPolls(g *backend.Group, lost map[logID]lostLog, polls []logPoll) {
+// a replica covers. The log of the primary that was known when the logs were polled covers
+// none, also if it has stepped down since: the commits would be in that log alone.
+func (c *controller) applyLogPolls(g *backend.Group, primary string, lost map[logID]lostLog, polls []logPoll) {
 	var longest group.Position
 	for _, p := range polls {
 		if p.err != nil {
@@ -162,11 +163,13 @@
 			c.updateProof(p.id, p.reply.ConnectedAt)
 			c.resumeForgotten(g.Name(), p)
 		}
-		if !p.reply.Primary && p.reply.Received.Compare(longest) > 0 {
+		if !p.reply.Primary && p.id.server != primary && p.reply.Received.Compare(longest) > 0 {
 			longest = p.reply.Received
 		}
 	}
-	c.forgetCoveredLogs(g, lost, longest)
+	if primary != "" {
+		c.forgetCoveredLogs(g, lost, longest)
+	}
 }
 
 // resumeForgotten resumes a replica that is paused although no replacement of the primary
